Add build, base library, kernel contract and design

Cause: the project starts from an empty tree. Ruled out: msgpack-cxx with per-struct macros; nlohmann-json maps each struct once and serves both MessagePack messages and JSON traces. Before/after: nothing; base and kernel build with warnings as errors, their tests pass plain, under ASan/UBSan and TSan. Conclusion: stages can be written against kernel/events.h and kernel/effects.h.

--- /dev/null
+++ b/cmake/CowsliprockTargets.cmake
@@ -0,0 +1,46 @@
+# Defines cowsliprock_library and cowsliprock_test, used by every library folder.
+
+# cowsliprock_library(<name> [DEPENDS <libraries>...])
+# Builds src/*.cpp with include/ as the public include directory. It is an object library, so that
+# the static registrars of stages and policies are always linked.
+function(cowsliprock_library name)
+    cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+    add_library(${name}_objects OBJECT ${sources})
+    target_include_directories(${name}_objects PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include
+                               PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
+    add_library(${name} INTERFACE)
+    target_sources(${name} INTERFACE $<TARGET_OBJECTS:${name}_objects>)
+    target_include_directories(${name} INTERFACE ${CMAKE_CURRENT_SOURCE_DIR}/include)
+    target_link_libraries(${name} INTERFACE ${ARG_DEPENDS})
+    foreach(dependency IN LISTS ARG_DEPENDS)
+        if(TARGET ${dependency}_objects)
+            target_link_libraries(${name}_objects PUBLIC ${dependency}_headers)
+        else()
+            target_link_libraries(${name}_objects PUBLIC ${dependency})
+        endif()
+    endforeach()
+    # Headers and external libraries without the object files.
+    add_library(${name}_headers INTERFACE)
+    target_include_directories(${name}_headers INTERFACE ${CMAKE_CURRENT_SOURCE_DIR}/include)
+    foreach(dependency IN LISTS ARG_DEPENDS)
+        if(TARGET ${dependency}_objects)
+            target_link_libraries(${name}_headers INTERFACE ${dependency}_headers)
+        else()
+            target_link_libraries(${name}_headers INTERFACE ${dependency})
+        endif()
+    endforeach()
+endfunction()
+
+# cowsliprock_test(<name> SOURCES <files>... DEPENDS <libraries>...)
+function(cowsliprock_test name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} Boost::unit_test_framework)
+    target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK COWSLIPROCK_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+    # Exactly one file of a Boost.Test program defines the module.
+    list(GET ARG_SOURCES 0 main_source)
+    set_source_files_properties(${main_source} PROPERTIES COMPILE_DEFINITIONS
+                                BOOST_TEST_MODULE=${name})
+    add_test(NAME ${name} COMMAND ${name})
+endfunction()
--- /dev/null
+++ b/libs/base/include/base/resources.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace cowsliprock {
+
+/// An amount of worker capacity.
+struct Resources
+{
+    std::int64_t cpuMillis = 0; ///< Thousandths of a processor.
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
+
+    bool operator==(const Resources &) const = default;
+
+    /// True if every component is at most that of \p capacity.
+    [[nodiscard]] constexpr bool fitsIn(const Resources &capacity) const noexcept
+    {
+        return cpuMillis <= capacity.cpuMillis && memoryMb <= capacity.memoryMb
+            && accelerators <= capacity.accelerators;
+    }
+
+    constexpr Resources &operator+=(const Resources &other) noexcept
+    {
+        cpuMillis += other.cpuMillis;
+        memoryMb += other.memoryMb;
+        accelerators += other.accelerators;
+        return *this;
+    }
+
+    constexpr Resources &operator-=(const Resources &other) noexcept
+    {
+        cpuMillis -= other.cpuMillis;
+        memoryMb -= other.memoryMb;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+};
+
+[[nodiscard]] constexpr Resources operator+(Resources left, const Resources &right) noexcept
+{
+    return left += right;
+}
+
+[[nodiscard]] constexpr Resources operator-(Resources left, const Resources &right) noexcept
+{
+    return left -= right;
+}
+
+[[nodiscard]] constexpr Resources operator*(Resources amount, std::int64_t count) noexcept
+{
+    return { amount.cpuMillis * count, amount.memoryMb * count, amount.accelerators * count };
+}
+
+} // namespace cowsliprock
--- /dev/null
+++ b/libs/kernel/include/kernel/events.h
@@ -0,0 +1,250 @@
+#pragma once
+
+#include <kernel/messages.h>
+#include <kernel/model.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What happens to a daemon. The first group comes from the runtime and is recorded in traces; the
+/// second group is raised by stages for other stages.
+namespace cowsliprock::event {
+
+/// First event of every run.
+struct Started
+{
+    static constexpr const char *name = "started";
+};
+
+/// Sent every 50 ms.
+struct Tick
+{
+    static constexpr const char *name = "tick";
+};
+
+enum class StoreStatus { Ok, Conflict, NotFound, Unavailable };
+
+struct StoreRow
+{
+    std::string key;
+    std::uint64_t version = 0;
+    std::string value;
+};
+
+/// Answer to effect::StoreCall. Unavailable leaves open whether a write took effect.
+struct StoreReply
+{
+    static constexpr const char *name = "storeReply";
+    CallId call;
+    StoreStatus status = StoreStatus::Unavailable;
+    std::uint64_t version = 0;  ///< Of the row after the call; on Conflict the present version.
+    std::string value;          ///< For Get and Watch; on Conflict the present value.
+    std::vector<StoreRow> rows; ///< For List.
+    TimePoint sentAt;           ///< When the call was sent.
+};
+
+struct PeerMessage
+{
+    static constexpr const char *name = "peerMessage";
+    DaemonIdentity from;
+    Message message;
+};
+
+struct VmList
+{
+    static constexpr const char *name = "vmList";
+    std::vector<VmEntry> entries;
+};
+
+struct RequestArrived
+{
+    static constexpr const char *name = "requestArrived";
+    RequestId request;
+    RequestProfile profile;
+    BodyKey bodyKey;
+};
+
+struct CallerDisconnected
+{
+    static constexpr const char *name = "callerDisconnected";
+    RequestId request;
+};
+
+/// Outcome of effect::CallEndpoint.
+enum class EndpointOutcome {
+    Answered, ///< A whole answer was received.
+    NotSent,  ///< The request's body was not sent completely; it did not run.
+    Refused,  ///< The endpoint refused it before the start (503).
+    Unknown   ///< Sent completely, no whole answer.
+};
+
+struct EndpointReply
+{
+    static constexpr const char *name = "endpointReply";
+    AttemptId attempt;
+    EndpointOutcome outcome = EndpointOutcome::Unknown;
+    int httpStatus = 0;
+    BodyKey body;
+    bool leaving = false;
+    std::string detail;
+};
+
+/// Answer to effect::PollWorker.
+struct WorkerReport
+{
+    static constexpr const char *name = "workerReport";
+    WorkerName worker;
+    TimePoint askedAt; ///< When the poll was sent.
+    Resources capacity;
+    std::vector<TaskReport> tasks; ///< Present tasks, and those ended in the last 60 s.
+    std::vector<EndpointReport> endpoints;
+};
+
+struct WorkerUnreachable
+{
+    static constexpr const char *name = "workerUnreachable";
+    WorkerName worker;
+};
+
+/// Answer to effect::StartTask.
+struct TaskStartResult
+{
+    static constexpr const char *name = "taskStartResult";
+    AttemptId attempt;
+    message::StartOutcome outcome = message::StartOutcome::Unknown;
+};
+
+/// Answer to effect::StopTask.
+struct TaskStopResult
+{
+    static constexpr const char *name = "taskStopResult";
+    AttemptId attempt;
+    bool confirmed = false; ///< The worker answered that the task is not running.
+};
+
+/// An operator call on this daemon.
+struct OperatorCall
+{
+    static constexpr const char *name = "operatorCall";
+    OperationId operation;
+    std::string action; ///< "submit", "cancel", "status", "configurationApply", ...
+    std::string body;   ///< JSON
+};
+
+struct DrainRequested
+{
+    static constexpr const char *name = "drainRequested";
+};
+
+// Raised by stages.
+
+/// The ownership stage owns a partition. Work may be given from usableFrom on.
+struct PartitionAcquired
+{
+    static constexpr const char *name = "partitionAcquired";
+    PartitionId partition;
+    std::uint64_t epoch = 0;
+    TimePoint usableFrom; ///< Reports asked for earlier say nothing about the predecessor.
+    std::vector<JournalEntry> inherited; ///< Entries of earlier owners within the retention time.
+};
+
+struct PartitionLost
+{
+    static constexpr const char *name = "partitionLost";
+    PartitionId partition;
+};
+
+/// Until when this daemon may give work to the workers it owns. Moves forward with each renewal.
+struct ValidityChanged
+{
+    static constexpr const char *name = "validityChanged";
+    TimePoint validUntil;
+    bool storeReachable = true; ///< False while validity rests on promises only.
+};
+
+/// Who owns which partition, as far as this daemon knows.
+struct OwnersChanged
+{
+    static constexpr const char *name = "ownersChanged";
+    std::map<PartitionId, DaemonIdentity> owners;
+};
+
+/// A peer was heard of, or missed for too long.
+struct PeerStatus
+{
+    static constexpr const char *name = "peerStatus";
+    DaemonIdentity peer;
+    Location location;
+    bool alive = true;
+    bool draining = false;
+    std::uint64_t configurationVersion = 0;
+    LoadSummary load;
+};
+
+/// Asks the ownership stage to make an entry durable.
+struct JournalAppend
+{
+    static constexpr const char *name = "journalAppend";
+    std::uint64_t ticket = 0; ///< Chosen by the asking stage, unique with stage.
+    std::string stage;
+    JournalEntry entry;
+};
+
+/// Result of JournalAppend. Not durable means that it will never become durable.
+struct JournalResult
+{
+    static constexpr const char *name = "journalResult";
+    std::uint64_t ticket = 0;
+    std::string stage;
+    bool durable = false;
+};
+
+struct ConfigurationInForce
+{
+    static constexpr const char *name = "configurationInForce";
+    ConfigurationPointer configuration;
+};
+
+/// Free capacity to be carried in heartbeats. Each stage fills its own part.
+struct LoadChanged
+{
+    static constexpr const char *name = "loadChanged";
+    std::string stage;
+    LoadSummary load;
+};
+
+/// A stage has no more work in progress; raised while draining.
+struct StageDrained
+{
+    static constexpr const char *name = "stageDrained";
+    std::string stage;
+};
+
+/// The end of a request or task, for the burn report.
+struct WorkFinished
+{
+    static constexpr const char *name = "workFinished";
+    std::string service; ///< Or the job's name.
+    std::string caller;  ///< Or the job's team.
+    bool request = true;
+    Duration waited{ 0 };
+    bool deadlineMet = true;
+    bool available = true; ///< False if the system failed to get it done.
+};
+
+} // namespace cowsliprock::event
+
+namespace cowsliprock {
+
+using Event = std::variant<
+    event::Started, event::Tick, event::StoreReply, event::PeerMessage, event::VmList,
+    event::RequestArrived, event::CallerDisconnected, event::EndpointReply, event::WorkerReport,
+    event::WorkerUnreachable, event::TaskStartResult, event::TaskStopResult, event::OperatorCall,
+    event::DrainRequested, event::PartitionAcquired, event::PartitionLost, event::ValidityChanged,
+    event::OwnersChanged, event::PeerStatus, event::JournalAppend, event::JournalResult,
+    event::ConfigurationInForce, event::LoadChanged, event::StageDrained, event::WorkFinished>;
+
+} // namespace cowsliprock
--- /dev/null
+++ b/libs/kernel/include/kernel/serialization.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <base/error.h>
+#include <kernel/events.h>
+#include <kernel/effects.h>
+
+#include <string>
+#include <string_view>
+
+namespace cowsliprock {
+
+/// Version of the messages between daemons. A daemon drops messages of another version.
+inline constexpr int protocolVersion = 1;
+
+struct Envelope
+{
+    DaemonIdentity from;
+    Message message;
+};
+
+/// MessagePack form of a message between daemons.
+[[nodiscard]] std::string encodeMessage(const Envelope &envelope);
+
+/// Fails with ErrorKind::Invalid on malformed bytes or another version.
+[[nodiscard]] Result<Envelope> decodeMessage(std::string_view bytes);
+
+/// One line of a trace: {"at":<microseconds>,"event":"<name>","data":{...}}.
+/// Events raised by stages are not part of a trace.
+struct TraceLine
+{
+    TimePoint at;
+    Event event;
+};
+
+[[nodiscard]] std::string encodeTraceLine(const TraceLine &line);
+[[nodiscard]] Result<TraceLine> decodeTraceLine(std::string_view text);
+
+/// JSON text of an effect, for comparison in replays.
+[[nodiscard]] std::string describeEffect(const Effect &effect);
+
+/// JSON texts of parts of the model that the store keeps.
+[[nodiscard]] std::string encodeJob(const AcceptedJob &job);
+[[nodiscard]] Result<AcceptedJob> decodeJob(std::string_view text);
+
+} // namespace cowsliprock
--- /dev/null
+++ b/libs/kernel/include/kernel/settings.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <base/time.h>
+#include <kernel/identity.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cowsliprock {
+
+/// A daemon that this one can talk to, from the settings.
+struct PeerAddress
+{
+    DaemonName name;
+    Location location;
+    std::string peerAddress; ///< nng "host:port".
+};
+
+/// Settings of the decision logic.
+struct KernelSettings
+{
+    DaemonIdentity self;
+    Location location;
+    std::string httpAddress;
+    std::string peerAddress;
+    std::vector<PeerAddress> peers; ///< All daemons but this one.
+    std::uint64_t randomSeed = 1;
+    std::uint32_t partitionsPerDataCentre = 6;
+
+    Duration renewInterval{ std::chrono::seconds(2) };
+    Duration leaseTime{ std::chrono::seconds(6) };
+    Duration leaseMargin{ std::chrono::seconds(1) }; ///< Covers clock rates and the time in flight.
+    Duration quarantine{ std::chrono::seconds(
+        8) }; ///< Worker read timeout 5 s, TCP user timeout 2 s, margin 1 s.
+    Duration maxOutageExtension{ std::chrono::hours(2) };
+    Duration journalInterval{ std::chrono::milliseconds(170) }; ///< At most 6 writes a second.
+    Duration identityRetention{ std::chrono::hours(24) };
+    Duration heartbeatInterval{ std::chrono::milliseconds(333) };
+    Duration farHeartbeatInterval{ std::chrono::seconds(5) };
+    Duration peerTimeout{ std::chrono::seconds(5) };
+    Duration pollInterval{ std::chrono::seconds(5) };
+    Duration taskLease{ std::chrono::seconds(30) };
+    Duration reservationTime{ std::chrono::seconds(2) };
+    Duration drainLimit{ std::chrono::seconds(30) };
+    std::uint32_t answerCacheEntries = 10'000;
+};
+
+} // namespace cowsliprock
