--- a/libs/kernel/include/kernel/events.h
+++ b/libs/kernel/include/kernel/events.h
@@ -235,16 +235,35 @@
     bool available = true; ///< False if the system failed to get it done.
 };
 
+/// One item of late work.
+struct LateItem
+{
+    std::string id;     ///< Of the request or job.
+    std::string name;   ///< Service or job name.
+    std::string caller; ///< Caller or team.
+    TimePoint lateSince;
+};
+
+/// All late work of a stage, raised when it changes and at most once a second.
+struct LateWorkChanged
+{
+    static constexpr const char *name = "lateWorkChanged";
+    std::string stage;
+    std::vector<LateItem> items;
+};
+
 } // namespace cowsliprock::event
 
 namespace cowsliprock {
 
-using Event = std::variant<
-    event::Started, event::Tick, event::StoreReply, event::PeerMessage, event::VmList,
-    event::RequestArrived, event::CallerDisconnected, event::EndpointReply, event::WorkerReport,
-    event::WorkerUnreachable, event::TaskStartResult, event::TaskStopResult, event::OperatorCall,
-    event::DrainRequested, event::PartitionAcquired, event::PartitionLost, event::ValidityChanged,
-    event::OwnersChanged, event::PeerStatus, event::JournalAppend, event::JournalResult,
-    event::ConfigurationInForce, event::LoadChanged, event::StageDrained, event::WorkFinished>;
+using Event =
+    std::variant<event::Started, event::Tick, event::StoreReply, event::PeerMessage, event::VmList,
+                 event::RequestArrived, event::CallerDisconnected, event::EndpointReply,
+                 event::WorkerReport, event::WorkerUnreachable, event::TaskStartResult,
+                 event::TaskStopResult, event::OperatorCall, event::DrainRequested,
+                 event::PartitionAcquired, event::PartitionLost, event::ValidityChanged,
+                 event::OwnersChanged, event::PeerStatus, event::JournalAppend,
+                 event::JournalResult, event::ConfigurationInForce, event::LoadChanged,
+                 event::StageDrained, event::WorkFinished, event::LateWorkChanged>;
 
 } // namespace cowsliprock
--- a/libs/kernel/src/jsonmodel.h
+++ b/libs/kernel/src/jsonmodel.h
@@ -165,6 +165,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StageDrained, stage)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkFinished, service, caller, request, waited, deadlineMet,
                                    available)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LateItem, id, name, caller, lateSince)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LateWorkChanged, stage, items)
 
 } // namespace cowsliprock::event
 
