Add trace replay with invariant checks

Cause: recorded traces must replay against stated outcomes. Ruled out: comparing every effect text; it would pin the wording of logs. Before/after: traces could be decoded but not replayed; replayTrace counts effects and answers and lists violated invariants. Conclusion: the first line of a trace holds the settings of its kernel.

--- a/libs/kernel/include/kernel/serialization.h
+++ b/libs/kernel/include/kernel/serialization.h
@@ -3,6 +3,7 @@
 #include <base/error.h>
 #include <kernel/events.h>
 #include <kernel/effects.h>
+#include <kernel/settings.h>
 
 #include <string>
 #include <string_view>
@@ -35,6 +36,10 @@
 [[nodiscard]] std::string encodeTraceLine(const TraceLine &line);
 [[nodiscard]] Result<TraceLine> decodeTraceLine(std::string_view text);
 
+/// First line of a trace: the settings of the kernel that recorded it.
+[[nodiscard]] std::string encodeSettings(const KernelSettings &settings);
+[[nodiscard]] Result<KernelSettings> decodeSettings(std::string_view text);
+
 /// JSON text of an effect, for comparison in replays.
 [[nodiscard]] std::string describeEffect(const Effect &effect);
 
--- a/libs/kernel/src/jsonmodel.h
+++ b/libs/kernel/src/jsonmodel.h
@@ -2,6 +2,7 @@
 
 #include <kernel/effects.h>
 #include <kernel/events.h>
+#include <kernel/settings.h>
 
 #include <nlohmann/json.hpp>
 
@@ -188,3 +189,15 @@
 COWSLIPROCK_EMPTY_JSON(Exit)
 
 } // namespace cowsliprock::effect
+
+namespace cowsliprock {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PeerAddress, name, location, peerAddress)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KernelSettings, self, location, httpAddress, peerAddress, peers,
+                                   randomSeed, partitionsPerDataCentre, renewInterval, leaseTime,
+                                   leaseMargin, quarantine, maxOutageExtension, journalInterval,
+                                   identityRetention, heartbeatInterval, farHeartbeatInterval,
+                                   peerTimeout, pollInterval, taskLease, reservationTime,
+                                   drainLimit, answerCacheEntries)
+
+} // namespace cowsliprock
--- /dev/null
+++ b/libs/kernel/src/replay.cpp
@@ -0,0 +1,101 @@
+#include <kernel/replay.h>
+
+#include <kernel/serialization.h>
+
+namespace cowsliprock {
+
+namespace {
+
+const char *answerName(AnswerKind kind) noexcept
+{
+    switch (kind) {
+    case AnswerKind::Whole:
+        return "whole";
+    case AnswerKind::NotRun:
+        return "notRun";
+    case AnswerKind::Unknown:
+        return "unknown";
+    }
+    return "invalid";
+}
+
+} // namespace
+
+void InvariantChecker::observe(const Event &event)
+{
+    if (const auto *arrived = std::get_if<event::RequestArrived>(&event)) {
+        m_answers[arrived->request] = 0;
+    } else if (const auto *reply = std::get_if<event::EndpointReply>(&event)) {
+        if (const auto found = m_callAddress.find(reply->attempt); found != m_callAddress.end())
+            --m_active[found->second];
+    } else if (const auto *report = std::get_if<event::WorkerReport>(&event)) {
+        for (const auto &endpoint : report->endpoints)
+            m_slots[endpoint.address] = endpoint.slots;
+    }
+}
+
+void InvariantChecker::observe(const Effect &effect, TimePoint now)
+{
+    if (const auto *call = std::get_if<effect::CallEndpoint>(&effect))
+        checkCall(*call, now);
+    else if (const auto *start = std::get_if<effect::StartTask>(&effect))
+        checkStart(*start, now);
+    else if (const auto *answer = std::get_if<effect::AnswerCaller>(&effect))
+        checkAnswer(*answer);
+}
+
+void InvariantChecker::checkCall(const effect::CallEndpoint &call, TimePoint now)
+{
+    const std::string &attempt = call.attempt.value();
+    if (!m_callAddress.emplace(call.attempt, call.address).second)
+        m_violations.push_back("attempt " + attempt + " was sent twice");
+    if (now >= call.validUntil)
+        m_violations.push_back("attempt " + attempt + " was sent after the lease had expired");
+    if (++m_active[call.address] > m_slots[call.address])
+        m_violations.push_back("attempt " + attempt + " exceeds the slots of " + call.address);
+}
+
+void InvariantChecker::checkStart(const effect::StartTask &start, TimePoint now)
+{
+    const std::string &attempt = start.launch.attempt.value();
+    if (++m_starts[start.launch.attempt] > 1)
+        m_violations.push_back("task attempt " + attempt + " was started twice");
+    if (now >= start.validUntil)
+        m_violations.push_back("task attempt " + attempt
+                               + " was started after the lease had expired");
+}
+
+void InvariantChecker::checkAnswer(const effect::AnswerCaller &answer)
+{
+    const auto found = m_answers.find(answer.request);
+    if (found == m_answers.end())
+        m_violations.push_back("answer to unknown request " + answer.request.value());
+    else if (++found->second > 1)
+        m_violations.push_back("request " + answer.request.value() + " was answered twice");
+}
+
+Result<ReplaySummary> replayTrace(std::istream &trace)
+{
+    std::string text;
+    if (!std::getline(trace, text))
+        return Error{ ErrorKind::Invalid, "trace.read", {}, "empty trace" };
+    BOOST_OUTCOME_TRY(settings, decodeSettings(text));
+    Kernel kernel(settings);
+    InvariantChecker checker;
+    ReplaySummary summary;
+    while (std::getline(trace, text)) {
+        BOOST_OUTCOME_TRY(line, decodeTraceLine(text));
+        ++summary.events;
+        checker.observe(line.event);
+        for (const auto &effect : kernel.handle(line.event, line.at)) {
+            checker.observe(effect, line.at);
+            ++summary.effects[std::visit([](const auto &kind) { return kind.name; }, effect)];
+            if (const auto *answer = std::get_if<effect::AnswerCaller>(&effect))
+                ++summary.answers[answerName(answer->answer.kind)];
+        }
+    }
+    summary.violations = checker.violations();
+    return summary;
+}
+
+} // namespace cowsliprock
--- a/libs/kernel/src/serialization.cpp
+++ b/libs/kernel/src/serialization.cpp
@@ -61,6 +61,20 @@
     }
 }
 
+std::string encodeSettings(const KernelSettings &settings)
+{
+    return json({ { "settings", settings } }).dump();
+}
+
+Result<KernelSettings> decodeSettings(std::string_view text)
+{
+    try {
+        return json::parse(text).at("settings").get<KernelSettings>();
+    } catch (const std::exception &exception) {
+        return invalid("trace.settings", exception.what());
+    }
+}
+
 std::string describeEffect(const Effect &effect)
 {
     const json document = { { "effect", alternativeName(effect) },
