Extend the contract for scheduling

StartTask and StartTaskReply name the worker, so that a new owner can say whether an attempt of its predecessor is on that worker. LoadSummary carries worker types, because free amounts do not tell whether a task can ever fit. AcceptedJob carries the outcome, so that a new home does not run a finished job again. TaskLaunch carries the job's name for the correction of declared sizes. StoreCall carries a time to live, without which rows of finished jobs stay in the store for ever.

--- a/libs/kernel/include/kernel/effects.h
+++ b/libs/kernel/include/kernel/effects.h
@@ -20,6 +20,7 @@
     std::string key;           ///< Or the prefix, for List.
     std::uint64_t version = 0; ///< Expected version (0: absent); for Watch the version known.
     std::string value;
+    Duration timeToLive{ 0 }; ///< For CompareAndSwap: the row is removed after it; 0 means never.
 };
 
 struct SendPeer
--- a/libs/kernel/include/kernel/messages.h
+++ b/libs/kernel/include/kernel/messages.h
@@ -119,11 +119,12 @@
     AttemptId attempt;
 };
 
-/// Turns a reservation into a start.
+/// Turns a reservation into a start. For an attempt that was started before, asks for its state.
 struct StartTask
 {
     static constexpr const char *name = "startTask";
     AttemptId attempt;
+    WorkerName worker;
 };
 
 enum class StartOutcome { Started, NotStarted, Unknown };
@@ -133,6 +134,7 @@
     static constexpr const char *name = "startTaskReply";
     AttemptId attempt;
     StartOutcome outcome = StartOutcome::Unknown;
+    WorkerName worker;
 };
 
 struct StopTask
--- a/libs/kernel/include/kernel/model.h
+++ b/libs/kernel/include/kernel/model.h
@@ -93,8 +93,11 @@
     std::map<std::string, std::uint32_t> waiting;   ///< Queued requests by service.
     Resources freeResources;                        ///< Sum over the workers it owns.
     Resources largestFree; ///< Component-wise largest free amount on one worker.
+    std::vector<Resources> workerTypes; ///< Capacities of its workers that fit in no other one.
 };
 
+enum class JobOutcome { None, Succeeded, Failed, Cancelled };
+
 /// A job that was accepted.
 struct AcceptedJob
 {
@@ -102,6 +105,7 @@
     JobDefinition definition;
     std::string submittedBy;
     bool cancelled = false;
+    JobOutcome outcome = JobOutcome::None; ///< None until the job has ended.
 };
 
 /// What a worker needs to start a task.
@@ -115,6 +119,7 @@
     std::string service; ///< Non-empty if the task offers an endpoint.
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
+    std::string name; ///< Of the job; usage is compared with the declaration by this name.
 };
 
 } // namespace cowsliprock
--- a/libs/kernel/src/jsonmodel.h
+++ b/libs/kernel/src/jsonmodel.h
@@ -102,10 +102,11 @@
                                    priority, timeLeft, digest, bodyBytes, path, method)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestAnswer, kind, httpStatus, body, reason, retryAfter)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JournalEntry, kind, partition, identity, attempt, digest, worker)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadSummary, freeSlots, waiting, freeResources, largestFree)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AcceptedJob, id, definition, submittedBy, cancelled)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadSummary, freeSlots, waiting, freeResources, largestFree,
+                                   workerTypes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AcceptedJob, id, definition, submittedBy, cancelled, outcome)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskLaunch, attempt, job, index, declared, expectedRunTime,
-                                   service, slots, connections)
+                                   service, slots, connections, name)
 } // namespace cowsliprock
 
 namespace cowsliprock::message {
@@ -123,8 +124,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Reserve, attempt, launch, policy, priority, mayYield, preempt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReserveReply, attempt, granted, worker, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReleaseReservation, attempt)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartTask, attempt)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartTaskReply, attempt, outcome)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartTask, attempt, worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartTaskReply, attempt, outcome, worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopTask, attempt, worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskEnded, attempt, job, index, state, used)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigurationPull, haveVersion)
@@ -170,7 +171,7 @@
 
 namespace cowsliprock::effect {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreCall, call, operation, key, version, value)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreCall, call, operation, key, version, value, timeToLive)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SendPeer, to, message)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnswerCaller, request, answer)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnswerOperator, operation, httpStatus, body)
