--- a/libs/kernel/include/kernel/serialization.h
+++ b/libs/kernel/include/kernel/serialization.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cowsliprock {
 
@@ -42,4 +43,28 @@
 [[nodiscard]] std::string encodeJob(const AcceptedJob &job);
 [[nodiscard]] Result<AcceptedJob> decodeJob(std::string_view text);
 
+/// JSON texts that workers and the platform exchange with daemons (docs/api.md, sections 3 and 4).
+/// The decoders fail with ErrorKind::Invalid when a member is missing.
+
+/// The report of a worker; askedAt is not part of the text.
+[[nodiscard]] std::string encodeWorkerReport(const event::WorkerReport &report);
+[[nodiscard]] Result<event::WorkerReport> decodeWorkerReport(std::string_view text);
+
+/// A TaskLaunch with the member leaseMs.
+struct TaskStart
+{
+    TaskLaunch launch;
+    Duration lease{ 0 };
+};
+
+[[nodiscard]] std::string encodeTaskStart(const TaskStart &start);
+[[nodiscard]] Result<TaskStart> decodeTaskStart(std::string_view text);
+
+[[nodiscard]] std::string encodeVm(const VmEntry &entry);
+[[nodiscard]] Result<VmEntry> decodeVm(std::string_view text);
+
+/// An object whose member vms holds the list.
+[[nodiscard]] std::string encodeVmList(const std::vector<VmEntry> &entries);
+[[nodiscard]] Result<std::vector<VmEntry>> decodeVmList(std::string_view text);
+
 } // namespace cowsliprock
--- /dev/null
+++ b/libs/platform/src/storeclient.cpp
@@ -0,0 +1,149 @@
+#include <platform/storeclient.h>
+
+#include "connectionpool.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cowsliprock {
+
+namespace {
+
+using nlohmann::json;
+using Operation = effect::StoreCall::Operation;
+
+// The platform closes idle connections after 5 s.
+constexpr Duration maxIdle = std::chrono::seconds(4);
+
+[[nodiscard]] const char *stepOf(Operation operation) noexcept
+{
+    switch (operation) {
+    case Operation::Get:
+        return "store.get";
+    case Operation::CompareAndSwap:
+        return "store.compareAndSwap";
+    case Operation::List:
+        return "store.list";
+    case Operation::Watch:
+        return "store.watch";
+    }
+    return "store";
+}
+
+[[nodiscard]] std::string targetOf(const effect::StoreCall &call, Duration watchTime)
+{
+    const std::string version = std::to_string(call.version);
+    switch (call.operation) {
+    case Operation::Get:
+        return httplib::append_query_params("/v1/kv", { { "key", call.key } });
+    case Operation::CompareAndSwap:
+        return httplib::append_query_params("/v1/kv",
+                                            { { "key", call.key }, { "version", version } });
+    case Operation::List:
+        return httplib::append_query_params("/v1/kv", { { "prefix", call.key } });
+    case Operation::Watch:
+        break;
+    }
+    const auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(watchTime);
+    return httplib::append_query_params("/v1/watch",
+                                        { { "key", call.key },
+                                          { "version", version },
+                                          { "timeoutMs", std::to_string(limit.count()) } });
+}
+
+void readAnswer(event::StoreReply &reply, const effect::StoreCall &call, const HttpAnswer &answer)
+{
+    using event::StoreStatus;
+    if (answer.status == 304 && call.operation == Operation::Watch) {
+        reply.status = StoreStatus::Ok;
+        reply.version = call.version;
+        return;
+    }
+    if (answer.status == 404 && call.operation == Operation::Get) {
+        reply.status = StoreStatus::NotFound;
+        return;
+    }
+    const bool conflict = answer.status == 409 && call.operation == Operation::CompareAndSwap;
+    if (answer.status != 200 && !conflict)
+        throw std::runtime_error("status " + std::to_string(answer.status));
+    const json document = json::parse(answer.bytes);
+    if (call.operation == Operation::List) {
+        for (const json &row : document.at("rows")) {
+            reply.rows.push_back({ row.at("key").get<std::string>(),
+                                   row.at("version").get<std::uint64_t>(),
+                                   row.at("value").get<std::string>() });
+        }
+    } else {
+        reply.version = document.at("version").get<std::uint64_t>();
+        if (call.operation != Operation::CompareAndSwap || conflict)
+            reply.value = document.at("value").get<std::string>();
+    }
+    reply.status = conflict ? StoreStatus::Conflict : StoreStatus::Ok;
+}
+
+} // namespace
+
+class StoreClient::Private
+{
+public:
+    Private(StoreClientSettings settings, const Clock &clock)
+        : m_settings(std::move(settings))
+        , m_clock(clock)
+        , m_pool({ m_settings.connectTimeout, true, false }, maxIdle)
+    { }
+
+    [[nodiscard]] event::StoreReply execute(const effect::StoreCall &call)
+    {
+        event::StoreReply reply;
+        reply.call = call.call;
+        reply.sentAt = m_clock.now();
+        const HttpExchange exchange = send(call);
+        std::string detail = exchange.detail;
+        if (exchange.answer) {
+            try {
+                readAnswer(reply, call, *exchange.answer);
+                return reply;
+            } catch (const std::exception &exception) {
+                detail = exception.what();
+            }
+        }
+        event::StoreReply unavailable;
+        unavailable.call = call.call;
+        unavailable.sentAt = reply.sentAt;
+        m_settings.onError(
+            { exchange.failure, stepOf(call.operation), m_settings.address, detail });
+        return unavailable;
+    }
+
+private:
+    [[nodiscard]] HttpExchange send(const effect::StoreCall &call)
+    {
+        const Body body{ "application/octet-stream", call.value };
+        const bool write = call.operation == Operation::CompareAndSwap;
+        const HttpRequest request{ write ? "PUT" : "GET",
+                                   targetOf(call, m_settings.watchTime),
+                                   { { "X-Client", m_settings.clientName } },
+                                   write ? &body : nullptr };
+        ExchangeLimits limits;
+        limits.deadline = std::chrono::steady_clock::now() + m_settings.callTimeout;
+        if (call.operation == Operation::Watch)
+            limits.deadline += m_settings.watchTime;
+        return m_pool.exchange(m_settings.address, request, m_clock, limits);
+    }
+
+    StoreClientSettings m_settings;
+    const Clock &m_clock;
+    ConnectionPool m_pool;
+};
+
+StoreClient::StoreClient(StoreClientSettings settings, const Clock &clock)
+    : d(std::make_unique<Private>(std::move(settings), clock))
+{ }
+
+StoreClient::~StoreClient() = default;
+
+event::StoreReply StoreClient::execute(const effect::StoreCall &call)
+{
+    return d->execute(call);
+}
+
+} // namespace cowsliprock
--- /dev/null
+++ b/libs/platform/src/workerclient.cpp
@@ -0,0 +1,172 @@
+#include <platform/workerclient.h>
+
+#include <kernel/serialization.h>
+
+#include "httpconnection.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cowsliprock {
+
+namespace {
+
+using nlohmann::json;
+
+[[nodiscard]] const char *toWord(effect::StopTask::Mode mode) noexcept
+{
+    using Mode = effect::StopTask::Mode;
+    switch (mode) {
+    case Mode::Stop:
+        return "stop";
+    case Mode::Checkpoint:
+        return "checkpoint";
+    case Mode::Throttle:
+        return "throttle";
+    case Mode::Unthrottle:
+        return "unthrottle";
+    }
+    return "stop";
+}
+
+[[nodiscard]] bool runs(const std::string &answer)
+{
+    const json document = json::parse(answer, nullptr, false);
+    if (!document.is_object() || !document.contains("state")
+        || !document["state"].is_number_unsigned())
+        return true;
+    const auto state = document["state"].get<std::uint64_t>();
+    return state < static_cast<std::uint64_t>(TaskState::Succeeded)
+        || state > static_cast<std::uint64_t>(TaskState::Lapsed);
+}
+
+[[nodiscard]] std::string pollBody(const effect::PollWorker &effect)
+{
+    const auto lease = std::chrono::duration_cast<std::chrono::milliseconds>(effect.lease);
+    json renew = json::array();
+    for (const AttemptId &attempt : effect.renew)
+        renew.push_back(attempt.value());
+    return json{ { "renew", std::move(renew) }, { "leaseMs", lease.count() } }.dump();
+}
+
+} // namespace
+
+class WorkerClient::Private
+{
+public:
+    Private(WorkerClientSettings settings, const Clock &clock)
+        : m_settings(std::move(settings))
+        , m_clock(clock)
+    { }
+
+    [[nodiscard]] PollResult poll(const effect::PollWorker &effect)
+    {
+        const TimePoint askedAt = m_clock.now();
+        const HttpExchange exchange =
+            post(effect.address, "/v1/report", effect.worker, pollBody(effect), effect.validUntil);
+        const char *step = "worker.poll";
+        if (!exchange.answer || exchange.answer->status != 200) {
+            report(step, effect.address, exchange);
+            return event::WorkerUnreachable{ effect.worker };
+        }
+        auto decoded = decodeWorkerReport(exchange.answer->bytes);
+        if (!decoded) {
+            m_settings.onError(
+                { ErrorKind::Invalid, step, effect.address, decoded.error().detail });
+            return event::WorkerUnreachable{ effect.worker };
+        }
+        if (decoded.value().worker != effect.worker) {
+            m_settings.onError({ ErrorKind::Invalid, step, effect.address,
+                                 "answered by " + decoded.value().worker.value() });
+            return event::WorkerUnreachable{ effect.worker };
+        }
+        decoded.value().askedAt = askedAt;
+        return std::move(decoded).value();
+    }
+
+    [[nodiscard]] event::TaskStartResult start(const effect::StartTask &effect)
+    {
+        using message::StartOutcome;
+        const HttpExchange exchange =
+            post(effect.address, "/v1/tasks", effect.worker,
+                 encodeTaskStart({ effect.launch, effect.lease }), effect.validUntil);
+        event::TaskStartResult result{ effect.launch.attempt, StartOutcome::Unknown };
+        const int status = exchange.answer ? exchange.answer->status : 0;
+        if (status == 201 || status == 200) {
+            result.outcome = StartOutcome::Started;
+            return result;
+        }
+        if (status == 503 || !exchange.sent)
+            result.outcome = StartOutcome::NotStarted;
+        report("worker.start", effect.address, exchange);
+        return result;
+    }
+
+    [[nodiscard]] event::TaskStopResult stop(const effect::StopTask &effect)
+    {
+        const json body = { { "attempt", effect.attempt.value() },
+                            { "mode", toWord(effect.mode) } };
+        const HttpExchange exchange =
+            post(effect.address, "/v1/tasks/stop", effect.worker, body.dump(), effect.validUntil);
+        const int status = exchange.answer ? exchange.answer->status : 0;
+        const bool confirmed = status == 404 || (status == 200 && !runs(exchange.answer->bytes));
+        if (status != 200 && status != 404)
+            report("worker.stop", effect.address, exchange);
+        return { effect.attempt, confirmed };
+    }
+
+private:
+    /// Polls of one worker are seconds apart and starts are spread over all workers, so that a
+    /// connection that is kept open would be idle for most of its life and occupy the worker.
+    [[nodiscard]] HttpExchange post(const std::string &address, const char *target,
+                                    const WorkerName &worker, std::string bytes,
+                                    TimePoint validUntil)
+    {
+        const Body body{ "application/json", std::move(bytes) };
+        const HttpRequest request{ "POST",
+                                   target,
+                                   { { "X-Client", m_settings.clientName },
+                                     { "X-Worker", worker.value() } },
+                                   &body };
+        ExchangeLimits limits;
+        limits.deadline = std::chrono::steady_clock::now() + m_settings.callTimeout;
+        limits.validUntil = validUntil;
+        HttpConnection connection(address, { m_settings.connectTimeout, false, true });
+        return connection.exchange(request, m_clock, limits);
+    }
+
+    void report(const char *step, const std::string &address, const HttpExchange &exchange) const
+    {
+        if (exchange.answer) {
+            m_settings.onError({ ErrorKind::Unavailable, step, address,
+                                 "status " + std::to_string(exchange.answer->status) });
+        } else {
+            m_settings.onError({ exchange.failure, step, address, exchange.detail });
+        }
+    }
+
+    WorkerClientSettings m_settings;
+    const Clock &m_clock;
+};
+
+WorkerClient::WorkerClient(WorkerClientSettings settings, const Clock &clock)
+    : d(std::make_unique<Private>(std::move(settings), clock))
+{ }
+
+WorkerClient::~WorkerClient() = default;
+
+WorkerClient::PollResult WorkerClient::poll(const effect::PollWorker &effect)
+{
+    return d->poll(effect);
+}
+
+event::TaskStartResult WorkerClient::start(const effect::StartTask &effect)
+{
+    return d->start(effect);
+}
+
+event::TaskStopResult WorkerClient::stop(const effect::StopTask &effect)
+{
+    return d->stop(effect);
+}
+
+} // namespace cowsliprock
