Add the daemon's runtime

Cause: the kernel needs threads, sockets and an HTTP interface around it. Ruled out: blocking the kernel's thread on a full duty ring; the duty may wait for the kernel's ring at that moment, which would be a deadlock. Before/after: an effect that finds its ring full now fails at once with an event that says that nothing was sent (test fullDutyRingFailsTheEffectAtOnce).

--- a/libs/base/include/base/logging.h
+++ b/libs/base/include/base/logging.h
@@ -5,7 +5,7 @@
 namespace cowsliprock {
 
 enum class LogFormat { Text, Json };
-enum class LogLevel { Debug, Info, Warning, Error };
+enum class LogLevel { Trace, Debug, Info, Warn, Error, Off };
 
 /// Sets up the process's log on standard error. Call once, before other threads start.
 void startLogging(LogFormat format, LogLevel level, const std::string &processName);
--- a/libs/base/src/logging.cpp
+++ b/libs/base/src/logging.cpp
@@ -17,14 +17,18 @@
 log4cplus::LogLevel toLibraryLevel(LogLevel level) noexcept
 {
     switch (level) {
+    case LogLevel::Trace:
+        return log4cplus::TRACE_LOG_LEVEL;
     case LogLevel::Debug:
         return log4cplus::DEBUG_LOG_LEVEL;
     case LogLevel::Info:
         return log4cplus::INFO_LOG_LEVEL;
-    case LogLevel::Warning:
+    case LogLevel::Warn:
         return log4cplus::WARN_LOG_LEVEL;
     case LogLevel::Error:
         return log4cplus::ERROR_LOG_LEVEL;
+    case LogLevel::Off:
+        return log4cplus::OFF_LOG_LEVEL;
     }
     return log4cplus::INFO_LOG_LEVEL;
 }
--- /dev/null
+++ b/libs/runtime/src/effectrouter.cpp
@@ -0,0 +1,141 @@
+#include "effectrouter.h"
+
+#include <base/logging.h>
+
+namespace cowsliprock {
+
+namespace {
+
+/// Key of the body that a message refers to; empty if it carries none.
+struct BodyKeyOf
+{
+    template <typename Kind>
+    BodyKey operator()(const Kind &message) const
+    {
+        if constexpr (requires { message.bodyKey; })
+            return message.bodyKey;
+        else if constexpr (requires { message.answer.body; })
+            return message.answer.body;
+        else
+            return {};
+    }
+};
+
+} // namespace
+
+std::optional<Event> EffectRouter::perform(Effect &effect)
+{
+    return std::visit([this](auto &kind) { return perform(kind); }, effect);
+}
+
+std::optional<Event> EffectRouter::perform(effect::StoreCall &call)
+{
+    const bool watch = call.operation == effect::StoreCall::Operation::Watch;
+    const CallId id = call.call;
+    if ((watch ? m_duties.watch : m_duties.store)->tryAdd(std::move(call)))
+        return std::nullopt;
+    m_metrics.count("store.ringFull");
+    event::StoreReply reply;
+    reply.call = id;
+    reply.sentAt = m_clock.now();
+    return reply;
+}
+
+std::optional<Event> EffectRouter::perform(effect::SendPeer &send)
+{
+    auto body = m_bodies.find(std::visit(BodyKeyOf{}, send.message));
+    if (!m_duties.peers->send({ send.to, { m_self, std::move(send.message) }, std::move(body) }))
+        m_metrics.count("peer.ringFull");
+    return std::nullopt;
+}
+
+std::optional<Event> EffectRouter::perform(effect::AnswerCaller &answer)
+{
+    m_duties.http->answer(answer);
+    return std::nullopt;
+}
+
+std::optional<Event> EffectRouter::perform(effect::AnswerOperator &answer)
+{
+    m_duties.http->answer(answer);
+    return std::nullopt;
+}
+
+std::optional<Event> EffectRouter::perform(effect::CallEndpoint &call)
+{
+    const AttemptId attempt = call.attempt;
+    auto body = m_bodies.find(call.body);
+    if (m_duties.endpoints->tryAdd({ std::move(call), std::move(body) }))
+        return std::nullopt;
+    m_metrics.count("endpoints.ringFull");
+    event::EndpointReply reply;
+    reply.attempt = attempt;
+    reply.outcome = event::EndpointOutcome::NotSent;
+    reply.detail = "ring full";
+    return reply;
+}
+
+std::optional<Event> EffectRouter::perform(effect::ForgetBody &forget)
+{
+    m_bodies.forget(forget.body);
+    return std::nullopt;
+}
+
+std::optional<Event> EffectRouter::perform(effect::PollWorker &poll)
+{
+    const WorkerName worker = poll.worker;
+    if (m_duties.workers->tryAdd(std::move(poll)))
+        return std::nullopt;
+    m_metrics.count("workers.ringFull");
+    return event::WorkerUnreachable{ worker };
+}
+
+std::optional<Event> EffectRouter::perform(effect::StartTask &start)
+{
+    const AttemptId attempt = start.launch.attempt;
+    if (m_duties.workers->tryAdd(std::move(start)))
+        return std::nullopt;
+    m_metrics.count("workers.ringFull");
+    return event::TaskStartResult{ attempt, message::StartOutcome::NotStarted };
+}
+
+std::optional<Event> EffectRouter::perform(effect::StopTask &stop)
+{
+    const AttemptId attempt = stop.attempt;
+    if (m_duties.workers->tryAdd(std::move(stop)))
+        return std::nullopt;
+    m_metrics.count("workers.ringFull");
+    return event::TaskStopResult{ attempt, false };
+}
+
+std::optional<Event> EffectRouter::perform(effect::Count &count)
+{
+    m_metrics.count(count.metric, count.amount);
+    return std::nullopt;
+}
+
+std::optional<Event> EffectRouter::perform(effect::Observe &observation)
+{
+    m_metrics.observe(observation.metric, observation.value);
+    return std::nullopt;
+}
+
+std::optional<Event> EffectRouter::perform(effect::LogChange &change)
+{
+    logLine(LogLevel::Info, change.text);
+    return std::nullopt;
+}
+
+std::optional<Event> EffectRouter::perform(effect::SetReady &readiness)
+{
+    m_duties.http->setReady(readiness.ready, readiness.reason);
+    return std::nullopt;
+}
+
+std::optional<Event> EffectRouter::perform(effect::Exit &)
+{
+    m_exit = true;
+    return std::nullopt;
+}
+
+} // namespace cowsliprock
--- /dev/null
+++ b/libs/runtime/src/workpool.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <base/ring.h>
+
+#include <functional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace cowsliprock {
+
+/// A duty that takes items from a bounded ring with one or more threads.
+template <typename Item>
+class WorkPool
+{
+public:
+    /// \p work is called in the pool's threads; \p index is that of the thread.
+    WorkPool(std::size_t threadCount, std::size_t ringSize,
+             std::function<void(Item &item, std::size_t index)> work)
+        : m_ring(ringSize)
+        , m_work(std::move(work))
+    {
+        for (std::size_t index = 0; index < threadCount; ++index)
+            m_threads.emplace_back([this, index] { run(index); });
+    }
+
+    ~WorkPool() { stop(); }
+    WorkPool(const WorkPool &) = delete;
+    WorkPool &operator=(const WorkPool &) = delete;
+
+    [[nodiscard]] bool tryAdd(Item item) { return m_ring.tryPush(std::move(item)); }
+    [[nodiscard]] std::int64_t queued() const { return m_ring.size(); }
+
+    void stop()
+    {
+        m_ring.close();
+        for (auto &thread : m_threads) {
+            if (thread.joinable())
+                thread.join();
+        }
+    }
+
+private:
+    void run(std::size_t index)
+    {
+        while (auto item = m_ring.pop())
+            m_work(*item, index);
+    }
+
+    BoundedRing<Item> m_ring;
+    std::function<void(Item &, std::size_t)> m_work;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace cowsliprock
