Add process settings of the daemon

Settings come from one JSON file that all daemons of a cell share, with overrides on the command line. A separate file for each daemon was ruled out because nine files differ in the name only.

KernelSettings gains placementPolicies, the list that a configuration may name.

--- a/libs/kernel/include/kernel/settings.h
+++ b/libs/kernel/include/kernel/settings.h
@@ -27,6 +27,8 @@
     std::vector<PeerAddress> peers; ///< All daemons but this one.
     std::uint64_t randomSeed = 1;
     std::uint32_t partitionsPerDataCentre = 6;
+    /// Placement policies that a configuration may name.
+    std::vector<std::string> placementPolicies{ "latency", "packing", "first-fit", "random" };
 
     Duration renewInterval{ std::chrono::seconds(2) };
     Duration leaseTime{ std::chrono::seconds(6) };
--- a/libs/schema/include/schema/documentcheck.h
+++ b/libs/schema/include/schema/documentcheck.h
@@ -26,9 +26,8 @@
 
 /// Parses JSON text. Repeated member names and text beyond the limits are errors.
 /// Returns no errors if \p target was set.
-[[nodiscard]] std::vector<DocumentError> parseDocument(std::string_view text,
-                                                       const DocumentLimits &limits,
-                                                       nlohmann::json &target);
+[[nodiscard]] std::vector<DocumentError>
+parseDocument(std::string_view text, const DocumentLimits &limits, nlohmann::json &target);
 
 /// Checks a document against a JSON Schema (draft 7) and returns all faults, ordered by path.
 [[nodiscard]] std::vector<DocumentError> checkSchema(const nlohmann::json &document,
--- a/libs/schema/src/checkschema.cpp
+++ b/libs/schema/src/checkschema.cpp
@@ -45,7 +45,9 @@
 
     [[nodiscard]] std::vector<DocumentError> take()
     {
-        const auto key = [](const DocumentError &error) { return std::tie(error.path, error.message); };
+        const auto key = [](const DocumentError &error) {
+            return std::tie(error.path, error.message);
+        };
         std::sort(m_errors.begin(), m_errors.end(),
                   [&](const auto &left, const auto &right) { return key(left) < key(right); });
         m_errors.erase(std::unique(m_errors.begin(), m_errors.end()), m_errors.end());
--- a/libs/schema/src/parsedocument.cpp
+++ b/libs/schema/src/parsedocument.cpp
@@ -47,12 +47,15 @@
                                          nlohmann::json &target)
 {
     if (text.size() > limits.bytes)
-        return { { "", std::to_string(text.size()) + " bytes; at most "
-                       + std::to_string(limits.bytes) + " bytes are valid" } };
+        return { { "",
+                   std::to_string(text.size()) + " bytes; at most " + std::to_string(limits.bytes)
+                       + " bytes are valid" } };
     try {
-        target = json::parse(text, [guard = ParseGuard(limits.depth)](
-                                       int depth, json::parse_event_t event,
-                                       json &parsed) mutable { return guard(depth, event, parsed); });
+        target = json::parse(text,
+                             [guard = ParseGuard(limits.depth)](
+                                 int depth, json::parse_event_t event, json &parsed) mutable {
+                                 return guard(depth, event, parsed);
+                             });
         return {};
     } catch (const std::exception &exception) {
         return { { "", std::string("not a valid JSON document: ") + exception.what() } };
--- /dev/null
+++ b/libs/settings/src/overrides.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <schema/documentcheck.h>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <vector>
+
+namespace cowsliprock {
+
+/// Applies "key=value" overrides to a settings document and returns the faulty ones.
+[[nodiscard]] std::vector<DocumentError> applyOverrides(nlohmann::json &document,
+                                                        const std::vector<std::string> &overrides);
+
+} // namespace cowsliprock
