Add the requests stage

Cause: the daemon needs the path of a request from arrival to answer. Ruled out: a common record per request for entry, home and owner; a daemon can have all three roles for one request, and bodies would be released too early. Each role counts its uses of a body instead. Before/after: no requests library; the stage builds, no test has run it yet.

--- a/libs/kernel/include/kernel/model.h
+++ b/libs/kernel/include/kernel/model.h
@@ -72,6 +72,7 @@
     BodyKey body;             ///< For a whole answer, the body held by the runtime.
     std::string reason;       ///< For the other kinds, one of the documented reasons.
     Duration retryAfter{ 0 }; ///< 0 where coming back does not help.
+    Duration served{ 0 };     ///< Time at the endpoint, for a whole answer.
 };
 
 /// What the journal keeps of a decision that must be durable before it takes effect.
--- a/libs/kernel/src/jsonmodel.h
+++ b/libs/kernel/src/jsonmodel.h
@@ -100,7 +100,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskReport, attempt, job, index, state, declared, used)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestProfile, caller, service, idempotencyKey, idempotent,
                                    priority, timeLeft, digest, bodyBytes, path, method)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestAnswer, kind, httpStatus, body, reason, retryAfter)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestAnswer, kind, httpStatus, body, reason, retryAfter,
+                                   served)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JournalEntry, kind, partition, identity, attempt, digest, worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadSummary, freeSlots, waiting, freeResources, largestFree)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AcceptedJob, id, definition, submittedBy, cancelled)
--- /dev/null
+++ b/libs/requests/src/endpointtable.cpp
@@ -0,0 +1,267 @@
+#include "endpointtable.h"
+
+#include <algorithm>
+
+namespace cowsliprock::requests {
+
+namespace {
+
+/// An endpoint that says it leaves is trusted for this long against reports that say otherwise,
+/// because the worker's report may lag behind the endpoint.
+constexpr Duration leavingHold = std::chrono::seconds(30);
+
+constexpr Duration firstAvoidance = std::chrono::milliseconds(100);
+constexpr std::uint32_t maxAvoidanceShift = 6; // 6.4 s, a little more than one poll interval
+
+/// Under steady load the report counts this daemon's own requests too and cannot show that a
+/// leftover ended. After this many such reports the endpoint gets no work until one is clear.
+constexpr std::uint32_t ambiguousReports = 3;
+
+} // namespace
+
+EndpointTable::EndpointTable(Context &context)
+    : m_context(context)
+{ }
+
+void EndpointTable::vmList(const event::VmList &list)
+{
+    m_workers.clear();
+    for (const auto &vm : list.entries) {
+        if (vm.role == "worker") {
+            m_workers[WorkerName(vm.name)] = { partitionOf(
+                                                   vm.name, vm.location.dataCentre,
+                                                   m_context.settings.partitionsPerDataCentre),
+                                               vm.leaving };
+        }
+    }
+    for (auto &[key, endpoint] : m_endpoints) {
+        if (!m_workers.contains(endpoint.worker))
+            disown(endpoint);
+    }
+    removeUnused();
+}
+
+void EndpointTable::acquired(const event::PartitionAcquired &partition)
+{
+    lost(partition.partition);
+    m_partitions[partition.partition] = partition.usableFrom;
+}
+
+void EndpointTable::lost(const PartitionId &partition)
+{
+    m_partitions.erase(partition);
+    for (auto &[key, endpoint] : m_endpoints) {
+        if (endpoint.partition == partition)
+            disown(endpoint);
+    }
+    removeUnused();
+}
+
+void EndpointTable::report(const event::WorkerReport &report)
+{
+    const auto worker = m_workers.find(report.worker);
+    if (worker == m_workers.end())
+        return;
+    const auto partition = m_partitions.find(worker->second.partition);
+    if (partition == m_partitions.end() || report.askedAt < partition->second)
+        return;
+    // A worker may offer a service twice on one address; callers cannot tell these apart.
+    std::map<EndpointKey, EndpointReport> merged;
+    for (const auto &item : report.endpoints) {
+        auto [position, added] = merged.try_emplace({ item.service, item.address }, item);
+        if (!added) {
+            position->second.slots += item.slots;
+            position->second.connections += item.connections;
+            position->second.activeRequests += item.activeRequests;
+            position->second.leaving = position->second.leaving && item.leaving;
+        }
+    }
+    for (const auto &[key, item] : merged)
+        apply(key, item, report, partition->first);
+    for (auto &[key, endpoint] : m_endpoints) {
+        if (endpoint.worker == report.worker && !merged.contains(key)
+            && endpoint.askedAt < report.askedAt)
+            disown(endpoint);
+    }
+    removeUnused();
+}
+
+void EndpointTable::apply(const EndpointKey &key, const EndpointReport &report,
+                          const event::WorkerReport &source, const PartitionId &partition)
+{
+    Endpoint &endpoint = m_endpoints[key];
+    if (endpoint.owned && source.askedAt <= endpoint.askedAt)
+        return;
+    clearLeftovers(endpoint, report, source.askedAt);
+    endpoint.worker = source.worker;
+    endpoint.partition = partition;
+    endpoint.reportedSlots = report.slots;
+    endpoint.reportedConnections = report.connections;
+    endpoint.leaving =
+        report.leaving || (endpoint.leaving && source.askedAt < endpoint.leavingUntil);
+    endpoint.unreachable = false;
+    endpoint.owned = true;
+    endpoint.askedAt = source.askedAt;
+}
+
+void EndpointTable::clearLeftovers(Endpoint &endpoint, const EndpointReport &report,
+                                   TimePoint askedAt)
+{
+    const auto settled =
+        std::partition(endpoint.unknownAt.begin(), endpoint.unknownAt.end(),
+                       [askedAt](TimePoint unknownAt) { return unknownAt >= askedAt; });
+    const auto candidates = endpoint.leftover
+        + static_cast<std::uint32_t>(std::distance(settled, endpoint.unknownAt.end()));
+    endpoint.unknownAt.erase(settled, endpoint.unknownAt.end());
+    // The first report may count requests of an earlier owner. Later ones can only show that
+    // leftovers ended: what runs includes at most as many of them as it counts.
+    endpoint.leftover =
+        endpoint.owned ? std::min(candidates, report.activeRequests) : report.activeRequests;
+    const bool clear = endpoint.inProgress == 0 && endpoint.lastEnd < askedAt;
+    endpoint.ambiguous = clear || endpoint.leftover == 0 ? 0 : endpoint.ambiguous + 1;
+    endpoint.settling = endpoint.ambiguous >= ambiguousReports;
+}
+
+void EndpointTable::unreachable(const WorkerName &worker)
+{
+    for (auto &[key, endpoint] : m_endpoints) {
+        if (endpoint.worker == worker)
+            endpoint.unreachable = true;
+    }
+}
+
+void EndpointTable::disown(Endpoint &endpoint)
+{
+    // Leftovers are counted again by the first report after the next acquisition.
+    endpoint.owned = false;
+    endpoint.leftover = 0;
+    endpoint.ambiguous = 0;
+    endpoint.settling = false;
+}
+
+void EndpointTable::removeUnused()
+{
+    std::erase_if(m_endpoints, [](const auto &entry) {
+        return !entry.second.owned && entry.second.inProgress == 0
+            && entry.second.unknownAt.empty();
+    });
+}
+
+bool EndpointTable::usable(const Endpoint &endpoint) const
+{
+    if (!endpoint.owned || endpoint.leaving || endpoint.unreachable || endpoint.settling)
+        return false;
+    const auto worker = m_workers.find(endpoint.worker);
+    return worker != m_workers.end() && !worker->second.leaving;
+}
+
+std::uint32_t EndpointTable::capacity(const EndpointKey &key, const Endpoint &endpoint) const
+{
+    std::uint32_t slots = endpoint.reportedSlots;
+    std::uint32_t connections = endpoint.reportedConnections;
+    if (const ServiceDefinition *definition = m_context.service(key.service)) {
+        slots = std::min(slots, definition->slots);
+        connections = std::min(connections, definition->connections);
+    }
+    return std::min(slots, connections); // each attempt uses one connection
+}
+
+std::uint32_t EndpointTable::freeOn(const EndpointKey &key, const Endpoint &endpoint) const
+{
+    if (!usable(endpoint) || endpoint.avoidUntil > m_context.now)
+        return 0;
+    const std::uint32_t limit = capacity(key, endpoint);
+    return limit - std::min(limit, endpoint.occupied());
+}
+
+template <typename Visitor>
+void EndpointTable::forService(const std::string &service, Visitor visitor) const
+{
+    for (auto entry = m_endpoints.lower_bound({ service, {} });
+         entry != m_endpoints.end() && entry->first.service == service; ++entry)
+        visitor(entry->first, entry->second);
+}
+
+std::optional<std::string> EndpointTable::take(const std::string &service, const AttemptId &attempt)
+{
+    const EndpointKey *best = nullptr;
+    std::uint32_t mostFree = 0;
+    std::uint64_t ties = 0;
+    forService(service, [&](const EndpointKey &key, const Endpoint &endpoint) {
+        const std::uint32_t free = freeOn(key, endpoint);
+        if (free == 0 || free < mostFree)
+            return;
+        ties = free == mostFree ? ties + 1 : 1;
+        mostFree = free;
+        if (ties == 1 || m_context.randomBelow(ties) == 0)
+            best = &key;
+    });
+    if (best == nullptr)
+        return std::nullopt;
+    ++m_endpoints.at(*best).inProgress;
+    m_attempts[attempt] = *best;
+    return best->address;
+}
+
+std::optional<std::string> EndpointTable::ended(const event::EndpointReply &reply)
+{
+    const auto attempt = m_attempts.find(reply.attempt);
+    if (attempt == m_attempts.end())
+        return std::nullopt;
+    Endpoint &endpoint = m_endpoints.at(attempt->second);
+    const std::string service = attempt->second.service;
+    m_attempts.erase(attempt);
+    --endpoint.inProgress;
+    endpoint.lastEnd = m_context.now;
+    if (reply.leaving) {
+        endpoint.leaving = true;
+        endpoint.leavingUntil = m_context.now + leavingHold;
+    }
+    if (reply.outcome == event::EndpointOutcome::Unknown)
+        endpoint.unknownAt.push_back(m_context.now);
+    if (reply.outcome == event::EndpointOutcome::Answered) {
+        endpoint.failures = 0;
+    } else if (m_context.now < m_context.validUntil) {
+        endpoint.avoidUntil =
+            m_context.now + firstAvoidance * (1U << std::min(endpoint.failures, maxAvoidanceShift));
+        ++endpoint.failures;
+    }
+    removeUnused();
+    return service;
+}
+
+std::uint32_t EndpointTable::freeSlots(const std::string &service) const
+{
+    std::uint32_t sum = 0;
+    forService(service, [&](const EndpointKey &key, const Endpoint &endpoint) {
+        sum += freeOn(key, endpoint);
+    });
+    return sum;
+}
+
+std::uint32_t EndpointTable::usableSlots(const std::string &service) const
+{
+    std::uint32_t sum = 0;
+    forService(service, [&](const EndpointKey &key, const Endpoint &endpoint) {
+        if (usable(endpoint))
+            sum += capacity(key, endpoint);
+    });
+    return sum;
+}
+
+std::uint32_t EndpointTable::inProgress() const noexcept
+{
+    return static_cast<std::uint32_t>(m_attempts.size());
+}
+
+std::set<std::string> EndpointTable::services() const
+{
+    std::set<std::string> names;
+    for (const auto &[key, endpoint] : m_endpoints) {
+        if (endpoint.owned)
+            names.insert(key.service);
+    }
+    return names;
+}
+
+} // namespace cowsliprock::requests
--- /dev/null
+++ b/libs/requests/src/owner.cpp
@@ -0,0 +1,291 @@
+#include "owner.h"
+
+#include <requests/reasons.h>
+
+#include <algorithm>
+
+namespace cowsliprock::requests {
+
+namespace {
+
+/// Calls of one attempt. Each call but the last provably did not run.
+constexpr std::uint32_t maxCalls = 3;
+
+constexpr Duration leastRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration greatestRetryAfter = std::chrono::seconds(30);
+
+} // namespace
+
+Owner::Owner(Context &context)
+    : m_context(context)
+    , m_endpoints(context)
+{ }
+
+void Owner::dispatched(const DaemonIdentity &from, const message::Dispatch &dispatch)
+{
+    // No reply: the first copy may have run, here or in an earlier run of this daemon.
+    if (m_context.forEarlierRun(dispatch.attempt)
+        || !m_memory.add(dispatch.attempt, m_context.now)) {
+        m_context.output->count("requests.duplicateDispatches");
+        return;
+    }
+    OwnedRequest request;
+    request.attempt = dispatch.attempt;
+    request.profile = dispatch.request;
+    request.body = dispatch.bodyKey;
+    request.from = from;
+    request.deadline = m_context.now + dispatch.request.timeLeft;
+    if (m_context.draining)
+        answer(request, notRun(reason::draining, defaultRetryAfter));
+    else
+        accept(std::move(request));
+}
+
+void Owner::submit(const AttemptId &attempt, const RequestProfile &profile, const BodyKey &body,
+                   TimePoint deadline)
+{
+    OwnedRequest request;
+    request.attempt = attempt;
+    request.profile = profile;
+    request.body = body;
+    request.deadline = deadline;
+    accept(std::move(request));
+}
+
+void Owner::accept(OwnedRequest request)
+{
+    const std::string service = request.profile.service;
+    if (m_context.service(service) == nullptr) {
+        refuse(request, reason::noEndpoint);
+        return;
+    }
+    request.arrived = m_context.now;
+    request.sequence = ++m_sequence;
+    ServiceState &owned = state(service);
+    if (const char *why = refusal(owned, request)) {
+        refuse(request, why);
+        return;
+    }
+    m_context.bodies.hold(request.body);
+    enqueue(owned, std::move(request));
+    pump(service, owned);
+}
+
+const char *Owner::refusal(const ServiceState &state, const OwnedRequest &request) const
+{
+    const std::string &service = request.profile.service;
+    if (m_context.now >= m_context.validUntil)
+        return reason::notValid;
+    if (m_endpoints.usableSlots(service) == 0)
+        return reason::noEndpoint;
+    const std::size_t ahead = state.queue.ahead(request);
+    const std::size_t free = m_endpoints.freeSlots(service);
+    Duration needed = state.time.least();
+    if (ahead >= free)
+        needed = predictedWait(service, state, ahead - free + 1) + state.time.average();
+    if (m_context.now + needed > request.deadline)
+        return reason::deadline;
+    const std::size_t limit = m_context.service(service)->queueLimit;
+    // A full queue gives up its last request for one that goes before it.
+    if (state.queue.size() >= limit + free && ahead >= state.queue.size())
+        return reason::queueFull;
+    return nullptr;
+}
+
+void Owner::enqueue(ServiceState &state, OwnedRequest request)
+{
+    const std::string service = request.profile.service;
+    const std::size_t limit = m_context.service(service)->queueLimit;
+    state.queue.add(std::move(request));
+    if (state.queue.size() <= limit + m_endpoints.freeSlots(service))
+        return;
+    const OwnedRequest last = state.queue.takeLast();
+    refuse(last, reason::queueFull);
+    m_context.bodies.release(last.body, *m_context.output);
+}
+
+void Owner::pump()
+{
+    for (auto &[service, owned] : m_services)
+        pump(service, owned);
+}
+
+void Owner::pump(const std::string &service, ServiceState &state)
+{
+    while (!state.queue.empty()) {
+        if (m_context.now >= m_context.validUntil || m_endpoints.usableSlots(service) == 0) {
+            sweep(service, state);
+            return;
+        }
+        if (m_endpoints.freeSlots(service) == 0)
+            return;
+        OwnedRequest request = state.queue.takeFirst();
+        if (m_context.now + state.time.least() > request.deadline) {
+            refuse(request, reason::deadline);
+            m_context.bodies.release(request.body, *m_context.output);
+        } else if (const auto address = m_endpoints.take(service, request.attempt)) {
+            call(std::move(request), *address);
+        }
+    }
+}
+
+void Owner::call(OwnedRequest request, const std::string &address)
+{
+    const Duration waited = m_context.now - request.arrived;
+    request.called = m_context.now;
+    ++request.calls;
+    request.profile.timeLeft = request.deadline - m_context.now;
+    m_context.output->perform(effect::Observe{ "requests.waitingSeconds",
+                                               std::chrono::duration<double>(waited).count() });
+    m_context.output->perform(effect::CallEndpoint{ request.attempt, address, request.profile,
+                                                    request.body, m_context.validUntil });
+    const AttemptId attempt = request.attempt;
+    m_called.insert_or_assign(attempt, std::move(request));
+}
+
+void Owner::endpointReplied(const event::EndpointReply &reply)
+{
+    const auto found = m_called.find(reply.attempt);
+    if (found == m_called.end())
+        return;
+    OwnedRequest request = std::move(found->second);
+    m_called.erase(found);
+    m_endpoints.ended(reply);
+    const std::string service = request.profile.service;
+    switch (reply.outcome) {
+    case event::EndpointOutcome::Answered: {
+        const Duration served = m_context.now - request.called;
+        state(service).time.add(served);
+        RequestAnswer whole;
+        whole.kind = AnswerKind::Whole;
+        whole.httpStatus = reply.httpStatus;
+        whole.body = reply.body;
+        whole.served = served;
+        answer(request, std::move(whole));
+        m_context.bodies.release(request.body, *m_context.output);
+        break;
+    }
+    case event::EndpointOutcome::Unknown:
+        answer(request, unknown(reason::outcomeUnknown));
+        m_context.bodies.release(request.body, *m_context.output);
+        break;
+    case event::EndpointOutcome::NotSent:
+    case event::EndpointOutcome::Refused:
+        tryAgain(std::move(request));
+        break;
+    }
+    pump(service, state(service));
+}
+
+void Owner::tryAgain(OwnedRequest request)
+{
+    const std::string service = request.profile.service;
+    const bool possible = request.calls < maxCalls && m_context.service(service) != nullptr
+        && m_context.now + state(service).time.least() <= request.deadline;
+    if (possible) {
+        state(service).queue.add(std::move(request));
+        return;
+    }
+    refuse(request, reason::endpointRefused);
+    m_context.bodies.release(request.body, *m_context.output);
+}
+
+void Owner::partitionLost(const PartitionId &partition)
+{
+    m_endpoints.lost(partition);
+    pump();
+}
+
+void Owner::tick()
+{
+    m_memory.expire(m_context.now);
+    for (auto &[service, owned] : m_services) {
+        sweep(service, owned);
+        pump(service, owned);
+    }
+}
+
+void Owner::sweep(const std::string &service, ServiceState &state)
+{
+    const bool stopped =
+        m_context.now >= m_context.validUntil || m_endpoints.usableSlots(service) == 0;
+    const auto refused = state.queue.takeIf([&](const OwnedRequest &request, std::size_t ahead) {
+        return stopped
+            || m_context.now + predictedWait(service, state, ahead) + state.time.least()
+            > request.deadline;
+    });
+    for (const auto &request : refused) {
+        const char *why = reason::deadline;
+        if (stopped)
+            why = m_context.now >= m_context.validUntil ? reason::notValid : reason::noEndpoint;
+        refuse(request, why);
+        m_context.bodies.release(request.body, *m_context.output);
+    }
+}
+
+void Owner::refuse(const OwnedRequest &request, const char *reason)
+{
+    answer(request, notRun(reason, retryAfter(request.profile.service)));
+}
+
+void Owner::answer(const OwnedRequest &request, RequestAnswer answer)
+{
+    if (request.from)
+        m_context.send(request.from->name,
+                       message::DispatchReply{ request.attempt, answer, {}, {} });
+    else
+        m_context.reply(OwnerReply{ request.attempt, std::move(answer) });
+}
+
+Owner::ServiceState &Owner::state(const std::string &service)
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end())
+        return found->second;
+    const ServiceDefinition *definition = m_context.service(service);
+    const ServiceTime time(definition != nullptr ? definition->expectedServiceTime : Duration(0));
+    return m_services.emplace(service, ServiceState{ {}, time }).first->second;
+}
+
+Duration Owner::predictedWait(const std::string &service, const ServiceState &state,
+                              std::size_t ahead) const
+{
+    const auto slots = std::max<std::int64_t>(1, m_endpoints.usableSlots(service));
+    return state.time.average() * static_cast<std::int64_t>(ahead) / slots;
+}
+
+Duration Owner::retryAfter(const std::string &service) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || m_endpoints.usableSlots(service) == 0)
+        return defaultRetryAfter;
+    return std::clamp(predictedWait(service, found->second, found->second.queue.size()),
+                      leastRetryAfter, greatestRetryAfter);
+}
+
+std::uint32_t Owner::waiting(const std::string &service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? 0 : static_cast<std::uint32_t>(found->second.queue.size());
+}
+
+LoadSummary Owner::load() const
+{
+    LoadSummary summary;
+    for (const auto &service : m_endpoints.services()) {
+        if (m_endpoints.usableSlots(service) > 0) {
+            summary.freeSlots[service] = m_endpoints.freeSlots(service);
+            summary.waiting[service] = waiting(service);
+        }
+    }
+    return summary;
+}
+
+bool Owner::idle() const noexcept
+{
+    return m_called.empty()
+        && std::all_of(m_services.begin(), m_services.end(),
+                       [](const auto &entry) { return entry.second.queue.empty(); });
+}
+
+} // namespace cowsliprock::requests
