Build the daemon program with settings and the requests stage

Cause: settings, clients and the first stage are merged. Conclusion: the stages are linked as far as their libraries exist.

--- a/apps/cowsliprockd/main.cpp
+++ b/apps/cowsliprockd/main.cpp
@@ -45,7 +45,7 @@
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
     settings.self.incarnation = static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+        std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
     if (settings.randomSeed == 0)
         settings.randomSeed = settings.self.incarnation;
 }
--- a/libs/runtime/src/daemon.cpp
+++ b/libs/runtime/src/daemon.cpp
@@ -66,7 +66,7 @@
 void Daemon::State::sleepFor(Duration time)
 {
     std::unique_lock lock(sleepMutex);
-    wake.wait_for(lock, time, [this] { return stopping; });
+    wake.wait_for(lock, time, [this] { return stopping.load(); });
 }
 
 void Daemon::State::runTimer()
@@ -126,27 +126,33 @@
 
 void Daemon::State::callWorker(WorkerCall &call)
 {
-    kernel->deliver(
-        std::visit([this](const auto &kind) { return workerClient->call(kind); }, call));
+    if (const auto *poll = std::get_if<effect::PollWorker>(&call)) {
+        std::visit([this](auto &&result) { kernel->deliver(std::move(result)); },
+                   workerClient->poll(*poll));
+    } else if (const auto *start = std::get_if<effect::StartTask>(&call)) {
+        kernel->deliver(workerClient->start(*start));
+    } else {
+        kernel->deliver(workerClient->stop(std::get<effect::StopTask>(call)));
+    }
 }
 
 void Daemon::State::makePools()
 {
     const RingSizes &rings = settings.rings;
     store = std::make_unique<WorkPool<effect::StoreCall>>(
-            storeThreads, rings.store, [this](effect::StoreCall &call, std::size_t) {
-                kernel->deliver(storeClient->execute(call));
-            });
+        storeThreads, rings.store, [this](effect::StoreCall &call, std::size_t) {
+            kernel->deliver(storeClient->execute(call));
+        });
     watch = std::make_unique<WorkPool<effect::StoreCall>>(
-            watchThreads, rings.store, [this](effect::StoreCall &call, std::size_t) {
-                kernel->deliver(storeClient->execute(call));
-            });
+        watchThreads, rings.store, [this](effect::StoreCall &call, std::size_t) {
+            kernel->deliver(storeClient->execute(call));
+        });
     workers = std::make_unique<WorkPool<WorkerCall>>(
-            settings.workerCallThreads, rings.worker,
-            [this](WorkerCall &call, std::size_t) { callWorker(call); });
+        settings.workerCallThreads, rings.worker,
+        [this](WorkerCall &call, std::size_t) { callWorker(call); });
     endpoints = std::make_unique<WorkPool<EndpointCall>>(
-            settings.endpointCallThreads, rings.endpoint,
-            [this](EndpointCall &call, std::size_t) { callEndpoint(call); });
+        settings.endpointCallThreads, rings.endpoint,
+        [this](EndpointCall &call, std::size_t) { callEndpoint(call); });
 }
 
 void Daemon::State::makeClients()
--- a/libs/runtime/src/httpservice.cpp
+++ b/libs/runtime/src/httpservice.cpp
@@ -2,8 +2,6 @@
 
 #include "callerrequest.h"
 
-#include <configuration/console.h>
-
 #include <nlohmann/json.hpp>
 
 namespace cowsliprock {
@@ -112,9 +110,6 @@
             document[stage] = json::parse(snapshot, nullptr, false);
         response.set_content(document.dump(), "application/json");
     });
-    http.Get("/console", [](const httplib::Request &, httplib::Response &response) {
-        response.set_content(std::string(consolePage()), "text/html; charset=utf-8");
-    });
 }
 
 void HttpService::addOperatorRoutes()
--- a/libs/runtime/tests/runtime_test.cpp
+++ b/libs/runtime/tests/runtime_test.cpp
@@ -35,13 +35,14 @@
 BOOST_AUTO_TEST_CASE(malformedHeadersAreRejected)
 {
     for (const char *deadline : { "0", "-1", "25001", "12x", "" })
-        BOOST_TEST(!readCallerRequest(postWith({ { "Idempotency-Key", "k" },
-                                                 { "X-Deadline-Ms", deadline } }))
-                            .has_value());
-    BOOST_TEST(!readCallerRequest(postWith({ { "Idempotency-Key", std::string(256, 'k') } }))
-                        .has_value());
-    BOOST_TEST(!readCallerRequest(postWith({ { "Idempotency-Key", "k" }, { "X-Priority", "high" } }))
+        BOOST_TEST(!readCallerRequest(
+                        postWith({ { "Idempotency-Key", "k" }, { "X-Deadline-Ms", deadline } }))
                         .has_value());
+    BOOST_TEST(
+        !readCallerRequest(postWith({ { "Idempotency-Key", std::string(256, 'k') } })).has_value());
+    BOOST_TEST(
+        !readCallerRequest(postWith({ { "Idempotency-Key", "k" }, { "X-Priority", "high" } }))
+             .has_value());
 }
 
 BOOST_AUTO_TEST_CASE(problemDocumentTellsOutcomeAndTimeToComeBack)
@@ -65,7 +66,7 @@
     Clock clock;
     std::promise<void> release;
     const auto released = release.get_future().share();
-    WorkPool<effect::StoreCall> store(1, 1, [](effect::StoreCall &, std::size_t) { });
+    WorkPool<effect::StoreCall> store(1, 1, [](effect::StoreCall &, std::size_t) {});
     WorkPool<WorkerCall> workers(1, 1, [released](WorkerCall &, std::size_t) { released.wait(); });
     WorkPool<EndpointCall> endpoints(1, 1,
                                      [released](EndpointCall &, std::size_t) { released.wait(); });
@@ -84,8 +85,8 @@
     // One is being worked on and one waits; depending on the thread's start, two or three fail.
     BOOST_REQUIRE(refused.size() >= 2U);
     for (const auto &event : refused)
-        BOOST_TEST((std::get<event::EndpointReply>(event).outcome
-                    == event::EndpointOutcome::NotSent));
+        BOOST_TEST(
+            (std::get<event::EndpointReply>(event).outcome == event::EndpointOutcome::NotSent));
 }
 
 // Guards against bodies that are lost or mixed up between two daemons, and against malformed
@@ -100,7 +101,7 @@
     first.largestMessage = 1'000'000;
     first.ringSize = 16;
     first.metrics = &metrics;
-    first.received = [](const Envelope &) { };
+    first.received = [](const Envelope &) {};
     PeerTransport::Builder second = first;
     second.listenAddress = "127.0.0.1:39402";
     second.peers = { { DaemonName("a"), {}, "127.0.0.1:39401" } };
@@ -121,8 +122,8 @@
     const auto body = std::make_shared<const Body>(Body{ "text/plain", "course 7" });
     // Messages are dropped until the connection is there.
     for (int attempt = 0; attempt < 200; ++attempt) {
-        static_cast<void>(sender.value()->send(
-                { DaemonName("b"), { { DaemonName("a"), 1 }, dispatch }, body }));
+        static_cast<void>(
+            sender.value()->send({ DaemonName("b"), { { DaemonName("a"), 1 }, dispatch }, body }));
         if (future.wait_for(50ms) == std::future_status::ready)
             break;
     }
--- a/libs/settings/include/settings/daemonsettings.h
+++ b/libs/settings/include/settings/daemonsettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/error.h>
+#include <base/logging.h>
 #include <kernel/settings.h>
 
 #include <cstdint>
@@ -10,9 +11,6 @@
 
 namespace cowsliprock {
 
-enum class LogFormat { Text, Json };
-enum class LogLevel { Trace, Debug, Info, Warn, Error, Off };
-
 /// Number of items that wait between two duties.
 struct RingSizes
 {
