--- a/libs/kernel/include/kernel/effects.h
+++ b/libs/kernel/include/kernel/effects.h
@@ -125,6 +125,13 @@
     std::string reason;
 };
 
+/// The daemon goes on under a new incarnation. Later messages to peers carry it as their sender's.
+struct SetIncarnation
+{
+    static constexpr const char *name = "setIncarnation";
+    std::uint64_t incarnation = 0;
+};
+
 /// Ends the process after a drain.
 struct Exit
 {
@@ -135,9 +142,10 @@
 
 namespace cowsliprock {
 
-using Effect = std::variant<effect::StoreCall, effect::SendPeer, effect::AnswerCaller,
-                            effect::AnswerOperator, effect::CallEndpoint, effect::ForgetBody,
-                            effect::PollWorker, effect::StartTask, effect::StopTask, effect::Count,
-                            effect::Observe, effect::LogChange, effect::SetReady, effect::Exit>;
+using Effect =
+    std::variant<effect::StoreCall, effect::SendPeer, effect::AnswerCaller, effect::AnswerOperator,
+                 effect::CallEndpoint, effect::ForgetBody, effect::PollWorker, effect::StartTask,
+                 effect::StopTask, effect::Count, effect::Observe, effect::LogChange,
+                 effect::SetReady, effect::SetIncarnation, effect::Exit>;
 
 } // namespace cowsliprock
--- a/libs/kernel/include/kernel/messages.h
+++ b/libs/kernel/include/kernel/messages.h
@@ -43,12 +43,14 @@
 {
     static constexpr const char *name = "waiverRequest";
     DaemonIdentity owner;
+    std::uint64_t recordVersion = 0; ///< Version of the owner's record that the sender read.
 };
 
 struct WaiverReply
 {
     static constexpr const char *name = "waiverReply";
     DaemonIdentity owner;
+    std::uint64_t recordVersion = 0; ///< The waiver holds for this version of the owner's record.
     bool waived = false;
 };
 
--- a/libs/kernel/src/jsonmodel.h
+++ b/libs/kernel/src/jsonmodel.h
@@ -114,8 +114,8 @@
                                    draining, load)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseRequest, sequence, recordVersion)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseReply, sequence, granted)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaiverRequest, owner)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaiverReply, owner, waived)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaiverRequest, owner, recordVersion)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaiverReply, owner, recordVersion, waived)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Dispatch, attempt, request, bodyKey, body, contentType)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DispatchReply, attempt, answer, body, contentType)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Forward, attempt, request, bodyKey, body, contentType)
@@ -183,6 +183,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Observe, metric, value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LogChange, text)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetReady, ready, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetIncarnation, incarnation)
 COWSLIPROCK_EMPTY_JSON(Exit)
 
 } // namespace cowsliprock::effect
--- /dev/null
+++ b/libs/ownership/src/takeover.cpp
@@ -0,0 +1,160 @@
+#include "takeover.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace cowsliprock::ownership {
+
+namespace {
+
+constexpr Duration waiverInterval = std::chrono::seconds(2);
+// A take-over acts on a read that is not older than this.
+constexpr Duration maxReadAge = std::chrono::seconds(5);
+// Clock rates differ by up to 1%. Over the outage extension that exceeds the lease margin, so the
+// bound is lengthened by a 32nd.
+constexpr int extensionMarginDivisor = 32;
+
+} // namespace
+
+TakeOver::TakeOver(const Shared &shared, StoreCalls &calls, Observer &observer, Peers &peers,
+                   GivenPromises &given) noexcept
+    : m_shared(shared)
+    , m_calls(calls)
+    , m_observer(observer)
+    , m_peers(peers)
+    , m_given(given)
+{ }
+
+void TakeOver::tick(EventContext &context)
+{
+    // A reply never arrives inside this loop, so the map does not change.
+    for (const auto &[name, observed] : m_observer.all()) {
+        if (!observed.record || observed.record->ended || m_writing.count(name) > 0
+            || !isSteady(observed, context.now))
+            continue;
+        const DaemonIdentity owner{ name, observed.record->incarnation };
+        if (owner == m_shared.self || m_given.promisedUntil(owner) > context.now)
+            continue;
+        if (const auto validityEnd = proof(owner, observed, context.now))
+            begin(owner, observed, *validityEnd, context);
+        else
+            requestWaiver(owner, observed, context);
+    }
+}
+
+bool TakeOver::isSteady(const Observer::Observed &observed, TimePoint now) const
+{
+    const auto &settings = m_shared.settings;
+    return observed.steadySince
+        && now - *observed.steadySince >= settings.leaseTime + settings.leaseMargin
+        && now - observed.lastReadAt <= maxReadAge;
+}
+
+std::optional<TimePoint> TakeOver::proof(const DaemonIdentity &owner,
+                                         const Observer::Observed &observed, TimePoint now) const
+{
+    const auto &settings = m_shared.settings;
+    const auto &successors = observed.record->successors;
+    const TimePoint leaseEnd = observed.firstReadAt + settings.leaseTime;
+    // Without successors there are no promises, so the validity ends with the lease.
+    if (successors.empty())
+        return leaseEnd;
+    if (std::find(successors.begin(), successors.end(), m_shared.self) != successors.end())
+        return std::max(leaseEnd, m_given.promisedUntil(owner));
+    if (hasWaiver(owner, observed))
+        return std::max(leaseEnd, m_waivers.at(owner).receivedAt);
+    const Duration bound = settings.maxOutageExtension
+        + settings.maxOutageExtension / extensionMarginDivisor + settings.leaseMargin;
+    if (hasVmEnded(owner, observed) || now - observed.firstReadAt >= bound)
+        return now;
+    return std::nullopt;
+}
+
+bool TakeOver::hasWaiver(const DaemonIdentity &owner, const Observer::Observed &observed) const
+{
+    const auto found = m_waivers.find(owner);
+    return found != m_waivers.end() && found->second.recordVersion == observed.version;
+}
+
+bool TakeOver::hasVmEnded(const DaemonIdentity &owner, const Observer::Observed &observed) const
+{
+    const auto found = m_vms.find(owner.name.value());
+    // The list lags: it may lose the name after a VM of the same name has replaced the one that
+    // ended. The new daemon shows itself by heartbeats.
+    return found != m_vms.end() && found->second.missingSince && !m_peers.isAlive(owner.name)
+        && observed.incarnationSince <= *found->second.missingSince;
+}
+
+void TakeOver::requestWaiver(const DaemonIdentity &owner, const Observer::Observed &observed,
+                             EventContext &context)
+{
+    auto &requestedAt = m_waiverRequestedAt[owner];
+    if (context.now - requestedAt < waiverInterval)
+        return;
+    requestedAt = context.now;
+    for (const auto &successor : observed.record->successors) {
+        context.output.perform(
+            effect::SendPeer{ successor.name, message::WaiverRequest{ owner, observed.version } });
+    }
+}
+
+void TakeOver::begin(const DaemonIdentity &owner, const Observer::Observed &observed,
+                     TimePoint validityEnd, EventContext &context)
+{
+    context.output.log("takes over from " + owner.text());
+    context.output.count("ownership.takeOver");
+    m_given.refuseAt(owner, observed.version);
+    m_writing.insert(owner.name);
+    DaemonRecord record = *observed.record;
+    record.ended = true;
+    std::string value = encodeRecord(record);
+    m_calls.compareAndSwap(
+        daemonKey(owner.name), observed.version, value,
+        [this, owner, value, validityEnd](const event::StoreReply &reply, EventContext &inner) {
+            const auto &name = owner.name;
+            m_writing.erase(name);
+            // If the result is unknown, the owner may renew and be ended by another daemon later.
+            if (reply.status == event::StoreStatus::Ok)
+                m_validityEnds[owner] = validityEnd;
+            if (reply.status == event::StoreStatus::Ok)
+                m_observer.record(name, reply.version, value, inner);
+            else if (reply.status == event::StoreStatus::Conflict)
+                m_observer.record(name, reply.version, reply.value, inner);
+            else
+                m_observer.readSoon(daemonKey(name));
+        },
+        context);
+}
+
+void TakeOver::handle(const DaemonIdentity &from, const message::WaiverReply &reply, TimePoint now)
+{
+    const auto *observed = m_observer.find(reply.owner.name);
+    if (!reply.waived || observed == nullptr || !observed->record
+        || observed->record->incarnation != reply.owner.incarnation
+        || observed->version != reply.recordVersion)
+        return;
+    const auto &successors = observed->record->successors;
+    // Only the named incarnation may waive: a restarted successor does not know its promises.
+    if (std::find(successors.begin(), successors.end(), from) != successors.end())
+        m_waivers[reply.owner] = { reply.recordVersion, now };
+}
+
+void TakeOver::handle(const event::VmList &list, TimePoint now)
+{
+    for (auto &[name, vm] : m_vms)
+        vm.listed = false;
+    for (const auto &entry : list.entries)
+        m_vms[entry.name] = { true, std::nullopt };
+    for (auto &[name, vm] : m_vms) {
+        if (!vm.listed && !vm.missingSince)
+            vm.missingSince = now;
+    }
+}
+
+std::optional<TimePoint> TakeOver::validityEnd(const DaemonIdentity &identity) const
+{
+    const auto found = m_validityEnds.find(identity);
+    return found == m_validityEnds.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace cowsliprock::ownership
