--- a/libs/platform/src/workerclient.cpp
+++ b/libs/platform/src/workerclient.cpp
@@ -62,7 +62,7 @@
     {
         const TimePoint askedAt = m_clock.now();
         const HttpExchange exchange =
-            post(effect.address, "/v1/report", effect.worker, pollBody(effect), effect.validUntil);
+            post(effect.address, "/v1/report", pollBody(effect), effect.validUntil);
         const char *step = "worker.poll";
         if (!exchange.answer || exchange.answer->status != 200) {
             report(step, effect.address, exchange);
@@ -87,8 +87,8 @@
     {
         using message::StartOutcome;
         const HttpExchange exchange =
-            post(effect.address, "/v1/tasks", effect.worker,
-                 encodeTaskStart({ effect.launch, effect.lease }), effect.validUntil);
+            post(effect.address, "/v1/tasks", encodeTaskStart({ effect.launch, effect.lease }),
+                 effect.validUntil);
         event::TaskStartResult result{ effect.launch.attempt, StartOutcome::Unknown };
         const int status = exchange.answer ? exchange.answer->status : 0;
         if (status == 201 || status == 200) {
@@ -106,7 +106,7 @@
         const json body = { { "attempt", effect.attempt.value() },
                             { "mode", toWord(effect.mode) } };
         const HttpExchange exchange =
-            post(effect.address, "/v1/tasks/stop", effect.worker, body.dump(), effect.validUntil);
+            post(effect.address, "/v1/tasks/stop", body.dump(), effect.validUntil);
         const int status = exchange.answer ? exchange.answer->status : 0;
         const bool confirmed = status == 404 || (status == 200 && !runs(exchange.answer->bytes));
         if (status != 200 && status != 404)
@@ -118,15 +118,12 @@
     /// Polls of one worker are seconds apart and starts are spread over all workers, so that a
     /// connection that is kept open would be idle for most of its life and occupy the worker.
     [[nodiscard]] HttpExchange post(const std::string &address, const char *target,
-                                    const WorkerName &worker, std::string bytes,
-                                    TimePoint validUntil)
+                                    std::string bytes, TimePoint validUntil)
     {
         const Body body{ "application/json", std::move(bytes) };
-        const HttpRequest request{ "POST",
-                                   target,
-                                   { { "X-Client", m_settings.clientName },
-                                     { "X-Worker", worker.value() } },
-                                   &body };
+        const HttpRequest request{
+            "POST", target, { { "X-Client", m_settings.clientName } }, &body
+        };
         ExchangeLimits limits;
         limits.deadline = std::chrono::steady_clock::now() + m_settings.callTimeout;
         limits.validUntil = validUntil;
--- /dev/null
+++ b/standins/common/src/httphost.cpp
@@ -0,0 +1,106 @@
+#include <standincommon/httphost.h>
+
+#include <pthread.h>
+#include <sys/socket.h>
+
+#include <charconv>
+#include <csignal>
+
+namespace cowsliprock::standin {
+
+namespace {
+
+/// The library listens with a backlog of 5, which drops connections of a burst; a dropped one is
+/// tried again only after a second.
+constexpr int backlog = 1024;
+
+[[nodiscard]] sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+} // namespace
+
+Result<HostPort> parseHostPort(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    HostPort result;
+    if (colon != std::string::npos && colon > 0) {
+        result.host = text.substr(0, colon);
+        const char *end = text.data() + text.size();
+        const auto [last, error] = std::from_chars(text.data() + colon + 1, end, result.port);
+        if (error == std::errc{} && last == end)
+            return result;
+    }
+    return Error{ ErrorKind::Invalid, "address.parse", text, "host:port expected" };
+}
+
+HttpHost::HttpHost(ElasticPool &pool)
+{
+    m_server.new_task_queue = [&pool] { return new PoolTaskQueue(pool); };
+    m_server.set_tcp_nodelay(true);
+    m_server.set_read_timeout(5);
+    m_server.set_keep_alive_timeout(5);
+    m_server.set_keep_alive_max_count(1'000'000);
+    // Replaces the library's option SO_REUSEPORT, with which two processes could share a port.
+    m_server.set_socket_options([this](socket_t socket) {
+        const int on = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        m_listeningSocket = socket;
+    });
+}
+
+HttpHost::~HttpHost()
+{
+    stop();
+}
+
+void HttpHost::serveAll(const httplib::Server::Handler &handler)
+{
+    m_server.Get(".*", handler);
+    m_server.Post(".*", handler);
+    m_server.Put(".*", handler);
+    m_server.Patch(".*", handler);
+    m_server.Delete(".*", handler);
+}
+
+Result<int> HttpHost::listen(const std::string &host, int port)
+{
+    const int bound = port == 0             ? m_server.bind_to_any_port(host)
+        : m_server.bind_to_port(host, port) ? port
+                                            : -1;
+    if (bound <= 0)
+        return Error{ ErrorKind::Unavailable, "http.bind", host + ":" + std::to_string(port), {} };
+    ::listen(m_listeningSocket, backlog);
+    m_thread = std::thread([this] { m_server.listen_after_bind(); });
+    while (!m_server.is_running())
+        std::this_thread::yield();
+    return bound;
+}
+
+void HttpHost::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    m_server.stop();
+    m_thread.join();
+}
+
+void blockStopSignals()
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void waitForStopSignal()
+{
+    const sigset_t signals = stopSignals();
+    int signal = 0;
+    sigwait(&signals, &signal);
+}
+
+} // namespace cowsliprock::standin
