Test the endpoint and worker clients against servers that break rules

Bounds the wait for a writable socket by validUntil: a peer that stopped reading held a request until the TCP user timeout (2 s) instead of ending it as NotSent at validUntil.

--- a/libs/platform/src/guardedstream.cpp
+++ b/libs/platform/src/guardedstream.cpp
@@ -63,9 +63,14 @@
 
 bool GuardedStream::is_writable() const
 {
+    auto limit = m_limits.deadline;
+    if (m_limits.validUntil != TimePoint::max()) {
+        limit = std::min(limit,
+                         std::chrono::steady_clock::now() + (m_limits.validUntil - m_clock.now()));
+    }
     // A peer that closed or answered before the request is complete does not need the rest of it.
     // Withholding the rest keeps the request provably incomplete.
-    const short ready = waitFor(m_socket, POLLOUT | POLLIN, m_limits.deadline);
+    const short ready = waitFor(m_socket, POLLOUT | POLLIN, limit);
     return (ready & POLLOUT) != 0 && (ready & (POLLIN | POLLHUP | POLLERR)) == 0;
 }
 
@@ -107,12 +112,8 @@
 ssize_t GuardedStream::write(const char *source, size_t size)
 {
     for (;;) {
-        if (!is_writable())
-            return -1;
-        if (m_clock.now() >= m_limits.validUntil) {
-            m_expired = true;
+        if (!is_writable() || m_clock.now() >= m_limits.validUntil)
             return -1;
-        }
         const ssize_t count = ::send(m_socket, source, size, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (count >= 0 || (errno != EAGAIN && errno != EINTR))
             return count;
@@ -135,6 +136,11 @@
         describe(address, ip, port);
 }
 
+bool GuardedStream::expired() const noexcept
+{
+    return !m_readStarted && m_clock.now() >= m_limits.validUntil;
+}
+
 bool GuardedStream::atEmptyLine() const noexcept
 {
     return m_tail == "\r\n\r\n";
--- a/libs/platform/src/guardedstream.h
+++ b/libs/platform/src/guardedstream.h
@@ -36,8 +36,8 @@
     void get_local_ip_and_port(std::string &ip, int &port) const override;
     [[nodiscard]] socket_t socket() const override { return m_socket; }
 
-    /// True once a write was withheld because validUntil had passed.
-    [[nodiscard]] bool expired() const noexcept { return m_expired; }
+    /// True if validUntil passed before the request was sent whole.
+    [[nodiscard]] bool expired() const noexcept;
 
     /// True once the answer was read from. The library reads only after the whole request was
     /// accepted by the operating system.
@@ -64,7 +64,6 @@
     std::size_t m_bytesRead = 0;
     bool m_readStarted = false;
     bool m_endSeen = false;
-    bool m_expired = false;
 };
 
 } // namespace cowsliprock
--- /dev/null
+++ b/libs/platform/tests/rawserver.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace cowsliprock {
+
+/// Accepts connections one after another and gives each to a script, which sees the bytes as they
+/// are and may break every rule of HTTP.
+class RawServer
+{
+public:
+    explicit RawServer(std::function<void(int socket)> script)
+        : m_script(std::move(script))
+        , m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        if (::bind(m_socket, generic, length) != 0 || ::listen(m_socket, 16) != 0)
+            std::abort();
+        ::getsockname(m_socket, generic, &length);
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~RawServer()
+    {
+        ::shutdown(m_socket, SHUT_RDWR);
+        m_thread.join();
+        ::close(m_socket);
+    }
+    RawServer(const RawServer &) = delete;
+    RawServer &operator=(const RawServer &) = delete;
+
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    [[nodiscard]] int connections() const { return m_connections; }
+
+    /// Reads until \p end was received or the peer closed.
+    static std::string readUntil(int socket, const std::string &end)
+    {
+        std::string bytes;
+        char byte = 0;
+        while (!bytes.ends_with(end) && ::recv(socket, &byte, 1, 0) == 1)
+            bytes.push_back(byte);
+        return bytes;
+    }
+
+    static void write(int socket, const std::string &bytes)
+    {
+        ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+private:
+    void run()
+    {
+        for (int peer = 0; (peer = ::accept(m_socket, nullptr, nullptr)) >= 0;) {
+            ++m_connections;
+            m_script(peer);
+            ::close(peer);
+        }
+    }
+
+    std::function<void(int)> m_script;
+    int m_socket;
+    int m_port = 0;
+    std::atomic<int> m_connections{ 0 };
+    std::thread m_thread;
+};
+
+} // namespace cowsliprock
