--- /dev/null
+++ b/libs/configuration/src/configurationschema.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string_view>
+
+namespace cowsliprock {
+
+/// Text of schemas/configuration.schema.json.
+[[nodiscard]] std::string_view configurationSchema() noexcept;
+
+} // namespace cowsliprock
