Test the requests stage over a small fake cluster

Cause: the stage had no run behind it. Ruled out: one kernel with hand-written replies; it cannot show that two daemons agree on what ran.

--- /dev/null
+++ b/libs/requests/tests/cluster.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include <kernel/kernel.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cowsliprock::testing {
+
+struct ServiceFake
+{
+    std::string name = "plan";
+    std::uint32_t slots = 2;
+    std::uint32_t connections = 3;
+    Duration shortest{ 5'000 };
+    Duration longest{ 120'000 };
+};
+
+/// Rates of faults in thousandths.
+struct Faults
+{
+    std::uint32_t lostMessages = 0;
+    std::uint32_t duplicatedMessages = 0;
+    std::uint32_t delayedMessages = 0; ///< By up to 2 s.
+    std::uint32_t refusedCalls = 0;
+    std::uint32_t unsentCalls = 0;
+    std::uint32_t cutCalls = 0; ///< The outcome is unknown; the endpoint goes on.
+    std::uint32_t leavingReplies = 0;
+    std::uint32_t failedJournalWrites = 0;
+};
+
+struct ClusterOptions
+{
+    std::uint64_t seed = 1;
+    std::uint32_t daemonsPerRegion = 2;
+    std::uint32_t regions = 2;
+    std::uint32_t workersPerRegion = 3;
+    std::uint32_t partitions = 2; ///< Per data centre; one data centre in each region.
+    ServiceDefinition service;
+    Duration shortestService{ 5'000 };
+    Duration longestService{ 120'000 };
+    std::uint32_t answerCacheEntries = 3;
+    Faults faults;
+    bool trace = false;
+};
+
+/// What a caller sent and got.
+struct CallerRequest
+{
+    std::size_t daemon = 0;
+    std::string content; ///< Of the body; names the request, or the identity if it has one.
+    RequestProfile profile;
+    TimePoint arrived;
+    TimePoint deadline;
+    std::uint32_t answers = 0;
+    TimePoint answeredAt;
+    RequestAnswer answer;
+    bool lost = false; ///< Its daemon ended.
+};
+
+/// Several kernels with the stage "requests", and fakes of ownership, endpoints, workers and the
+/// network between daemons in model time. Throws std::runtime_error when an invariant is violated.
+class Cluster
+{
+public:
+    explicit Cluster(const ClusterOptions &options);
+
+    /// A request body with this content arrives at a daemon. Returns the index of the request.
+    std::size_t request(std::size_t daemon, RequestProfile profile, const std::string &content);
+    void run(Duration duration);
+
+    void pause(std::size_t daemon, bool paused);
+    void restart(std::size_t daemon);
+    void drain(std::size_t daemon);
+
+    /// Moves a partition. A graceful move tells the old owner first; otherwise the new owner waits
+    /// until the old one's validity and the quarantine are over.
+    void movePartition(const PartitionId &partition, std::size_t to, bool graceful);
+    void setStoreOutage(bool outage) { m_storeOutage = outage; }
+    void setFaults(const Faults &faults) { m_options.faults = faults; }
+    void setCommitDelay(Duration delay) { m_commitDelay = delay; }
+    void give(std::size_t daemon, const Event &event) { handle(daemon, event); }
+
+    /// Checks what must hold when all work has ended.
+    void checkEnd() const;
+
+    [[nodiscard]] std::vector<PartitionId> partitions() const;
+    [[nodiscard]] std::size_t daemonCount() const noexcept { return m_daemons.size(); }
+    [[nodiscard]] std::size_t ownerOf(const PartitionId &partition) const;
+    [[nodiscard]] const CallerRequest &result(std::size_t index) const { return m_requests[index]; }
+    [[nodiscard]] const std::vector<CallerRequest> &results() const noexcept { return m_requests; }
+    [[nodiscard]] std::uint32_t starts(const std::string &content) const;
+    [[nodiscard]] std::uint64_t counted(const std::string &metric) const;
+    [[nodiscard]] bool drained(std::size_t daemon) const { return m_daemons[daemon].drained; }
+    [[nodiscard]] TimePoint now() const noexcept { return m_now; }
+    [[nodiscard]] std::uint64_t random(std::uint64_t bound);
+    [[nodiscard]] const std::vector<std::string> &trace() const noexcept { return m_trace; }
+    [[nodiscard]] std::uint64_t messages() const noexcept { return m_messages; }
+    [[nodiscard]] std::uint64_t journalWrites() const noexcept { return m_journalWrites; }
+
+private:
+    struct Daemon
+    {
+        KernelSettings settings;
+        std::unique_ptr<Kernel> kernel;
+        std::map<BodyKey, std::string> bodies;
+        LoadSummary load;
+        TimePoint validUntil;
+        std::vector<Event> heldBack; ///< While paused.
+        bool paused = false;
+        bool draining = false;
+        bool drained = false;
+        std::uint64_t lastBody = 0;
+    };
+    struct Partition
+    {
+        std::size_t owner = 0;
+        bool owned = false;
+        std::uint64_t epoch = 0;
+        std::vector<JournalEntry> journal;
+    };
+    struct EndpointFake
+    {
+        VmEntry vm;
+        PartitionId partition;
+        std::multiset<std::string> active;
+    };
+    using Action = std::function<void()>;
+
+    void after(Duration delay, Action action);
+    void handle(std::size_t daemon, const Event &event);
+    void perform(std::size_t daemon, const Effect &effect);
+    void performOne(std::size_t daemon, const effect::SendPeer &send);
+    void performOne(std::size_t daemon, const effect::AnswerCaller &answer);
+    void performOne(std::size_t daemon, const effect::CallEndpoint &call);
+    void performOne(std::size_t daemon, const effect::ForgetBody &forget);
+    void performOne(std::size_t daemon, const effect::Count &count);
+    void performOne(std::size_t, const auto &) { }
+    void raised(std::size_t daemon, const Event &event);
+    void journal(std::size_t daemon, const event::JournalAppend &append);
+    void deliver(std::size_t to, const DaemonIdentity &from, Message message);
+    void startAtEndpoint(std::size_t daemon, const effect::CallEndpoint &call,
+                         const std::string &content);
+    void reply(std::size_t daemon, std::uint64_t incarnation, event::EndpointReply reply,
+               const std::string &content);
+    void acquire(const PartitionId &partition, std::size_t to, Duration quarantine);
+    void publishOwners();
+    void createDaemon(std::size_t daemon, std::uint64_t incarnation);
+    void startDaemon(std::size_t daemon);
+    void everyTick();
+    void everyHeartbeat();
+    void everyRenewal();
+    void everyPoll();
+    void checkRequests() const;
+    void fail(const std::string &text) const;
+    [[nodiscard]] bool chance(std::uint32_t thousandths) { return random(1000) < thousandths; }
+    [[nodiscard]] std::string takeBody(std::size_t daemon, const BodyKey &key) const;
+    void note(std::size_t daemon, const std::string &text);
+
+    ClusterOptions m_options;
+    std::mt19937_64 m_random;
+    TimePoint m_now{ std::chrono::seconds(100) };
+    std::multimap<TimePoint, Action> m_actions;
+    std::vector<Daemon> m_daemons;
+    std::map<PartitionId, Partition> m_partitions;
+    std::map<std::string, EndpointFake> m_endpoints; ///< By address.
+    std::vector<CallerRequest> m_requests;
+    std::map<std::string, std::uint32_t> m_starts; ///< By content.
+    std::map<std::string, std::uint64_t> m_counts;
+    std::vector<std::string> m_trace;
+    Duration m_commitDelay{ 20'000 };
+    std::uint64_t m_messages = 0;
+    std::uint64_t m_journalWrites = 0;
+    bool m_storeOutage = false;
+};
+
+} // namespace cowsliprock::testing
