Follow the new incarnation of a fenced daemon in messages

Cause: the ownership stage goes on under a new incarnation after fencing. Before/after: messages carried the old incarnation; now those after the effect carry the new one.

--- a/libs/runtime/src/effectrouter.cpp
+++ b/libs/runtime/src/effectrouter.cpp
@@ -132,6 +132,12 @@
     return std::nullopt;
 }
 
+std::optional<Event> EffectRouter::perform(effect::SetIncarnation &change)
+{
+    m_self.incarnation = change.incarnation;
+    return std::nullopt;
+}
+
 std::optional<Event> EffectRouter::perform(effect::Exit &)
 {
     m_exit = true;
--- a/libs/runtime/src/effectrouter.h
+++ b/libs/runtime/src/effectrouter.h
@@ -65,6 +65,7 @@
     std::optional<Event> perform(effect::Observe &observation);
     std::optional<Event> perform(effect::LogChange &change);
     std::optional<Event> perform(effect::SetReady &readiness);
+    std::optional<Event> perform(effect::SetIncarnation &change);
     std::optional<Event> perform(effect::Exit &exit);
 
     DaemonIdentity m_self;
