--- a/libs/ownership/src/ownershipstage.cpp
+++ b/libs/ownership/src/ownershipstage.cpp
@@ -11,6 +11,7 @@
 constexpr Duration renewalGrace = std::chrono::milliseconds(500);
 // A drain that cannot be finished, for example during a store outage, ends after this time.
 constexpr Duration releaseLimit = std::chrono::seconds(20);
+constexpr Duration interestsInterval = std::chrono::milliseconds(250);
 
 const StageRegistrar registrar(10, "ownership", [](const KernelSettings &settings) {
     return std::make_unique<OwnershipStage>(settings);
@@ -48,7 +49,8 @@
 {
     m_calls.tick(context);
     m_peers.tick(context);
-    updateInterests(context.now);
+    if (context.now - m_interestsAt >= interestsInterval)
+        updateInterests(context.now);
     m_observer.tick(context);
     m_lease.tick(context);
     requestPromises(context);
@@ -195,6 +197,7 @@
 
 void OwnershipStage::updateInterests(TimePoint now)
 {
+    m_interestsAt = now;
     std::set<DaemonName> names = m_partitions.knownOwners();
     for (const auto &[name, peer] : m_peers.all()) {
         if (m_peers.isSameRegion(peer))
@@ -218,7 +221,12 @@
 Observer::Interest OwnershipStage::interestIn(const DaemonName &name, TimePoint now) const
 {
     const auto *observed = m_observer.find(name);
-    if (observed == nullptr || !observed->record || observed->record->ended)
+    const auto *peer = m_peers.find(name);
+    const bool alive = peer != nullptr && peer->alive;
+    if (observed == nullptr || !observed->record
+        || (alive && observed->record->incarnation < peer->identity.incarnation))
+        return alive ? Observer::Interest::Named : Observer::Interest::Low;
+    if (observed->record->ended)
         return Observer::Interest::Low;
     const bool stale = observed->lastReadAt - observed->firstReadAt
         > m_shared.settings.renewInterval + renewalGrace;
--- a/libs/ownership/tests/cluster.cpp
+++ b/libs/ownership/tests/cluster.cpp
@@ -361,6 +361,14 @@
     return count;
 }
 
+std::size_t Cluster::tenureCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[partition, tenures] : m_tenures)
+        count += tenures.size();
+    return count;
+}
+
 TimePoint Cluster::localTime(const Daemon &daemon) const
 {
     const double scaled = static_cast<double>(m_now.time_since_epoch().count()) * daemon.rate;
--- a/libs/ownership/tests/cluster.h
+++ b/libs/ownership/tests/cluster.h
@@ -101,6 +101,8 @@
     [[nodiscard]] FakeStore &store() noexcept { return m_store; }
     [[nodiscard]] std::vector<PartitionId> usable(std::size_t index) const;
     [[nodiscard]] std::size_t usableCount() const;
+    [[nodiscard]] std::size_t size() const noexcept { return m_daemons.size(); }
+    [[nodiscard]] std::size_t tenureCount() const;
     [[nodiscard]] const std::vector<std::unique_ptr<Tenure>> &tenures(const PartitionId &partition)
     {
         return m_tenures[partition];
--- a/libs/ownership/tests/ownership_test.cpp
+++ b/libs/ownership/tests/ownership_test.cpp
@@ -14,6 +14,7 @@
 {
     Cluster::Options options;
     options.daemons = daemons;
+    options.trace = true;
     return Cluster(options);
 }
 
@@ -37,6 +38,8 @@
         cluster.run(1s);
         std::cout << i << " " << cluster.usableCount() << "\n";
     }
+    for (const auto &t : cluster.trace())
+        std::cout << t << '\n';
     for (const auto &v : cluster.violations())
         std::cout << v << "\n";
     BOOST_TEST(cluster.violations().empty());
