Add configuration stage: versions, acceptance and propagation

/configuration/current decides by compare-and-swap; it holds up to 1 MB, so watching it would send the whole document to each watcher for every change. The watchers watch the key of the next change instead: first a proposal, then the same patch marked as accepted.

A writer whose reply was lost repeats the same compare-and-swap and finds its write identity in the value's history, also when a later version was accepted meanwhile.

The patch matches list elements by name.

--- /dev/null
+++ b/libs/configuration/src/applyflow.cpp
@@ -0,0 +1,299 @@
+#include "applyflow.h"
+
+#include "documentpatch.h"
+
+namespace cowsliprock {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using Operation = effect::StoreCall::Operation;
+using event::StoreStatus;
+
+constexpr std::size_t maxWaiting = 8;
+constexpr int maxAttempts = 8;
+constexpr Duration retryInterval = 500ms;
+
+/// An operator waits at most this long for a store that does not answer.
+constexpr Duration resolveLimit = 10s;
+
+} // namespace
+
+void ApplyFlow::add(ApplyRequest request, Output &output)
+{
+    if (m_waiting.size() >= maxWaiting) {
+        output.perform(effect::AnswerOperator{
+            request.operation, 503,
+            R"({"error":"too many changes wait on this daemon","outcome":"not-run","retryAfterMs":1000})" });
+        return;
+    }
+    m_waiting.push_back(std::move(request));
+}
+
+void ApplyFlow::advance(TimePoint now, Output &output)
+{
+    if (m_step == Step::Committing && m_giveUpAt && now >= *m_giveUpAt && m_call.empty()) {
+        answerUnavailable("the store does not answer; read the configuration before trying again",
+                          true, output);
+        m_unresolved = true;
+        finish();
+    }
+    if (m_step == Step::Marking && m_giveUpAt && now >= *m_giveUpAt && m_call.empty())
+        finish(); // The watchers find the change in /configuration/current.
+    if (m_retryAt && now >= *m_retryAt)
+        send(now, output);
+    while (m_step == Step::Idle && !m_waiting.empty())
+        begin(now, output);
+}
+
+void ApplyFlow::begin(TimePoint now, Output &output)
+{
+    const ApplyRequest &request = m_waiting.front();
+    if (request.baseVersion > m_versions.version() && !m_reread) {
+        m_step = Step::Loading;
+        send(now, output);
+        return;
+    }
+    if (request.baseVersion != m_versions.version()) {
+        answerConflict(output);
+        finish();
+        return;
+    }
+    if (request.document == m_versions.held().document && m_versions.version() > 0) {
+        answerAccepted(m_versions.version(), output);
+        finish();
+        return;
+    }
+    prepare();
+    m_step = Step::Proposing;
+    send(now, output);
+}
+
+void ApplyFlow::prepare()
+{
+    const HeldConfiguration &held = m_versions.held();
+    const WriteId write = m_self.text() + "/" + std::to_string(++m_writeCount);
+    m_next = { held.version + 1, held.row + 1, {}, held.history, m_waiting.front().document };
+    m_next.digest = documentDigest(m_next.document);
+    appendWrite(m_next.history, { m_next.version, write });
+    m_change = { m_next.version, held.version, 0, false, m_next.digest, write, {} };
+    if (json patch = makePatch(held.document, m_next.document);
+        patch.dump().size() <= maxPatchBytes)
+        m_change.patch = std::move(patch);
+    m_currentRow = held.row;
+    m_changeRow = 0;
+}
+
+void ApplyFlow::send(TimePoint, Output &output)
+{
+    m_retryAt.reset();
+    m_call = m_calls.next();
+    effect::StoreCall call{ m_call, Operation::CompareAndSwap, currentKey, m_currentRow, {} };
+    if (m_step == Step::Loading) {
+        call.operation = Operation::Get;
+        call.version = 0;
+    } else if (m_step == Step::Committing) {
+        call.value = encodeHeld(m_next);
+    } else {
+        call.key = changeKey(m_change.version);
+        call.version = m_changeRow;
+        call.value = encodeChange(m_change);
+    }
+    output.perform(std::move(call));
+}
+
+void ApplyFlow::retryLater(TimePoint now)
+{
+    m_retryAt = now + retryInterval;
+    if (!m_giveUpAt)
+        m_giveUpAt = now + resolveLimit;
+}
+
+void ApplyFlow::finish() noexcept
+{
+    m_step = Step::Idle;
+    m_reread = false;
+    m_attempts = 0;
+    m_call = {};
+    m_retryAt.reset();
+    m_giveUpAt.reset();
+    m_waiting.pop_front();
+}
+
+bool ApplyFlow::handle(const event::StoreReply &reply, TimePoint now, Output &output)
+{
+    if (m_call.empty() || reply.call != m_call)
+        return false;
+    m_call = {};
+    switch (m_step) {
+    case Step::Idle:
+        break;
+    case Step::Loading:
+        handleLoading(reply, now, output);
+        break;
+    case Step::Proposing:
+        handleProposing(reply, now, output);
+        break;
+    case Step::Committing:
+        handleCommitting(reply, now, output);
+        break;
+    case Step::Marking:
+        handleMarking(reply, now, output);
+        break;
+    }
+    return true;
+}
+
+void ApplyFlow::handleLoading(const event::StoreReply &reply, TimePoint now, Output &output)
+{
+    if (reply.status == StoreStatus::Unavailable) {
+        answerUnavailable("the store is unavailable", false, output);
+        finish();
+        return;
+    }
+    if (reply.status == StoreStatus::Ok)
+        adoptStored(m_versions, reply.version, reply.value, output);
+    m_reread = true;
+    m_step = Step::Idle;
+    begin(now, output);
+}
+
+void ApplyFlow::handleProposing(const event::StoreReply &reply, TimePoint now, Output &output)
+{
+    if (reply.status == StoreStatus::Ok) {
+        m_changeRow = reply.version;
+        m_step = Step::Committing;
+        m_attempts = 0;
+        send(now, output);
+        return;
+    }
+    // Nothing was accepted: a proposal without the write of /configuration/current has no effect.
+    if (reply.status == StoreStatus::Unavailable || ++m_attempts > maxAttempts) {
+        answerUnavailable("the store is unavailable", false, output);
+        finish();
+        return;
+    }
+    const auto present = decodeChange(reply.value);
+    if (present && present.value().accepted && !m_reread) {
+        // Another writer was first; the read tells its version.
+        m_step = Step::Loading;
+    } else if (!present || !present.value().accepted) {
+        m_changeRow = reply.version;
+    } else {
+        answerConflict(output);
+        finish();
+        return;
+    }
+    send(now, output);
+}
+
+void ApplyFlow::handleCommitting(const event::StoreReply &reply, TimePoint now, Output &output)
+{
+    switch (reply.status) {
+    case StoreStatus::Ok:
+        accepted(reply.version, now, output);
+        break;
+    case StoreStatus::Unavailable:
+        // The write may have taken effect. The same write again either succeeds, or its conflict
+        // shows the present value, and with it whether the first one took effect.
+        retryLater(now);
+        break;
+    case StoreStatus::Conflict:
+    case StoreStatus::NotFound:
+        handleCommitConflict(reply, now, output);
+        break;
+    }
+}
+
+void ApplyFlow::handleCommitConflict(const event::StoreReply &reply, TimePoint now, Output &output)
+{
+    const auto present = decodeHeld(reply.value);
+    if (present && present.value().contains(m_change.version, m_change.write)) {
+        if (present.value().version == m_change.version) {
+            accepted(reply.version, now, output);
+            return;
+        }
+        // Accepted, and another change was accepted after it.
+        adoptStored(m_versions, reply.version, reply.value, output);
+        answerAccepted(m_change.version, output);
+        finish();
+        return;
+    }
+    const StoredState state = adoptStored(m_versions, reply.version, reply.value, output);
+    const bool rowWasWrong = present && present.value().version == m_change.from;
+    if (rowWasWrong && ++m_attempts <= maxAttempts) {
+        m_currentRow = reply.version;
+        send(now, output);
+        return;
+    }
+    if (state == StoredState::Older || state == StoredState::Absent
+        || state == StoredState::Unreadable)
+        answerUnavailable("the store holds an older or unreadable configuration", false, output);
+    else
+        answerConflict(output);
+    finish();
+}
+
+void ApplyFlow::accepted(std::uint64_t row, TimePoint now, Output &output)
+{
+    m_next.row = row;
+    m_change.row = row;
+    m_change.accepted = true;
+    m_acceptedVersion = m_change.version;
+    m_versions.adopt(std::move(m_next));
+    answerAccepted(m_change.version, output);
+    m_step = Step::Marking;
+    m_attempts = 0;
+    m_giveUpAt.reset();
+    send(now, output);
+}
+
+void ApplyFlow::handleMarking(const event::StoreReply &reply, TimePoint now, Output &output)
+{
+    if (reply.status == StoreStatus::Unavailable) {
+        retryLater(now);
+        return;
+    }
+    const auto present = decodeChange(reply.value);
+    const bool marked = reply.status == StoreStatus::Ok || (present && present.value().accepted);
+    if (marked || ++m_attempts > maxAttempts) {
+        finish();
+        return;
+    }
+    // A writer that lost the race replaced the proposal before it learned of its loss.
+    m_changeRow = reply.version;
+    send(now, output);
+}
+
+void ApplyFlow::answerAccepted(std::uint64_t version, Output &output)
+{
+    answer(200, { { "version", version } }, output);
+}
+
+void ApplyFlow::answerConflict(Output &output)
+{
+    output.count("configuration_conflicts");
+    answer(409,
+           { { "version", m_versions.version() },
+             { "error",
+               "the change was made for version " + std::to_string(m_waiting.front().baseVersion)
+                   + ", but version " + std::to_string(m_versions.version()) + " is in force" } },
+           output);
+}
+
+void ApplyFlow::answerUnavailable(const char *reason, bool unknown, Output &output)
+{
+    answer(503,
+           { { "error", reason },
+             { "outcome", unknown ? "unknown" : "not-run" },
+             { "retryAfterMs", 1000 } },
+           output);
+}
+
+void ApplyFlow::answer(int status, const nlohmann::json &body, Output &output)
+{
+    output.perform(effect::AnswerOperator{ m_waiting.front().operation, status, body.dump() });
+}
+
+} // namespace cowsliprock
--- a/libs/configuration/src/documentpatch.cpp
+++ b/libs/configuration/src/documentpatch.cpp
@@ -2,8 +2,10 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
+#include <optional>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace cowsliprock {
 
@@ -11,32 +13,64 @@
 
 using nlohmann::json;
 
+using NameIndex = std::unordered_map<std::string, std::size_t>;
+
+/// Position of each element by its name; nothing if a name is missing or repeated.
+[[nodiscard]] std::optional<NameIndex> indexByName(const json &list)
+{
+    NameIndex index;
+    for (const json &element : list) {
+        const auto name = element.is_object() ? element.find("name") : element.end();
+        if (!element.is_object() || name == element.end() || !name->is_string()
+            || !index.emplace(name->get<std::string>(), index.size()).second)
+            return std::nullopt;
+    }
+    return index;
+}
+
+/// True if the elements that both lists have are in the same order in both.
+[[nodiscard]] bool sameOrder(const json &to, const NameIndex &fromIndex)
+{
+    std::size_t next = 0;
+    for (const json &element : to) {
+        const auto known = fromIndex.find(element["name"].get_ref<const std::string &>());
+        if (known == fromIndex.end())
+            continue;
+        if (known->second < next)
+            return false;
+        next = known->second + 1;
+    }
+    return true;
+}
+
+void append(json operations, json &patch)
+{
+    for (json &operation : operations)
+        patch.push_back(std::move(operation));
+}
+
 /// Appends the patch between two lists. Operations keep the order in which they apply.
 void appendListPatch(const std::string &path, const json &from, const json &to, json &patch)
 {
-    const std::size_t shorter = std::min(from.size(), to.size());
-    std::size_t head = 0;
-    while (head < shorter && from[head] == to[head])
-        ++head;
-    std::size_t tail = 0;
-    while (tail < shorter - head && from[from.size() - 1 - tail] == to[to.size() - 1 - tail])
-        ++tail;
-
-    const std::size_t fromEnd = from.size() - tail;
-    const std::size_t toEnd = to.size() - tail;
-    const std::size_t paired = std::min(fromEnd, toEnd);
-    for (std::size_t index = head; index < paired; ++index) {
-        for (json &operation :
-             json::diff(from[index], to[index], path + "/" + std::to_string(index)))
-            patch.push_back(std::move(operation));
+    const auto fromIndex = indexByName(from);
+    const auto toIndex = indexByName(to);
+    if (!fromIndex || !toIndex || !sameOrder(to, *fromIndex)) {
+        append(json::diff(from, to, path), patch);
+        return;
+    }
+    for (std::size_t index = from.size(); index > 0; --index) {
+        if (!toIndex->contains(from[index - 1]["name"].get_ref<const std::string &>()))
+            patch.push_back(
+                { { "op", "remove" }, { "path", path + "/" + std::to_string(index - 1) } });
+    }
+    for (std::size_t index = 0; index < to.size(); ++index) {
+        const std::string place = path + "/" + std::to_string(index);
+        const auto known = fromIndex->find(to[index]["name"].get_ref<const std::string &>());
+        if (known == fromIndex->end())
+            patch.push_back({ { "op", "add" }, { "path", place }, { "value", to[index] } });
+        else if (from[known->second] != to[index])
+            append(json::diff(from[known->second], to[index], place), patch);
     }
-    for (std::size_t index = fromEnd; index > paired; --index)
-        patch.push_back(
-            { { "op", "remove" }, { "path", path + "/" + std::to_string(index - 1) } });
-    for (std::size_t index = paired; index < toEnd; ++index)
-        patch.push_back({ { "op", "add" },
-                          { "path", path + "/" + std::to_string(index) },
-                          { "value", to[index] } });
 }
 
 } // namespace
@@ -61,8 +95,7 @@
         if (isListInBoth(name))
             appendListPatch("/" + name, list, to.at(name), patch);
     }
-    for (json &operation : json::diff(rest(from), rest(to)))
-        patch.push_back(std::move(operation));
+    append(json::diff(rest(from), rest(to)), patch);
     return patch;
 }
 
--- a/libs/configuration/src/semanticcheck.cpp
+++ b/libs/configuration/src/semanticcheck.cpp
@@ -91,10 +91,9 @@
         const Resources needed = job.perTask * (gang ? job.taskCount : 1);
         if (!needed.fitsIn(quota))
             add(path + "/perTask",
-                std::string("the quota of team '") + job.team + "' ("
-                    + place("teams", team->second) + "/quota) must hold at least "
-                    + (gang ? "all tasks of this gang" : "one task") + ": cpuMillis "
-                    + std::to_string(needed.cpuMillis) + ", memoryMb "
+                std::string("the quota of team '") + job.team + "' (" + place("teams", team->second)
+                    + "/quota) must hold at least " + (gang ? "all tasks of this gang" : "one task")
+                    + ": cpuMillis " + std::to_string(needed.cpuMillis) + ", memoryMb "
                     + std::to_string(needed.memoryMb) + ", accelerators "
                     + std::to_string(needed.accelerators));
     }
@@ -119,7 +118,8 @@
                         const char *kind)
     {
         if (!known.contains(name))
-            add(path, std::string("no ") + kind + " is named '" + name + "'; must be " + listed(known));
+            add(path,
+                std::string("no ") + kind + " is named '" + name + "'; must be " + listed(known));
     }
 
     /// Names for an error message; a few, because there may be hundreds.
--- /dev/null
+++ b/libs/configuration/tests/exploration_test.cpp
@@ -0,0 +1,145 @@
+#include "cell.h"
+
+#include <nlohmann/json.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+[[nodiscard]] std::uint64_t seedCount()
+{
+    const char *text = std::getenv("COWSLIPROCK_SEEDS");
+    return text ? std::strtoull(text, nullptr, 10) : 200;
+}
+
+void explore(std::uint64_t seed, std::size_t &accepted, std::size_t &conflicts)
+{
+    Cell cell(
+        seed,
+        { seed % 3 == 0 ? 0.0 : 0.1, seed % 2 == 0 ? 0.0 : 0.1, seed % 4 != 0, seed % 5 != 0 });
+    std::mt19937_64 random(seed + 1);
+    for (int round = 0; round < 15; ++round) {
+        cell.run(std::chrono::milliseconds(random() % 4000));
+        for (auto operators = 1 + random() % 3; operators > 0; --operators)
+            cell.change(random() % Cell::daemonCount);
+    }
+    cell.heal();
+    cell.run(12s);
+    cell.checkConverged();
+    accepted += cell.acceptedAnswers();
+    conflicts += cell.conflictAnswers();
+}
+
+/// A document of about 900 KB.
+[[nodiscard]] json largeDocument()
+{
+    json document = { { "teams", json::array() },
+                      { "policies", { { { "name", "pack" }, { "placement", "packing" } } } },
+                      { "jobs", json::array() } };
+    for (int team = 0; team < 410; ++team)
+        document["teams"].push_back(
+            { { "name", "team-" + std::to_string(team) },
+              { "quota", { { "cpuMillis", 64'000 }, { "memoryMb", 262'144 } } } });
+    for (int job = 0; document["jobs"].size() < 5350; ++job)
+        document["jobs"].push_back(
+            { { "name", "battery-sweep-" + std::to_string(job) },
+              { "team", "team-" + std::to_string(job % 410) },
+              { "policy", "pack" },
+              { "kind", "batch" },
+              { "exclusive", true },
+              { "deadlineMs", 3'600'000 },
+              { "perTask", { { "cpuMillis", 2000 }, { "memoryMb", 4096 } } } });
+    return document;
+}
+
+} // namespace
+
+// Guards G8: no daemon goes back to an older version, an accepted version is in force on all
+// connected daemons within 6 s, one of two racing operators wins, and a change that was answered
+// as not applied never comes into force. Covers lost replies, late writes, outages, stale reads,
+// separated regions, lost messages and restarts.
+BOOST_AUTO_TEST_CASE(seededExploration)
+{
+    std::size_t accepted = 0;
+    std::size_t conflicts = 0;
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        try {
+            explore(seed, accepted, conflicts);
+        } catch (const std::exception &exception) {
+            BOOST_ERROR("seed " << seed << ": " << exception.what());
+        }
+    }
+    BOOST_TEST_MESSAGE(accepted << " changes accepted, " << conflicts << " conflicts");
+    // A run in which nothing is accepted or nobody races would show nothing.
+    BOOST_TEST(accepted > 5 * seedCount());
+    BOOST_TEST(conflicts > seedCount());
+}
+
+// Guards against a race that both operators win, or neither.
+BOOST_AUTO_TEST_CASE(oneOfTwoRacingOperatorsWins)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        Cell cell(seed, {});
+        cell.run(3s);
+        std::vector<std::string> operations;
+        for (const std::size_t daemon : { 1U, 8U }) {
+            const json document = {
+                { "teams",
+                  { { { "name", "t-" + std::to_string(daemon) },
+                      { "quota", { { "cpuMillis", 1 }, { "memoryMb", 1 } } } } } }
+            };
+            operations.push_back(
+                cell.call(daemon, "configurationApply",
+                          json{ { "baseVersion", 0 }, { "document", document } }.dump()));
+        }
+        cell.run(2s);
+        std::vector<int> statuses;
+        for (const auto &operation : operations) {
+            BOOST_REQUIRE(cell.answer(operation));
+            statuses.push_back(cell.answer(operation)->status);
+        }
+        std::sort(statuses.begin(), statuses.end());
+        BOOST_TEST((statuses == std::vector{ 200, 409 }), "seed " << seed);
+        cell.checkConverged();
+    }
+}
+
+// Guards against a small change that costs a transfer of the whole document. The daemon that the
+// operator calls receives the document and writes it to the store; it is counted on its own.
+BOOST_AUTO_TEST_CASE(smallChangeOfLargeDocumentIsCheap)
+{
+    Cell cell(1, {});
+    cell.run(3s);
+    json document = largeDocument();
+    const auto apply = [&](std::uint64_t base) {
+        const auto operation =
+            cell.call(4, "configurationApply",
+                      json{ { "baseVersion", base }, { "document", document } }.dump());
+        cell.run(6s);
+        BOOST_REQUIRE(cell.answer(operation));
+        BOOST_REQUIRE_MESSAGE(cell.answer(operation)->status == 200,
+                              cell.answer(operation)->body.substr(0, 500));
+    };
+    apply(0);
+    cell.resetBytes();
+    constexpr std::uint64_t changes = 10;
+    for (std::uint64_t index = 0; index < changes; ++index) {
+        document["jobs"].erase(index);
+        document["jobs"][100]["deadlineMs"] = 1000 + index;
+        apply(index + 1);
+    }
+    const std::size_t documentBytes = document.dump().size();
+    BOOST_TEST(documentBytes > 850'000U);
+    for (std::size_t daemon = 0; daemon < Cell::daemonCount; ++daemon) {
+        const auto perChange = cell.bytes(daemon) / changes;
+        BOOST_TEST_MESSAGE("daemon " << daemon << ": " << perChange << " bytes per change");
+        BOOST_TEST(perChange < (daemon == 4 ? documentBytes + 10'000 : 5000));
+        BOOST_TEST(cell.version(daemon) == changes + 1);
+    }
+}
