Add the scheduling stage

Home side: job rows in the store, queue, tasks, gangs, recovery after a take-over, operator actions.

Message loss, take-overs and the guarantees are not tested yet; the two tests run a batch job and a service on three kernels without faults.

--- /dev/null
+++ b/libs/scheduling/src/homestate.cpp
@@ -0,0 +1,252 @@
+#include "homestate.h"
+
+#include <algorithm>
+
+namespace cowsliprock::scheduling {
+
+namespace {
+
+/// Ended jobs stay visible in status calls within these bounds; their rows stay longer.
+constexpr Duration endedJobRetention = std::chrono::hours(1);
+constexpr std::size_t maximumEndedJobs = 5'000;
+
+std::string taskIdentity(const JobId &job, std::uint32_t index)
+{
+    return job.value() + "/" + std::to_string(index);
+}
+
+} // namespace
+
+Job &HomeState::addJob(const AcceptedJob &accepted, const PartitionId &partition, TaskPhase phase)
+{
+    Job &job = m_jobs[accepted.id];
+    job.accepted = accepted;
+    job.partition = partition;
+    job.epoch = context.owned.at(partition).epoch;
+    job.arrival = ++m_nextArrival;
+    job.acceptedAt = context.now;
+    if (accepted.definition.deadline > Duration{ 0 })
+        job.deadlineAt = context.now + accepted.definition.deadline;
+    job.tasks.resize(accepted.definition.taskCount);
+    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+        job.tasks[index].phase = phase;
+        job.tasks[index].queuedAt = context.now;
+        if (phase == TaskPhase::Queued)
+            job.pending.insert(index);
+    }
+    if (accepted.outcome != JobOutcome::None)
+        m_ended.emplace_back(context.now, accepted.id);
+    return job;
+}
+
+Job *HomeState::job(const JobId &id)
+{
+    const auto iterator = m_jobs.find(id);
+    return iterator == m_jobs.end() ? nullptr : &iterator->second;
+}
+
+std::optional<TaskReference> HomeState::find(const AttemptId &attempt)
+{
+    const auto name = AttemptName::parse(attempt);
+    Job *owner = name ? job(name->job) : nullptr;
+    if (owner == nullptr || name->index >= owner->tasks.size()
+        || owner->tasks[name->index].attempt != attempt)
+        return std::nullopt;
+    return TaskReference{ owner, name->index };
+}
+
+AttemptId HomeState::newAttempt(Job &job, std::uint32_t index)
+{
+    return AttemptName::make(job.accepted.id, index, job.epoch, ++job.attemptNumber, job.partition);
+}
+
+void HomeState::dropPartition(const PartitionId &partition)
+{
+    for (auto iterator = m_jobs.begin(); iterator != m_jobs.end();) {
+        Job &dropped = iterator->second;
+        if (dropped.partition != partition) {
+            ++iterator;
+            continue;
+        }
+        queue.remove(dropped);
+        for (std::uint32_t index = 0; index < dropped.tasks.size(); ++index)
+            releaseUsage({ &dropped, index });
+        iterator = m_jobs.erase(iterator);
+    }
+    rows.dropPartition(partition);
+    loaded.erase(partition);
+}
+
+void HomeState::setPhase(TaskReference reference, TaskPhase phase)
+{
+    Job &job = *reference.job;
+    Task &task = reference.task();
+    const bool wasFinal = isFinal(task.phase);
+    job.finalTasks += isFinal(phase) && !wasFinal ? 1 : 0;
+    job.failedTasks += phase == TaskPhase::Failed && task.phase != TaskPhase::Failed ? 1 : 0;
+    if (phase == TaskPhase::Queued && task.phase != TaskPhase::Queued)
+        job.pending.insert(reference.index);
+    else if (phase != TaskPhase::Queued)
+        job.pending.erase(reference.index);
+    task.phase = phase;
+    if (phase == TaskPhase::Queued || isFinal(phase)) {
+        releaseUsage(reference);
+        task.due = {};
+        task.owners.clear();
+        task.preempting = false;
+    }
+    updateQueue(job);
+}
+
+void HomeState::setDue(TaskReference reference, TimePoint due)
+{
+    reference.task().due = due;
+    m_taskTimers.emplace(due, reference.job->accepted.id, reference.index);
+}
+
+void HomeState::updateQueue(Job &job)
+{
+    const bool gangBusy = job.isGang()
+        && (job.gang.phase != GangPhase::Idle || job.pending.size() != job.tasks.size());
+    if (!job.pending.empty() && !job.ended() && !job.accepted.cancelled && !gangBusy
+        && job.notBefore <= context.now)
+        queue.add(job);
+    else
+        queue.remove(job);
+}
+
+void HomeState::backOff(Job &job, Duration shortest, Duration longest)
+{
+    job.backOff = std::clamp(job.backOff * 2, shortest, longest);
+    delay(job, context.randomBetween(job.backOff / 2, job.backOff));
+}
+
+void HomeState::delay(Job &job, Duration time)
+{
+    job.notBefore = context.now + time;
+    m_jobTimers.emplace(job.notBefore, job.accepted.id);
+    updateQueue(job);
+}
+
+void HomeState::countUsage(TaskReference reference)
+{
+    if (Task &task = reference.task(); !std::exchange(task.counted, true))
+        usage.add(reference.job->definition().team, reference.job->definition().perTask);
+}
+
+void HomeState::releaseUsage(TaskReference reference)
+{
+    if (Task &task = reference.task(); std::exchange(task.counted, false))
+        usage.remove(reference.job->definition().team, reference.job->definition().perTask);
+}
+
+void HomeState::append(std::uint64_t ticket, JournalEntry entry)
+{
+    context.output->raise(event::JournalAppend{ ticket, "scheduling", std::move(entry) });
+}
+
+void HomeState::journalIntent(TaskReference reference)
+{
+    const Task &task = reference.task();
+    const std::uint64_t ticket = ++m_nextTicket;
+    m_intents[ticket] = task.attempt;
+    append(ticket,
+           { JournalEntry::Kind::TaskIntent, reference.job->partition,
+             taskIdentity(reference.job->accepted.id, reference.index), task.attempt, 0,
+             task.worker });
+}
+
+void HomeState::journalEnd(TaskReference reference, TaskState state)
+{
+    journalEnd(
+        *reference.job,
+        { reference.task().attempt, reference.job->accepted.id, reference.index, state, {} });
+}
+
+void HomeState::journalEnd(const Job &job, const message::TaskEnded &ended)
+{
+    append(++m_nextTicket,
+           { JournalEntry::Kind::TaskEnd,
+             job.partition,
+             taskIdentity(job.accepted.id, ended.index),
+             ended.attempt,
+             static_cast<std::uint64_t>(ended.state),
+             {} });
+}
+
+std::optional<AttemptId> HomeState::takeIntent(const event::JournalResult &result)
+{
+    const auto iterator = m_intents.find(result.ticket);
+    if (result.stage != "scheduling" || iterator == m_intents.end())
+        return std::nullopt;
+    AttemptId attempt = std::move(iterator->second);
+    m_intents.erase(iterator);
+    return attempt;
+}
+
+void HomeState::endIfComplete(Job &job)
+{
+    if (!job.ended() && job.finalTasks == job.tasks.size())
+        finish(job);
+}
+
+void HomeState::finish(Job &job)
+{
+    const bool succeeded = !job.accepted.cancelled && job.failedTasks == 0;
+    job.endedLate = job.late(context.now);
+    job.accepted.outcome = job.accepted.cancelled ? JobOutcome::Cancelled
+        : succeeded                               ? JobOutcome::Succeeded
+                                                  : JobOutcome::Failed;
+    queue.remove(job);
+    rows.write(job.accepted, job.partition);
+    m_ended.emplace_back(context.now, job.accepted.id);
+    if (job.accepted.cancelled || job.isService())
+        return;
+    event::WorkFinished finished;
+    finished.service = job.definition().name;
+    finished.caller = job.definition().team;
+    finished.request = false;
+    finished.waited = context.now - job.acceptedAt;
+    finished.deadlineMet = !job.late(context.now);
+    finished.available = succeeded;
+    context.output->raise(std::move(finished));
+}
+
+std::vector<TaskReference> HomeState::takeDueTasks()
+{
+    std::vector<TaskReference> result;
+    while (!m_taskTimers.empty() && std::get<TimePoint>(*m_taskTimers.begin()) <= context.now) {
+        const auto [due, id, index] = *m_taskTimers.begin();
+        m_taskTimers.erase(m_taskTimers.begin());
+        // A timer that was replaced no longer agrees with the task.
+        if (Job *owner = job(id); owner != nullptr && owner->tasks[index].due == due)
+            result.push_back({ owner, index });
+    }
+    return result;
+}
+
+void HomeState::takeDueJobs()
+{
+    while (!m_jobTimers.empty() && m_jobTimers.begin()->first <= context.now) {
+        const JobId id = m_jobTimers.begin()->second;
+        m_jobTimers.erase(m_jobTimers.begin());
+        if (Job *owner = job(id); owner != nullptr)
+            updateQueue(*owner);
+    }
+}
+
+void HomeState::forgetOldJobs()
+{
+    while (!m_ended.empty()
+           && (m_ended.front().first + endedJobRetention < context.now
+               || m_ended.size() > maximumEndedJobs)) {
+        const JobId id = m_ended.front().second;
+        m_ended.pop_front();
+        if (const Job *old = job(id); old != nullptr && old->ended()) {
+            m_jobs.erase(id);
+            rows.forget(id);
+        }
+    }
+}
+
+} // namespace cowsliprock::scheduling
--- /dev/null
+++ b/libs/scheduling/src/jobrows.cpp
@@ -0,0 +1,147 @@
+#include "jobrows.h"
+
+#include <kernel/serialization.h>
+
+#include <algorithm>
+
+namespace cowsliprock::scheduling {
+
+namespace {
+
+constexpr std::size_t maximumWritesInFlight = 16;
+constexpr Duration firstRetry = std::chrono::milliseconds(300);
+constexpr Duration longestRetry = std::chrono::seconds(2);
+
+} // namespace
+
+std::string JobRows::prefixOf(const PartitionId &partition)
+{
+    return "/jobs/" + partition.value() + "/";
+}
+
+void JobRows::write(const AcceptedJob &job, const PartitionId &partition)
+{
+    Row &row = m_rows[job.id];
+    row.partition = partition;
+    row.wanted = encodeJob(job);
+    // Rows of ended jobs stay as long as the journal entries that belong to them.
+    row.timeToLive =
+        job.outcome == JobOutcome::None ? Duration{ 0 } : m_context.settings.identityRetention;
+    if (row.firstSent.empty() && row.version == 0)
+        row.firstSent = row.wanted;
+    enqueue(job.id, row);
+}
+
+void JobRows::adopt(const JobId &job, const PartitionId &partition, std::uint64_t version)
+{
+    Row &row = m_rows[job];
+    row.partition = partition;
+    row.version = version;
+}
+
+void JobRows::dropPartition(const PartitionId &partition)
+{
+    std::erase_if(m_rows, [&](const auto &entry) { return entry.second.partition == partition; });
+}
+
+void JobRows::enqueue(const JobId &job, Row &row)
+{
+    if (row.inFlight || row.queued)
+        return;
+    row.queued = true;
+    m_queue.push_back(job);
+}
+
+void JobRows::pump()
+{
+    if (!m_context.valid())
+        return;
+    std::size_t waiting = m_queue.size();
+    while (waiting-- > 0 && m_calls.size() < maximumWritesInFlight) {
+        const JobId job = m_queue.front();
+        m_queue.pop_front();
+        const auto iterator = m_rows.find(job);
+        if (iterator == m_rows.end())
+            continue;
+        if (m_context.now < iterator->second.retryAt)
+            m_queue.push_back(job);
+        else
+            send(job, iterator->second);
+    }
+}
+
+void JobRows::send(const JobId &job, Row &row)
+{
+    row.queued = false;
+    row.inFlight = true;
+    row.sent = row.wanted;
+    const CallId call("scheduling/" + m_context.settings.self.text() + "/row/"
+                      + std::to_string(++m_nextCall));
+    m_calls[call] = job;
+    m_context.perform(effect::StoreCall{ call, effect::StoreCall::Operation::CompareAndSwap,
+                                         prefixOf(row.partition) + job.value(), row.version,
+                                         row.sent, row.timeToLive });
+}
+
+bool JobRows::handle(const event::StoreReply &reply, std::vector<Result> &results)
+{
+    const auto call = m_calls.find(reply.call);
+    if (call == m_calls.end())
+        return false;
+    const JobId job = call->second;
+    m_calls.erase(call);
+    const auto iterator = m_rows.find(job);
+    if (iterator == m_rows.end())
+        return true;
+    Row &row = iterator->second;
+    row.inFlight = false;
+    switch (reply.status) {
+    case event::StoreStatus::Ok:
+        written(job, row, reply.version, results);
+        break;
+    case event::StoreStatus::Conflict:
+        conflict(job, row, reply, results);
+        break;
+    case event::StoreStatus::NotFound:
+    case event::StoreStatus::Unavailable:
+        ++row.failures;
+        row.retryAt =
+            m_context.now + std::min(longestRetry, firstRetry * (1 << std::min(row.failures, 4U)));
+        enqueue(job, row);
+        results.push_back({ job, Outcome::Delayed, false });
+        break;
+    }
+    return true;
+}
+
+void JobRows::written(const JobId &job, Row &row, std::uint64_t version,
+                      std::vector<Result> &results)
+{
+    row.version = version;
+    row.failures = 0;
+    if (row.wanted == row.sent)
+        results.push_back({ job, Outcome::Durable, false });
+    else
+        enqueue(job, row);
+}
+
+void JobRows::conflict(const JobId &job, Row &row, const event::StoreReply &reply,
+                       std::vector<Result> &results)
+{
+    if (reply.version != 0 && reply.value == row.sent)
+        return written(job, row, reply.version, results);
+    const bool creating = row.version == 0;
+    if (creating && reply.version != 0 && reply.value != row.firstSent) {
+        m_rows.erase(job);
+        results.push_back({ job, Outcome::Collision, false });
+        return;
+    }
+    // An earlier home wrote last, or the row was removed after its time to live.
+    row.version = reply.version;
+    if (const auto present = decodeJob(reply.value);
+        !creating && present.has_value() && present.value().cancelled)
+        results.push_back({ job, Outcome::Delayed, true });
+    enqueue(job, row);
+}
+
+} // namespace cowsliprock::scheduling
