Give no validity by promises when a possible record names no successor

A daemon that read the confirmed record may take over without any proof, because such a record allows no promises. The promises of both sets are not enough when one set is empty.

--- a/libs/ownership/src/lease.cpp
+++ b/libs/ownership/src/lease.cpp
@@ -239,8 +239,13 @@
 std::set<DaemonIdentity> Lease::possibleSuccessors() const
 {
     std::set<DaemonIdentity> result(m_successors.begin(), m_successors.end());
-    for (const auto &attempt : m_attempts)
+    if (m_successors.empty())
+        return {};
+    for (const auto &attempt : m_attempts) {
+        if (attempt.successors.empty())
+            return {};
         result.insert(attempt.successors.begin(), attempt.successors.end());
+    }
     return result;
 }
 
--- a/libs/ownership/src/lease.h
+++ b/libs/ownership/src/lease.h
@@ -59,7 +59,8 @@
     [[nodiscard]] std::optional<TimePoint> confirmedAt() const noexcept { return m_confirmedAt; }
     [[nodiscard]] std::uint64_t version() const noexcept { return m_version; }
 
-    /// Successors of the confirmed record and of every write with an unknown result.
+    /// Successors of the confirmed record and of every write with an unknown result. Empty if one
+    /// of these names none: any daemon may take over from such a record without a promise.
     [[nodiscard]] std::set<DaemonIdentity> possibleSuccessors() const;
     [[nodiscard]] const std::vector<DaemonIdentity> &successors() const noexcept
     {
