Ask only the successor that fails for a promise after the validity lapsed

An owner with one dead successor kept the promise of the other one alive by asking for it, although it was of no use. That promise blocked the waiver that a third daemon needed, so the partitions stayed without an owner until the store came back to the owner.

--- a/libs/ownership/src/lease.h
+++ b/libs/ownership/src/lease.h
@@ -39,7 +39,6 @@
 
     Lease(Shared &shared, StoreCalls &calls, Journal &journal, Listener &listener) noexcept;
 
-    void start(TimePoint now) noexcept { m_startedAt = now; }
     void tick(EventContext &context);
 
     /// Result of a read of this daemon's record, wanted while phase() is Reading.
--- a/libs/ownership/src/observer.cpp
+++ b/libs/ownership/src/observer.cpp
@@ -142,7 +142,6 @@
     observed.lastReadAt = context.now;
     if (version != observed.version) {
         observed.version = version;
-        observed.value = value;
         observed.firstReadAt = context.now;
         observed.steadySince = context.now;
         const auto decoded = decodeDaemonRecord(value);
--- a/libs/ownership/src/observer.h
+++ b/libs/ownership/src/observer.h
@@ -21,7 +21,6 @@
     {
         std::uint64_t version = 0; ///< 0: never read or absent.
         std::optional<DaemonRecord> record;
-        std::string value;
         TimePoint firstReadAt;                ///< First read of this version.
         std::optional<TimePoint> steadySince; ///< As firstReadAt, but begins anew after a
                                               ///< read failed.
--- a/libs/ownership/src/ownershipstage.cpp
+++ b/libs/ownership/src/ownershipstage.cpp
@@ -11,6 +11,8 @@
 constexpr Duration renewalGrace = std::chrono::milliseconds(500);
 // A drain that cannot be finished, for example during a store outage, ends after this time.
 constexpr Duration releaseLimit = std::chrono::seconds(20);
+// Heartbeats of all peers of the region arrive within this time after the start.
+constexpr Duration heartbeatsHeard = std::chrono::seconds(3);
 constexpr Duration interestsInterval = std::chrono::milliseconds(250);
 
 const StageRegistrar registrar(10, "ownership", [](const KernelSettings &settings) {
@@ -40,6 +42,7 @@
 
 void OwnershipStage::handleEvent(const event::Started &, EventContext &context)
 {
+    m_startedAt = context.now;
     m_partitions.start(context.now);
     updateReadiness(context);
     handleEvent(event::Tick{}, context);
@@ -78,6 +81,8 @@
 void OwnershipStage::handleEvent(const event::VmList &event, EventContext &context)
 {
     m_takeOver.handle(event, context.now);
+    for (const auto &entry : event.entries)
+        m_partitions.addDataCentre(entry.location);
 }
 
 void OwnershipStage::handleEvent(const event::OperatorCall &event, EventContext &context)
@@ -245,7 +250,8 @@
     const Duration age = context.now - *m_lease.confirmedAt();
     const bool late = age > m_shared.settings.renewInterval + renewalGrace;
     if ((late || !m_lease.isStoreReachable()) && age < m_shared.settings.maxOutageExtension)
-        m_received.request(m_lease.possibleSuccessors(), m_lease.version(), context);
+        m_received.request(m_lease.possibleSuccessors(), m_lease.version(),
+                           m_validUntil <= context.now, context);
 }
 
 void OwnershipStage::updateValidity(EventContext &context)
@@ -274,8 +280,10 @@
         return "draining";
     if (m_validUntil <= now)
         return m_lease.isConfirmed() ? "lease expired" : "no lease";
-    m_configurationReached =
-        m_configurationReached || m_peers.configurationVersion() >= m_peers.highestPeerVersion();
+    // Peers name their versions in the heartbeats of the first seconds.
+    if (now - m_startedAt >= heartbeatsHeard
+        && m_peers.configurationVersion() >= m_peers.highestPeerVersion())
+        m_configurationReached = true;
     return m_configurationReached ? "" : "configuration is behind";
 }
 
--- a/libs/ownership/src/ownershipstage.h
+++ b/libs/ownership/src/ownershipstage.h
@@ -90,6 +90,7 @@
     TakeOver m_takeOver;
     Partitions m_partitions;
 
+    TimePoint m_startedAt;
     TimePoint m_interestsAt;
     TimePoint m_validUntil;
     bool m_storeReachable = false; ///< Validity rests on a renewal, not only on promises.
--- a/libs/ownership/src/partitions.cpp
+++ b/libs/ownership/src/partitions.cpp
@@ -19,14 +19,18 @@
     , m_peers(peers)
     , m_journals(shared, calls)
 {
-    const auto &own = shared.settings.location;
-    m_cells[own.dataCentre].dataCentre = own.dataCentre;
-    for (const auto &peer : shared.settings.peers) {
-        if (peer.location.region == own.region)
-            m_cells[peer.location.dataCentre].dataCentre = peer.location.dataCentre;
-    }
-    for (const auto &[dataCentre, cell] : m_cells)
-        m_observer.watchDataCentre(dataCentre);
+    addDataCentre(shared.settings.location);
+    for (const auto &peer : shared.settings.peers)
+        addDataCentre(peer.location);
+}
+
+void Partitions::addDataCentre(const Location &location)
+{
+    const auto &name = location.dataCentre;
+    if (location.region != m_shared.settings.location.region || m_cells.count(name) > 0)
+        return;
+    m_cells[name].dataCentre = name;
+    m_observer.watchDataCentre(name);
 }
 
 void Partitions::tick(const Conditions &conditions, EventContext &context)
--- a/libs/ownership/src/partitions.h
+++ b/libs/ownership/src/partitions.h
@@ -54,6 +54,9 @@
     Partitions(const Shared &shared, StoreCalls &calls, Observer &observer, const Peers &peers);
 
     void start(TimePoint now) noexcept { m_startedAt = now; }
+    /// Takes part in owning a data centre, if it is of this region. Those of the settings are known
+    /// from the start; the VM list shows those with workers only.
+    void addDataCentre(const Location &location);
     void tick(const Conditions &conditions, EventContext &context);
     void handleRecord(const std::string &dataCentre, std::uint64_t version,
                       const OwnershipRecord &record, EventContext &context);
--- a/libs/ownership/src/promises.cpp
+++ b/libs/ownership/src/promises.cpp
@@ -13,7 +13,7 @@
 } // namespace
 
 void ReceivedPromises::request(const std::set<DaemonIdentity> &successors,
-                               std::uint64_t recordVersion, EventContext &context)
+                               std::uint64_t recordVersion, bool lapsed, EventContext &context)
 {
     if (m_lastRequestAt && context.now - *m_lastRequestAt < requestInterval)
         return;
@@ -21,9 +21,13 @@
     m_requests[++m_sequence] = context.now;
     if (m_requests.size() > rememberedRequests)
         m_requests.erase(m_requests.begin());
-    for (const auto &successor : successors) {
-        context.output.perform(effect::SendPeer{
-            successor.name, message::PromiseRequest{ m_sequence, recordVersion } });
+    const auto oldest = std::min_element(
+        successors.begin(), successors.end(),
+        [this](const auto &left, const auto &right) { return until(left) < until(right); });
+    for (auto successor = successors.begin(); successor != successors.end(); ++successor) {
+        if (!lapsed || successor == oldest)
+            context.output.perform(effect::SendPeer{
+                successor->name, message::PromiseRequest{ m_sequence, recordVersion } });
     }
 }
 
@@ -49,14 +53,19 @@
 {
     std::optional<TimePoint> earliest;
     for (const auto &successor : successors) {
-        const auto found = m_until.find(successor);
-        if (found == m_until.end())
+        if (m_until.count(successor) == 0)
             return std::nullopt;
-        earliest = earliest ? std::min(*earliest, found->second) : found->second;
+        earliest = earliest ? std::min(*earliest, until(successor)) : until(successor);
     }
     return earliest;
 }
 
+TimePoint ReceivedPromises::until(const DaemonIdentity &successor) const
+{
+    const auto found = m_until.find(successor);
+    return found == m_until.end() ? TimePoint{} : found->second;
+}
+
 bool GivenPromises::grant(const DaemonIdentity &owner, std::uint64_t requestVersion,
                           std::uint64_t knownVersion, bool ended, TimePoint now)
 {
--- a/libs/ownership/src/promises.h
+++ b/libs/ownership/src/promises.h
@@ -16,9 +16,11 @@
         : m_shared(shared)
     { }
 
-    /// Asks all \p successors unless it did so within the request interval.
+    /// Asks all \p successors unless it did so within the request interval. After the validity has
+    /// \p lapsed it asks only the one whose promise is oldest: a successor that does not answer
+    /// makes the promises of the others useless, and these would only block a take-over.
     void request(const std::set<DaemonIdentity> &successors, std::uint64_t recordVersion,
-                 EventContext &context);
+                 bool lapsed, EventContext &context);
     void handle(const DaemonIdentity &from, const message::PromiseReply &reply);
     void clear();
 
@@ -31,6 +33,7 @@
     std::uint64_t m_sequence = 0;
     std::optional<TimePoint> m_lastRequestAt;
     std::map<std::uint64_t, TimePoint> m_requests; ///< Time of sending by sequence.
+    [[nodiscard]] TimePoint until(const DaemonIdentity &successor) const;
     std::map<DaemonIdentity, TimePoint> m_until;
 };
 
