Widen the faults of the configuration exploration

Trials with faults put into the stage showed that the exploration did not see three of them: a writer that dies after the acceptance, a lost reply that is resolved after a later acceptance, and a slow stale read. The harness now produces these.

--- a/libs/configuration/tests/cell.cpp
+++ b/libs/configuration/tests/cell.cpp
@@ -165,7 +165,7 @@
     const auto answer = [=, this](event::StoreReply reply) {
         if (chance(m_faults.replyLoss)) {
             reply = { call.call, event::StoreStatus::Unavailable, 0, {}, {}, {} };
-            after(between(500, 2000), [=, this] { give(daemon, incarnation, reply); });
+            after(between(500, 6000), [=, this] { give(daemon, incarnation, reply); });
             return;
         }
         m_daemons[daemon].bytes += reply.value.size();
@@ -179,13 +179,21 @@
     if (unreachable || (m_staleRows && write)) {
         after(between(1, 1000), [=, this] { give(daemon, incarnation, unavailable); });
     } else if (m_staleRows && call.operation == effect::StoreCall::Operation::Get) {
-        answer(FakeStore::read(call, *m_staleRows));
+        // Slow, so that peers often tell a newer version first.
+        after(between(1, 3000),
+              [=, reply = FakeStore::read(call, *m_staleRows)] { answer(reply); });
     } else if (write && m_faults.outages && chance(0.05)) {
         // The client gives up before the write takes effect.
         after(100ms, [=, this] { give(daemon, incarnation, unavailable); });
         after(between(200, 3000), [=, this] { m_store.perform(call, [](const auto &) {}); });
     } else {
-        after(between(1, 20), [=, this] { m_store.perform(call, answer); });
+        after(between(1, 20), [=, this] {
+            const std::uint64_t before = m_storedVersion;
+            m_store.perform(call, answer);
+            // A writer that dies after the acceptance, before anybody knows of it.
+            if (m_storedVersion != before && m_faults.restarts && chance(0.1))
+                restart(daemon);
+        });
     }
 }
 
