Test the scheduling guarantees under random failures

A hold was erased while a reference to its own attempt was in use. Use of exactly the declared size was corrected to 105%.

--- a/libs/scheduling/src/jobrows.cpp
+++ b/libs/scheduling/src/jobrows.cpp
@@ -44,6 +44,12 @@
     std::erase_if(m_rows, [&](const auto &entry) { return entry.second.partition == partition; });
 }
 
+bool JobRows::settled(const JobId &job) const
+{
+    const auto iterator = m_rows.find(job);
+    return iterator != m_rows.end() && !iterator->second.inFlight && !iterator->second.queued;
+}
+
 void JobRows::enqueue(const JobId &job, Row &row)
 {
     if (row.inFlight || row.queued)
--- a/libs/scheduling/src/jobrows.h
+++ b/libs/scheduling/src/jobrows.h
@@ -45,6 +45,9 @@
     [[nodiscard]] bool knows(const JobId &job) const { return m_rows.contains(job); }
     void dropPartition(const PartitionId &partition);
 
+    /// True if the row holds the value last asked for.
+    [[nodiscard]] bool settled(const JobId &job) const;
+
     /// Takes the reply if it answers a write of a row; results are appended.
     [[nodiscard]] bool handle(const event::StoreReply &reply, std::vector<Result> &results);
 
--- a/libs/scheduling/src/operatoractions.cpp
+++ b/libs/scheduling/src/operatoractions.cpp
@@ -227,7 +227,8 @@
     // Before usableFrom, starts of the earlier home may still take effect.
     if (!context.usable(job->partition) || !context.valid())
         return refuse(target, "the job's home is not usable yet", shortRetry);
-    if (job->ended() && !m_cancels.contains(id))
+    // A mark that is not in the row yet could be lost with this home.
+    if (job->accepted.cancelled ? m_state.rows.settled(id) : job->ended())
         return answer(target, 200, stateJson(id, stateOf(*job)));
     Waiting &waiting = m_cancels[id];
     waiting.targets.push_back(target);
@@ -235,8 +236,6 @@
     waiting.partition = job->partition;
     if (!job->accepted.cancelled)
         mark(*job);
-    else
-        m_state.rows.write(job->accepted, job->partition);
 }
 
 void OperatorActions::toHome(const Target &target, const std::string &action,
--- a/libs/scheduling/src/ownerstate.cpp
+++ b/libs/scheduling/src/ownerstate.cpp
@@ -26,14 +26,15 @@
 
 void OwnerState::endUnstarted(const AttemptId &attempt)
 {
-    (void)ledger.remove(attempt);
-    memory.remember(attempt, { AttemptMemory::Fate::NotStarted, {}, 0, {} }, context.now);
+    const Hold hold = ledger.remove(attempt);
+    memory.remember(hold.launch.attempt, { AttemptMemory::Fate::NotStarted, {}, 0, {} },
+                    context.now);
 }
 
 void OwnerState::endStarted(const AttemptId &attempt, TaskState state, const Resources &used)
 {
     const Hold hold = ledger.remove(attempt);
-    rememberEnd({ attempt, hold.launch.job, hold.launch.index, state, used });
+    rememberEnd({ hold.launch.attempt, hold.launch.job, hold.launch.index, state, used });
 }
 
 void OwnerState::vmEnded(const Hold &hold)
--- a/libs/scheduling/src/usagecorrection.cpp
+++ b/libs/scheduling/src/usagecorrection.cpp
@@ -13,14 +13,19 @@
 /// Bounds the memory; each name takes about 3 KB.
 constexpr std::size_t maximumNames = 2'000;
 
+/// Keeps a use of exactly the declared amount in the step below it, so that it is not raised.
+constexpr double tolerance = 1e-6;
+
 double ratio(std::int64_t used, std::int64_t declared) noexcept
 {
-    return declared <= 0 ? 0.0 : static_cast<double>(used) / static_cast<double>(declared);
+    return declared <= 0 ? 0.0
+                         : static_cast<double>(used) / static_cast<double>(declared) - tolerance;
 }
 
 std::int64_t scaled(std::int64_t declared, double factor) noexcept
 {
-    return static_cast<std::int64_t>(std::ceil(static_cast<double>(declared) * factor));
+    return static_cast<std::int64_t>(
+        std::ceil(static_cast<double>(declared) * (factor - tolerance)));
 }
 
 } // namespace
--- a/libs/scheduling/src/workerledger.cpp
+++ b/libs/scheduling/src/workerledger.cpp
@@ -126,11 +126,12 @@
     const auto iterator = m_holds.find(attempt);
     Hold removed = std::move(iterator->second);
     m_holds.erase(iterator);
-    m_active.erase(attempt);
+    // The argument may be a part of the hold that was erased.
+    m_active.erase(removed.launch.attempt);
     Worker &worker = m_workers.at(removed.worker);
     worker.held -= removed.amount;
     worker.starting -= startInProgress(removed.state) ? 1 : 0;
-    worker.attempts.erase(attempt);
+    worker.attempts.erase(removed.launch.attempt);
     refresh(worker);
     return removed;
 }
--- a/libs/scheduling/tests/worldeffects.cpp
+++ b/libs/scheduling/tests/worldeffects.cpp
@@ -24,6 +24,9 @@
 
 void World::on(std::size_t node, const effect::SendPeer &effect)
 {
+    if (const auto *reply = std::get_if<message::ReserveReply>(&effect.message);
+        reply != nullptr && reply->granted)
+        m_granted.try_emplace(reply->attempt, m_now);
     if (!chance(faults.lostMessages))
         sendMessage(node, effect);
     if (chance(faults.duplicatedMessages))
@@ -121,6 +124,9 @@
 void World::on(std::size_t node, const effect::StartTask &effect)
 {
     const AttemptId attempt = effect.launch.attempt;
+    if (const auto granted = m_granted.find(attempt); granted != m_granted.end()
+        && granted->second + m_nodes[node].settings.reservationTime < m_now)
+        violation(attempt.value() + " started from an expired reservation");
     const auto call = [this, node, effect, attempt](TimePoint, bool answered) {
         const auto worker = m_workers.find(effect.worker);
         if (worker == m_workers.end())
