--- a/libs/runtime/src/daemon.cpp
+++ b/libs/runtime/src/daemon.cpp
@@ -127,7 +127,7 @@
 void Daemon::State::callWorker(WorkerCall &call)
 {
     if (const auto *poll = std::get_if<effect::PollWorker>(&call)) {
-        std::visit([this](auto &&result) { kernel->deliver(std::move(result)); },
+        std::visit([this](auto result) { kernel->deliver(std::move(result)); },
                    workerClient->poll(*poll));
     } else if (const auto *start = std::get_if<effect::StartTask>(&call)) {
         kernel->deliver(workerClient->start(*start));
--- a/libs/runtime/src/httpservice.cpp
+++ b/libs/runtime/src/httpservice.cpp
@@ -54,7 +54,7 @@
     const auto colon = address.rfind(':');
     const std::string host = address.substr(0, colon);
     const int port = std::atoi(address.substr(colon + 1).c_str());
-    if (!service->m_server->http.bind_to_port(host.c_str(), port))
+    if (!service->m_server->http.bind_to_port(host, port))
         return Error{ ErrorKind::Unavailable, "http.listen", address, "cannot bind" };
     service->m_thread =
         std::thread([target = service.get()] { target->m_server->http.listen_after_bind(); });
