--- a/libs/platform/include/platform/endpointclient.h
+++ b/libs/platform/include/platform/endpointclient.h
@@ -31,10 +31,11 @@
 /// request's timeLeft has passed. Nothing is sent twice.
 ///
 /// Headers and body are separate writes, each preceded by the check that the clock is before
-/// validUntil. A request without a body by a method that may have one is sent as an empty chunked
-/// body, so that its end is a write of its own. GET, HEAD and OPTIONS consist of one write on a
-/// connection that is already open; for them only the endpoint's limit on idle connections bounds
-/// how late the write can take effect.
+/// validUntil. A POST, PUT or PATCH without a body is sent as an empty chunked body, so that its
+/// end is a write of its own. The other methods without a body consist of one write on a connection
+/// that is already open; for them only the endpoint's limit on idle connections bounds how late the
+/// write can take effect. An answer that arrives before the request is complete shows that the
+/// endpoint does not wait for bodies: the outcome is Unknown, unless it is a refusal.
 class EndpointClient
 {
 public:
--- a/libs/platform/src/endpointclient.cpp
+++ b/libs/platform/src/endpointclient.cpp
@@ -62,10 +62,10 @@
             return result;
         HttpExchange exchange = send(effect, body);
         if (exchange.answer) {
-            readAnswer(result, *exchange.answer);
+            readAnswer(result, exchange);
         } else {
             result.reply.outcome =
-                exchange.sent ? EndpointOutcome::Unknown : EndpointOutcome::NotSent;
+                exchange.provablyIncomplete() ? EndpointOutcome::NotSent : EndpointOutcome::Unknown;
             result.reply.detail = std::move(exchange.detail);
         }
         return result;
@@ -93,8 +93,9 @@
         return m_pool.exchange(effect.address, request, m_clock, limits);
     }
 
-    static void readAnswer(EndpointResult &result, HttpAnswer &answer)
+    static void readAnswer(EndpointResult &result, HttpExchange &exchange)
     {
+        HttpAnswer &answer = *exchange.answer;
         event::EndpointReply &reply = result.reply;
         reply.httpStatus = answer.status;
         reply.leaving = answer.header("X-Leaving") == "1";
@@ -102,6 +103,11 @@
             reply.outcome = EndpointOutcome::Refused;
             return;
         }
+        if (exchange.answeredEarly) {
+            reply.outcome = EndpointOutcome::Unknown;
+            reply.detail = "answered before the request was sent whole";
+            return;
+        }
         reply.outcome = EndpointOutcome::Answered;
         result.body = { answer.header("Content-Type"), std::move(answer.bytes) };
     }
--- a/libs/platform/src/guardedstream.cpp
+++ b/libs/platform/src/guardedstream.cpp
@@ -68,10 +68,16 @@
         limit = std::min(limit,
                          std::chrono::steady_clock::now() + (m_limits.validUntil - m_clock.now()));
     }
-    // A peer that closed or answered before the request is complete does not need the rest of it.
-    // Withholding the rest keeps the request provably incomplete.
     const short ready = waitFor(m_socket, POLLOUT | POLLIN, limit);
-    return (ready & POLLOUT) != 0 && (ready & (POLLIN | POLLHUP | POLLERR)) == 0;
+    if ((ready & (POLLIN | POLLHUP | POLLERR)) != 0)
+        return hasAnswer();
+    return (ready & POLLOUT) != 0;
+}
+
+bool GuardedStream::hasAnswer() const noexcept
+{
+    char byte = 0;
+    return ::recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 ssize_t GuardedStream::read(char *target, size_t size)
@@ -112,8 +118,14 @@
 ssize_t GuardedStream::write(const char *source, size_t size)
 {
     for (;;) {
+        // A peer that closed before the request is complete does not need the rest of it;
+        // withholding it keeps the request provably incomplete.
         if (!is_writable() || m_clock.now() >= m_limits.validUntil)
             return -1;
+        if (hasAnswer()) {
+            m_answeredEarly = true;
+            return static_cast<ssize_t>(size);
+        }
         const ssize_t count = ::send(m_socket, source, size, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (count >= 0 || (errno != EAGAIN && errno != EINTR))
             return count;
@@ -138,7 +150,7 @@
 
 bool GuardedStream::expired() const noexcept
 {
-    return !m_readStarted && m_clock.now() >= m_limits.validUntil;
+    return !requestSent() && m_clock.now() >= m_limits.validUntil;
 }
 
 bool GuardedStream::atEmptyLine() const noexcept
--- a/libs/platform/src/guardedstream.h
+++ b/libs/platform/src/guardedstream.h
@@ -39,9 +39,12 @@
     /// True if validUntil passed before the request was sent whole.
     [[nodiscard]] bool expired() const noexcept;
 
-    /// True once the answer was read from. The library reads only after the whole request was
-    /// accepted by the operating system.
-    [[nodiscard]] bool requestSent() const noexcept { return m_readStarted; }
+    /// True if the operating system accepted the whole request: the library begins to read only
+    /// after it has written everything.
+    [[nodiscard]] bool requestSent() const noexcept { return m_readStarted && !m_answeredEarly; }
+
+    /// True if the peer answered before the request was complete. The rest of it was dropped.
+    [[nodiscard]] bool answeredEarly() const noexcept { return m_answeredEarly; }
 
     /// True if the reader asked for bytes after the peer had closed.
     [[nodiscard]] bool endSeen() const noexcept { return m_endSeen; }
@@ -53,6 +56,7 @@
 
 private:
     [[nodiscard]] bool fill();
+    [[nodiscard]] bool hasAnswer() const noexcept;
 
     socket_t m_socket;
     const Clock &m_clock;
@@ -63,6 +67,7 @@
     std::string m_tail; ///< Up to four bytes that the reader took last.
     std::size_t m_bytesRead = 0;
     bool m_readStarted = false;
+    bool m_answeredEarly = false;
     bool m_endSeen = false;
 };
 
--- a/libs/platform/src/httpconnection.cpp
+++ b/libs/platform/src/httpconnection.cpp
@@ -32,9 +32,11 @@
     return port;
 }
 
-[[nodiscard]] bool mayHaveBody(const std::string &method)
+/// Methods for which every server waits for the end of a chunked body. cpp-httplib's server runs a
+/// DELETE with a chunked body as soon as it has the head.
+[[nodiscard]] bool waitsForBody(const std::string &method)
 {
-    return method != "GET" && method != "HEAD" && method != "OPTIONS";
+    return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
 [[nodiscard]] httplib::Request toLibrary(const HttpRequest &request)
@@ -50,7 +52,7 @@
                                             httplib::DataSink &sink) {
             return sink.write(bytes.data() + offset, length);
         };
-    } else if (mayHaveBody(request.method)) {
+    } else if (waitsForBody(request.method)) {
         // The terminating chunk is a write of its own, without which the request is incomplete.
         result.headers.emplace("Transfer-Encoding", "chunked");
         result.is_chunked_content_provider_ = true;
@@ -132,10 +134,11 @@
                             bool processed)
 {
     exchange.sent = stream.requestSent();
+    exchange.answeredEarly = stream.answeredEarly();
     if (processed && isWhole(request, response, stream)) {
         exchange.answer =
             HttpAnswer{ response.status, std::move(response.headers), std::move(response.body) };
-        if (!m_keepAlive)
+        if (!m_keepAlive || stream.answeredEarly())
             close();
         return;
     }
@@ -143,6 +146,8 @@
     if (stream.expired()) {
         exchange.failure = ErrorKind::Refused;
         exchange.detail = "validity ended before the request was sent whole";
+    } else if (exchange.answeredEarly) {
+        exchange.detail = "answered before the request was sent whole";
     } else if (!exchange.sent) {
         exchange.detail = "connection ended before the request was sent whole";
     } else if (processed) {
--- a/libs/platform/src/httpconnection.h
+++ b/libs/platform/src/httpconnection.h
@@ -34,7 +34,11 @@
 /// What became of one request.
 struct HttpExchange
 {
+    /// Nothing was sent that a peer could have acted on.
+    [[nodiscard]] bool provablyIncomplete() const noexcept { return !sent && !answeredEarly; }
+
     bool sent = false;                ///< The operating system accepted the whole request.
+    bool answeredEarly = false;       ///< The peer answered before; it did not wait for the body.
     std::optional<HttpAnswer> answer; ///< A whole answer.
     ErrorKind failure = ErrorKind::Unavailable; ///< Without an answer.
     std::string detail;
--- a/libs/platform/src/workerclient.cpp
+++ b/libs/platform/src/workerclient.cpp
@@ -95,7 +95,7 @@
             result.outcome = StartOutcome::Started;
             return result;
         }
-        if (status == 503 || !exchange.sent)
+        if (status == 503 || exchange.provablyIncomplete())
             result.outcome = StartOutcome::NotStarted;
         report("worker.start", effect.address, exchange);
         return result;
--- a/libs/platform/tests/endpointclient_test.cpp
+++ b/libs/platform/tests/endpointclient_test.cpp
@@ -103,9 +103,7 @@
         const RawServer server([&](int socket) {
             RawServer::readUntil(socket, "\r\n\r\n");
             finished.get_future().wait();
-            std::vector<char> buffer(65536);
-            for (ssize_t count = 0; (count = ::recv(socket, buffer.data(), buffer.size(), 0)) > 0;)
-                received += static_cast<std::size_t>(count);
+            received = RawServer::drain(socket);
         });
         effect::CallEndpoint call = callTo(server);
         call.validUntil = clock.now() + 200ms;
@@ -155,6 +153,23 @@
     BOOST_TEST((client.call(callTo(server), body).reply.outcome == EndpointOutcome::NotSent));
 }
 
+// Guards against NotSent for a request that an endpoint runs without waiting for the body (G4).
+BOOST_FIXTURE_TEST_CASE(answerBeforeTheBodyIsUnknownUnlessRefused, Fixture)
+{
+    body.bytes.assign(std::size_t{ 32 } << 20U, 'x');
+    const auto outcomeOfEarly = [this](const std::string &answer) {
+        const RawServer server([&](int socket) {
+            RawServer::readUntil(socket, "\r\n\r\n");
+            RawServer::write(socket, answer);
+            RawServer::drain(socket);
+        });
+        return client.call(callTo(server), body).reply.outcome;
+    };
+    BOOST_TEST((outcomeOfEarly(okAnswer) == EndpointOutcome::Unknown));
+    BOOST_TEST((outcomeOfEarly("HTTP/1.1 503 No\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n")
+                == EndpointOutcome::Refused));
+}
+
 // Guards against a second copy of a request whose body went out, when a kept connection breaks
 // (G5).
 BOOST_FIXTURE_TEST_CASE(brokenKeptConnectionIsNotRepeated, Fixture)
--- a/libs/platform/tests/rawserver.h
+++ b/libs/platform/tests/rawserver.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace cowsliprock {
 
@@ -55,6 +56,16 @@
         return bytes;
     }
 
+    /// Reads until the peer closes. Returns the number of bytes.
+    static std::size_t drain(int socket)
+    {
+        std::vector<char> buffer(65536);
+        std::size_t total = 0;
+        for (ssize_t count = 0; (count = ::recv(socket, buffer.data(), buffer.size(), 0)) > 0;)
+            total += static_cast<std::size_t>(count);
+        return total;
+    }
+
     static void write(int socket, const std::string &bytes)
     {
         ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
--- a/standins/common/include/standincommon/httphost.h
+++ b/standins/common/include/standincommon/httphost.h
@@ -30,14 +30,17 @@
     HttpHost(const HttpHost &) = delete;
     HttpHost &operator=(const HttpHost &) = delete;
 
-    /// For handlers, before listen().
+    /// For handlers, before start().
     [[nodiscard]] httplib::Server &server() noexcept { return m_server; }
 
     /// Sends all requests of every method to \p handler, which sees whole bodies.
     void serveAll(const httplib::Server::Handler &handler);
 
     /// Port 0 chooses a free port. Returns the port.
-    [[nodiscard]] Result<int> listen(const std::string &host, int port);
+    [[nodiscard]] Result<int> bind(const std::string &host, int port);
+
+    /// Serves from now on; after bind().
+    void start();
 
     /// Waits for the requests in progress.
     void stop();
--- a/standins/common/src/httphost.cpp
+++ b/standins/common/src/httphost.cpp
@@ -68,7 +68,7 @@
     m_server.Delete(".*", handler);
 }
 
-Result<int> HttpHost::listen(const std::string &host, int port)
+Result<int> HttpHost::bind(const std::string &host, int port)
 {
     const int bound = port == 0             ? m_server.bind_to_any_port(host)
         : m_server.bind_to_port(host, port) ? port
@@ -76,10 +76,14 @@
     if (bound <= 0)
         return Error{ ErrorKind::Unavailable, "http.bind", host + ":" + std::to_string(port), {} };
     ::listen(m_listeningSocket, backlog);
+    return bound;
+}
+
+void HttpHost::start()
+{
     m_thread = std::thread([this] { m_server.listen_after_bind(); });
     while (!m_server.is_running())
         std::this_thread::yield();
-    return bound;
 }
 
 void HttpHost::stop()
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -76,6 +76,7 @@
             std::cerr << port.error().text() << '\n';
             return 1;
         }
+        std::cout << "ready" << std::endl;
         waitForStopSignal();
         return 0;
     } catch (const std::exception &exception) {
--- a/standins/platform/src/platformserver.cpp
+++ b/standins/platform/src/platformserver.cpp
@@ -90,7 +90,10 @@
 
 Result<int> PlatformServer::listen()
 {
-    return m_host.listen(m_options.host, m_options.port);
+    auto port = m_host.bind(m_options.host, m_options.port);
+    if (port)
+        m_host.start();
+    return port;
 }
 
 void PlatformServer::stop()
