--- a/libs/kernel/include/kernel/messages.h
+++ b/libs/kernel/include/kernel/messages.h
@@ -43,12 +43,14 @@
 {
     static constexpr const char *name = "waiverRequest";
     DaemonIdentity owner;
+    std::uint64_t recordVersion = 0; ///< Version of the owner's record that the sender read.
 };
 
 struct WaiverReply
 {
     static constexpr const char *name = "waiverReply";
     DaemonIdentity owner;
+    std::uint64_t recordVersion = 0; ///< The waiver holds for this version of the owner's record.
     bool waived = false;
 };
 
@@ -119,11 +121,12 @@
     AttemptId attempt;
 };
 
-/// Turns a reservation into a start.
+/// Turns a reservation into a start. For an attempt that was started before, asks for its state.
 struct StartTask
 {
     static constexpr const char *name = "startTask";
     AttemptId attempt;
+    WorkerName worker;
 };
 
 enum class StartOutcome { Started, NotStarted, Unknown };
@@ -133,6 +136,7 @@
     static constexpr const char *name = "startTaskReply";
     AttemptId attempt;
     StartOutcome outcome = StartOutcome::Unknown;
+    WorkerName worker;
 };
 
 struct StopTask
--- a/libs/kernel/include/kernel/model.h
+++ b/libs/kernel/include/kernel/model.h
@@ -72,6 +72,7 @@
     BodyKey body;             ///< For a whole answer, the body held by the runtime.
     std::string reason;       ///< For the other kinds, one of the documented reasons.
     Duration retryAfter{ 0 }; ///< 0 where coming back does not help.
+    Duration served{ 0 };     ///< Time at the endpoint, for a whole answer.
 };
 
 /// What the journal keeps of a decision that must be durable before it takes effect.
@@ -92,9 +93,12 @@
     std::map<std::string, std::uint32_t> freeSlots; ///< By service.
     std::map<std::string, std::uint32_t> waiting;   ///< Queued requests by service.
     Resources freeResources;                        ///< Sum over the workers it owns.
-    Resources largestFree; ///< Component-wise largest free amount on one worker.
+    Resources largestFree;              ///< Component-wise largest free amount on one worker.
+    std::vector<Resources> workerTypes; ///< Capacities of its workers that fit in no other one.
 };
 
+enum class JobOutcome { None, Succeeded, Failed, Cancelled };
+
 /// A job that was accepted.
 struct AcceptedJob
 {
@@ -102,6 +106,7 @@
     JobDefinition definition;
     std::string submittedBy;
     bool cancelled = false;
+    JobOutcome outcome = JobOutcome::None; ///< None until the job has ended.
 };
 
 /// What a worker needs to start a task.
@@ -115,6 +120,7 @@
     std::string service; ///< Non-empty if the task offers an endpoint.
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
+    std::string name; ///< Of the job; usage is compared with the declaration by this name.
 };
 
 } // namespace cowsliprock
--- a/libs/kernel/src/jsonmodel.h
+++ b/libs/kernel/src/jsonmodel.h
@@ -2,6 +2,7 @@
 
 #include <kernel/effects.h>
 #include <kernel/events.h>
+#include <kernel/settings.h>
 
 #include <nlohmann/json.hpp>
 
@@ -100,12 +101,14 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskReport, attempt, job, index, state, declared, used)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestProfile, caller, service, idempotencyKey, idempotent,
                                    priority, timeLeft, digest, bodyBytes, path, method)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestAnswer, kind, httpStatus, body, reason, retryAfter)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestAnswer, kind, httpStatus, body, reason, retryAfter,
+                                   served)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JournalEntry, kind, partition, identity, attempt, digest, worker)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadSummary, freeSlots, waiting, freeResources, largestFree)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AcceptedJob, id, definition, submittedBy, cancelled)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadSummary, freeSlots, waiting, freeResources, largestFree,
+                                   workerTypes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AcceptedJob, id, definition, submittedBy, cancelled, outcome)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskLaunch, attempt, job, index, declared, expectedRunTime,
-                                   service, slots, connections)
+                                   service, slots, connections, name)
 } // namespace cowsliprock
 
 namespace cowsliprock::message {
@@ -114,8 +117,8 @@
                                    draining, load)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseRequest, sequence, recordVersion)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseReply, sequence, granted)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaiverRequest, owner)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaiverReply, owner, waived)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaiverRequest, owner, recordVersion)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaiverReply, owner, recordVersion, waived)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Dispatch, attempt, request, bodyKey, body, contentType)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DispatchReply, attempt, answer, body, contentType)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Forward, attempt, request, bodyKey, body, contentType)
@@ -123,8 +126,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Reserve, attempt, launch, policy, priority, mayYield, preempt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReserveReply, attempt, granted, worker, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReleaseReservation, attempt)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartTask, attempt)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartTaskReply, attempt, outcome)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartTask, attempt, worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartTaskReply, attempt, outcome, worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopTask, attempt, worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskEnded, attempt, job, index, state, used)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigurationPull, haveVersion)
@@ -165,12 +168,14 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StageDrained, stage)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkFinished, service, caller, request, waited, deadlineMet,
                                    available)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LateItem, id, name, caller, lateSince)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LateWorkChanged, stage, items)
 
 } // namespace cowsliprock::event
 
 namespace cowsliprock::effect {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreCall, call, operation, key, version, value)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreCall, call, operation, key, version, value, timeToLive)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SendPeer, to, message)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnswerCaller, request, answer)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnswerOperator, operation, httpStatus, body)
@@ -183,6 +188,19 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Observe, metric, value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LogChange, text)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetReady, ready, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetIncarnation, incarnation)
 COWSLIPROCK_EMPTY_JSON(Exit)
 
 } // namespace cowsliprock::effect
+
+namespace cowsliprock {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PeerAddress, name, location, peerAddress)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KernelSettings, self, location, httpAddress, peerAddress, peers,
+                                   randomSeed, partitionsPerDataCentre, renewInterval, leaseTime,
+                                   leaseMargin, quarantine, maxOutageExtension, journalInterval,
+                                   identityRetention, heartbeatInterval, farHeartbeatInterval,
+                                   peerTimeout, pollInterval, taskLease, reservationTime,
+                                   drainLimit, answerCacheEntries)
+
+} // namespace cowsliprock
