--- /dev/null
+++ b/apps/cowsliprock/src/commandline.cpp
@@ -0,0 +1,201 @@
+#include "commandline.h"
+
+// Values may hold commas.
+#define CXXOPTS_VECTOR_DELIMITER '\0'
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace cowsliprock::cli {
+
+namespace {
+
+struct CommandHelp
+{
+    const char *name;
+    const char *positionals;
+    std::size_t least; ///< Number of positional arguments.
+    std::size_t most;
+    const char *text;
+    const char *example;
+};
+
+constexpr std::array commands{
+    CommandHelp{ "submit", "[NAME]", 0, 1,
+                 "Submits a job of the configuration by its name, or one from a file.",
+                 "submit battery-sweep --daemon 127.0.0.1:8301" },
+    CommandHelp{ "status", "ID", 1, 1, "Shows the state of a job and its tasks.",
+                 "status noord-4f2a --daemon 127.0.0.1:8301" },
+    CommandHelp{ "cancel", "ID", 1, 1, "Cancels a job.",
+                 "cancel noord-4f2a --daemon 127.0.0.1:8301" },
+    CommandHelp{ "wait", "ID", 1, 1, "Waits until a job has ended.",
+                 "wait noord-4f2a --timeout-s 600 --daemon 127.0.0.1:8301" },
+    CommandHelp{ "request", "SERVICE PATH", 2, 2, "Sends one request to a service.",
+                 "request fleetdesk /availability --deadline-ms 800 --daemon 127.0.0.1:8301" },
+    CommandHelp{ "configuration get", "", 0, 0,
+                 "Prints the version in force and its document, in the form that apply takes.",
+                 "configuration get --daemon 127.0.0.1:8301 > configuration.json" },
+    CommandHelp{ "configuration validate", "FILE", 1, 1,
+                 "Checks a document; with --daemon also its regions and policies.",
+                 "configuration validate examples/duinrand/configuration.json" },
+    CommandHelp{ "configuration diff", "FILE", 1, 1,
+                 "Prints the JSON Patch from the version in force to a document.",
+                 "configuration diff configuration.json --daemon 127.0.0.1:8301" },
+    CommandHelp{ "configuration apply", "FILE", 1, 1,
+                 "Puts a document in force if its base version is still in force.",
+                 "configuration apply configuration.json --base 7 --daemon 127.0.0.1:8301" },
+    CommandHelp{ "workers", "", 0, 0, "Lists the workers that the daemons own.",
+                 "workers --daemon 127.0.0.1:8301 --daemon 127.0.0.1:8302" },
+    CommandHelp{ "endpoints", "", 0, 0, "Lists the endpoints that the daemons own.",
+                 "endpoints --daemon 127.0.0.1:8301" },
+    CommandHelp{ "daemons", "", 0, 0, "Shows each daemon and what it knows of its peers.",
+                 "daemons --output json --daemon 127.0.0.1:8301" },
+    CommandHelp{ "late", "", 0, 0, "Lists late work.", "late --daemon 127.0.0.1:8301" },
+    CommandHelp{ "report burn", "", 0, 0, "Shows the burn of the service-level objectives.",
+                 "report burn --daemon 127.0.0.1:8301" },
+};
+
+[[nodiscard]] Error usage(std::string detail)
+{
+    return { ErrorKind::Invalid, "arguments", {}, std::move(detail) };
+}
+
+[[nodiscard]] const CommandHelp *findCommand(const std::vector<std::string> &arguments)
+{
+    const std::string one = arguments.empty() ? "" : arguments[0];
+    const std::string two = arguments.size() < 2 ? one : one + " " + arguments[1];
+    const auto found = std::find_if(commands.begin(), commands.end(), [&](const CommandHelp &help) {
+        return help.name == one || help.name == two;
+    });
+    return found != commands.end() ? &*found : nullptr;
+}
+
+void addOptions(cxxopts::Options &options, const std::string &command)
+{
+    auto add = options.add_options();
+    add("daemon", "host:port of a daemon; may be repeated",
+        cxxopts::value<std::vector<std::string>>());
+    add("output", "text or json", cxxopts::value<std::string>()->default_value("text"));
+    add("help", "show this text");
+    add("positionals", "", cxxopts::value<std::vector<std::string>>());
+    if (command == "submit" || command == "request")
+        add("file", command == "submit" ? "job as in a configuration document" : "file of the body",
+            cxxopts::value<std::string>());
+    if (command == "wait")
+        add("timeout-s", "longest wait in seconds", cxxopts::value<int>()->default_value("3600"));
+    if (command == "configuration apply")
+        add("base", "version that the document was made from",
+            cxxopts::value<unsigned long long>());
+    if (command == "request") {
+        add("method", "HTTP method", cxxopts::value<std::string>()->default_value("GET"));
+        add("data", "body", cxxopts::value<std::string>());
+        add("key", "identity of the request (Idempotency-Key)", cxxopts::value<std::string>());
+        add("caller", "name of the caller", cxxopts::value<std::string>());
+        add("priority", "urgent, normal or batch", cxxopts::value<std::string>());
+        add("idempotent", "true or false", cxxopts::value<bool>());
+        add("deadline-ms", "time to wait, 1 to 25000", cxxopts::value<int>());
+    }
+}
+
+template <typename T, typename Target>
+void take(const cxxopts::ParseResult &parsed, const char *name, Target &target)
+{
+    if (parsed.count(name) > 0)
+        target = parsed[name].as<T>();
+}
+
+void takeOptions(const cxxopts::ParseResult &parsed, CommandLine &line)
+{
+    line.help = parsed.count("help") > 0;
+    line.json = parsed["output"].as<std::string>() == "json";
+    take<std::vector<std::string>>(parsed, "daemon", line.daemons);
+    take<std::vector<std::string>>(parsed, "positionals", line.positionals);
+    take<std::string>(parsed, "file", line.file);
+    take<std::string>(parsed, "method", line.method);
+    take<std::string>(parsed, "data", line.data);
+    take<std::string>(parsed, "key", line.key);
+    take<std::string>(parsed, "caller", line.caller);
+    take<std::string>(parsed, "priority", line.priority);
+    take<bool>(parsed, "idempotent", line.idempotent);
+    take<int>(parsed, "deadline-ms", line.deadlineMs);
+    take<int>(parsed, "timeout-s", line.timeoutSeconds);
+    take<unsigned long long>(parsed, "base", line.base);
+}
+
+[[nodiscard]] std::string checkLine(const CommandLine &line, const CommandHelp &help)
+{
+    const std::size_t count = line.positionals.size();
+    if (count < help.least || count > help.most)
+        return std::string("expected: ") + help.name + " " + help.positionals;
+    if (line.command == "submit" && (count == 1) == !line.file.empty())
+        return "submit needs either the name of a job or --file";
+    if (line.daemons.empty() && line.command != "configuration validate")
+        return "--daemon is missing";
+    if (line.deadlineMs && (*line.deadlineMs < 1 || *line.deadlineMs > 25'000))
+        return "--deadline-ms must be from 1 to 25000";
+    if (!line.priority.empty() && line.priority != "urgent" && line.priority != "normal"
+        && line.priority != "batch")
+        return "--priority must be urgent, normal or batch";
+    if (!line.data.empty() && !line.file.empty())
+        return "--data and --file exclude each other";
+    return {};
+}
+
+} // namespace
+
+std::string overview()
+{
+    std::string text =
+        "Usage: cowsliprock COMMAND [ARGUMENTS] --daemon host:port ...\n\nCommands:\n";
+    for (const auto &help : commands) {
+        std::string left = std::string("  ") + help.name + " " + help.positionals;
+        left.resize(std::max<std::size_t>(left.size() + 1, 32), ' ');
+        text += left + help.text + "\n";
+    }
+    return text
+        + "\n`cowsliprock COMMAND --help` shows the options of a command.\n"
+          "Exit codes: 0 ok, 1 usage, 2 refused or not run, 3 outcome unknown, "
+          "4 daemon unreachable, 5 conflict.\n";
+}
+
+Result<CommandLine> parseCommandLine(const std::vector<std::string> &arguments)
+{
+    const CommandHelp *help = findCommand(arguments);
+    if (!help) {
+        CommandLine line;
+        line.help = !arguments.empty() && (arguments[0] == "--help" || arguments[0] == "help");
+        line.helpText = overview();
+        if (line.help)
+            return line;
+        return usage(arguments.empty() ? "a command is missing"
+                                       : "unknown command '" + arguments[0] + "'");
+    }
+    CommandLine line;
+    line.command = help->name;
+    const auto words = 1 + std::count(line.command.begin(), line.command.end(), ' ');
+    cxxopts::Options options("cowsliprock " + line.command, help->text);
+    addOptions(options, line.command);
+    options.parse_positional("positionals");
+    options.positional_help(help->positionals);
+    std::vector<const char *> argv{ "cowsliprock" };
+    for (auto argument = arguments.begin() + words; argument != arguments.end(); ++argument)
+        argv.push_back(argument->c_str());
+    try {
+        const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+        takeOptions(parsed, line);
+        line.helpText = options.help() + "\nExample:\n  cowsliprock " + help->example + "\n";
+        if (const auto output = parsed["output"].as<std::string>();
+            output != "text" && output != "json")
+            return usage("--output must be text or json");
+    } catch (const std::exception &exception) {
+        return usage(exception.what());
+    }
+    if (line.help)
+        return line;
+    if (auto fault = checkLine(line, *help); !fault.empty())
+        return usage(std::move(fault));
+    return line;
+}
+
+} // namespace cowsliprock::cli
--- /dev/null
+++ b/apps/cowsliprock/src/jobcommands.cpp
@@ -0,0 +1,163 @@
+#include "session.h"
+
+#include <configuration/document.h>
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+namespace cowsliprock::cli {
+
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr Duration pollInterval = 1s;
+
+/// A request is answered by its deadline of at most 25 s; the rest covers the way there and back.
+constexpr Duration requestTimeout = 30s;
+
+} // namespace
+
+ExitCode Session::submit()
+{
+    HttpCall call{ "POST", "/v1/jobs", { { "Content-Type", "application/json" } } };
+    if (m_line.file.empty()) {
+        call.body = json{ { "name", m_line.positionals.front() } }.dump();
+    } else {
+        const auto text = readFile(m_line.file);
+        if (!text)
+            return ExitCode::Usage;
+        auto job = parseSubmittedJob(*text);
+        if (const auto *errors = std::get_if<std::vector<DocumentError>>(&job))
+            return usage(joinErrors(*errors));
+        call.body = std::get<std::string>(std::move(job));
+    }
+    return finish(sendToFirst(call));
+}
+
+ExitCode Session::jobCall(const std::string &method)
+{
+    return finish(sendToFirst({ method, "/v1/jobs/" + m_line.positionals.front() }));
+}
+
+ExitCode Session::wait()
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(m_line.timeoutSeconds);
+    for (;;) {
+        const auto answer = sendToFirst({ "GET", "/v1/jobs/" + m_line.positionals.front() });
+        if (answer && exitCodeOf(answer.value()) == ExitCode::Ok) {
+            const json body = json::parse(answer.value().body, nullptr, false);
+            const std::string state = body.is_object() ? body.value("state", "") : "";
+            if (state == "succeeded" || state == "failed" || state == "cancelled") {
+                print(body);
+                return state == "succeeded" ? ExitCode::Ok : ExitCode::Refused;
+            }
+        } else if (answer && answer.value().status < 500) {
+            return finish(answer);
+        }
+        // A daemon that does not answer now may answer later; the job is not affected.
+        if (std::chrono::steady_clock::now() + pollInterval > end) {
+            m_program.errors << "the job has not ended within the time\n";
+            return ExitCode::Unknown;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+ExitCode Session::request()
+{
+    HttpCall call;
+    call.method = m_line.method;
+    const std::string &path = m_line.positionals[1];
+    call.path = "/services/" + m_line.positionals[0] + (path.starts_with('/') ? "" : "/") + path;
+    call.timeout = requestTimeout;
+    call.body = m_line.data;
+    if (!m_line.file.empty()) {
+        auto text = readFile(m_line.file);
+        if (!text)
+            return ExitCode::Usage;
+        call.body = std::move(*text);
+    }
+    const auto add = [&](const char *name, const std::string &value) {
+        if (!value.empty())
+            call.headers[name] = value;
+    };
+    add("Idempotency-Key", m_line.key);
+    add("X-Caller", m_line.caller);
+    add("X-Priority", m_line.priority);
+    if (m_line.idempotent)
+        add("X-Idempotent", *m_line.idempotent ? "true" : "false");
+    if (m_line.deadlineMs)
+        add("X-Deadline-Ms", std::to_string(*m_line.deadlineMs));
+
+    const auto answer = sendToFirst(call);
+    if (!answer)
+        return fail(answer.error());
+    const HttpAnswer &value = answer.value();
+    const ExitCode code = exitCodeOf(value);
+    if (code != ExitCode::Ok)
+        return finish(answer);
+    if (m_line.json)
+        print({ { "status", value.status }, { "body", value.body } });
+    else
+        m_program.out << value.body;
+    return code;
+}
+
+ExitCode Session::list(const std::string &path, const std::string &member)
+{
+    json merged = json::array();
+    ExitCode code = ExitCode::Ok;
+    for (const std::string &daemon : m_line.daemons) {
+        const auto answer = m_program.transport(daemon, { "GET", path });
+        if (!answer || exitCodeOf(answer.value()) != ExitCode::Ok) {
+            m_program.errors << (answer ? daemon + ": " + answer.value().body
+                                        : answer.error().text())
+                             << '\n';
+            code = std::max(code, ExitCode::Unreachable);
+            continue;
+        }
+        const json body = json::parse(answer.value().body, nullptr, false);
+        if (!body.is_object())
+            continue;
+        for (json row : body.value(member, json::array())) {
+            row["daemon"] = daemon;
+            merged.push_back(std::move(row));
+        }
+    }
+    if (m_line.json)
+        print({ { member, merged } });
+    else
+        print(merged);
+    return code;
+}
+
+ExitCode Session::perDaemon(const std::string &path)
+{
+    json merged = json::object();
+    ExitCode code = ExitCode::Ok;
+    for (const std::string &daemon : m_line.daemons) {
+        const auto answer = m_program.transport(daemon, { "GET", path });
+        if (!answer || exitCodeOf(answer.value()) != ExitCode::Ok) {
+            m_program.errors << (answer ? daemon + ": " + answer.value().body
+                                        : answer.error().text())
+                             << '\n';
+            code = std::max(code, ExitCode::Unreachable);
+            continue;
+        }
+        merged[daemon] = json::parse(answer.value().body, nullptr, false);
+    }
+    if (m_line.json) {
+        print(merged);
+        return code;
+    }
+    for (const auto &[daemon, body] : merged.items()) {
+        m_program.out << "== " << daemon << '\n';
+        printText(m_program.out, body);
+    }
+    return code;
+}
+
+} // namespace cowsliprock::cli
--- a/libs/configuration/tests/cell.cpp
+++ b/libs/configuration/tests/cell.cpp
@@ -144,6 +144,13 @@
                                m_daemons[daemon].incarnation };
     if (const auto &inForce = inForceByDaemon()[self.text()])
         checkInForce(daemon, *inForce);
+    // Only these events change what the stage holds, and what it answers to peers and operators.
+    if (std::holds_alternative<event::StoreReply>(event)
+        || std::holds_alternative<event::PeerMessage>(event)) {
+        const json held = json::parse(m_daemons[daemon].kernel->snapshots().at("configuration"));
+        if (held.at("version") < m_daemons[daemon].version)
+            throw std::runtime_error("held version went down on daemon " + std::to_string(daemon));
+    }
     for (const Effect &effect : effects)
         perform(daemon, effect);
 }
