--- a/libs/requests/tests/cluster.cpp
+++ b/libs/requests/tests/cluster.cpp
@@ -162,7 +162,7 @@
 {
     Daemon &target = m_daemons[daemon];
     if (target.paused) {
-        target.heldBack.push_back(event);
+        target.heldBack.push_back([=, this] { handle(daemon, event); });
         return;
     }
     if (m_options.trace && !std::holds_alternative<event::Tick>(event)
@@ -225,6 +225,10 @@
 
 void Cluster::deliver(std::size_t to, const DaemonIdentity &from, Message message)
 {
+    if (m_daemons[to].paused) {
+        m_daemons[to].heldBack.push_back([=, this] { deliver(to, from, message); });
+        return;
+    }
     auto &bodies = m_daemons[to].bodies;
     const auto store = [&](const BodyKey &key, std::string &body) {
         if (!key.empty())
@@ -379,28 +383,41 @@
     publishOwners();
 }
 
+void Cluster::acquireAnywhere(const PartitionId &id, std::size_t preferred, Duration wait)
+{
+    for (std::size_t step = 0; step < m_daemons.size(); ++step) {
+        const std::size_t daemon = (preferred + step) % m_daemons.size();
+        if (!m_daemons[daemon].paused && !m_daemons[daemon].draining) {
+            acquire(id, daemon, wait);
+            return;
+        }
+    }
+    after(1s, [=, this] { acquireAnywhere(id, preferred, wait); });
+}
+
 void Cluster::movePartition(const PartitionId &id, std::size_t to, bool graceful)
 {
     Partition &partition = m_partitions.at(id);
     if (!partition.owned || m_daemons[to].paused || m_daemons[to].draining)
         return;
     const std::size_t from = partition.owner;
-    partition.owned = false;
-    const auto take = [=, this](Duration wait) {
-        // The new owner may have been paused or restarted; any daemon that runs will do.
-        std::size_t target = to;
-        while (m_daemons[target].paused || m_daemons[target].draining)
-            target = (target + 1) % m_daemons.size();
-        acquire(id, target, wait);
-    };
+    if (graceful && m_daemons[from].paused)
+        return; // only a running owner can release
+    const auto take = [=, this](Duration wait) { acquireAnywhere(id, to, wait); };
     if (graceful) {
+        partition.owned = false;
         handle(from, event::PartitionLost{ id });
         publishOwners();
         after(Duration(static_cast<std::int64_t>(random(300'000))),
               [=] { take(2 * longestTransit + 5ms); });
     } else {
         const Duration wait = m_daemons[from].validUntil - m_now + 1s;
+        const std::uint64_t epoch = partition.epoch;
         after(std::max(wait, Duration(1s)), [=, this] {
+            Partition &expired = m_partitions.at(id);
+            if (!expired.owned || expired.epoch != epoch || m_daemons[from].validUntil + 1s > m_now)
+                return; // moved, or renewed in time
+            expired.owned = false;
             handle(from, event::PartitionLost{ id }); // held back while it is paused
             take(quarantine);
         });
@@ -428,8 +445,9 @@
         return;
     target.paused = paused;
     note(daemon, paused ? "pause" : "resume");
-    for (const auto &event : std::exchange(target.heldBack, {}))
-        handle(daemon, event);
+    target.resumedAt = m_now;
+    for (const auto &action : std::exchange(target.heldBack, {}))
+        action();
 }
 
 void Cluster::restart(std::size_t daemon)
@@ -442,12 +460,8 @@
         if (partition.owned && partition.owner == daemon) {
             m_partitions[id].owned = false;
             const Duration wait = target.validUntil - m_now + 1s;
-            after(std::max(wait, Duration(1s)), [=, this] {
-                std::size_t next = daemon;
-                while (m_daemons[next].paused || m_daemons[next].draining)
-                    next = (next + 1) % m_daemons.size();
-                acquire(id, next, quarantine);
-            });
+            after(std::max(wait, Duration(1s)),
+                  [=, this] { acquireAnywhere(id, daemon, quarantine); });
         }
     }
     createDaemon(daemon, target.settings.self.incarnation + 1);
@@ -524,8 +538,9 @@
 {
     for (std::size_t index = 0; index < m_requests.size(); ++index) {
         const CallerRequest &request = m_requests[index];
-        if (request.answers == 0 && !request.lost && !m_daemons[request.daemon].paused
-            && m_daemons[request.daemon].heldBack.empty() && m_now > request.deadline + tick + 1ms)
+        const Daemon &daemon = m_daemons[request.daemon];
+        if (request.answers == 0 && !request.lost && !daemon.paused
+            && m_now > std::max(request.deadline, daemon.resumedAt) + tick + 1ms)
             fail("request " + std::to_string(index) + " has no answer after its deadline");
     }
 }
--- a/libs/requests/tests/cluster.h
+++ b/libs/requests/tests/cluster.h
@@ -97,6 +97,7 @@
     [[nodiscard]] const std::vector<CallerRequest> &results() const noexcept { return m_requests; }
     [[nodiscard]] std::uint32_t starts(const std::string &content) const;
     [[nodiscard]] std::uint64_t counted(const std::string &metric) const;
+    [[nodiscard]] bool paused(std::size_t daemon) const { return m_daemons[daemon].paused; }
     [[nodiscard]] bool drained(std::size_t daemon) const { return m_daemons[daemon].drained; }
     [[nodiscard]] TimePoint now() const noexcept { return m_now; }
     [[nodiscard]] std::uint64_t random(std::uint64_t bound);
@@ -105,6 +106,8 @@
     [[nodiscard]] std::uint64_t journalWrites() const noexcept { return m_journalWrites; }
 
 private:
+    using Action = std::function<void()>;
+
     struct Daemon
     {
         KernelSettings settings;
@@ -112,7 +115,8 @@
         std::map<BodyKey, std::string> bodies;
         LoadSummary load;
         TimePoint validUntil;
-        std::vector<Event> heldBack; ///< While paused.
+        TimePoint resumedAt;
+        std::vector<Action> heldBack; ///< While paused.
         bool paused = false;
         bool draining = false;
         bool drained = false;
@@ -131,8 +135,6 @@
         PartitionId partition;
         std::multiset<std::string> active;
     };
-    using Action = std::function<void()>;
-
     void after(Duration delay, Action action);
     void handle(std::size_t daemon, const Event &event);
     void perform(std::size_t daemon, const Effect &effect);
@@ -150,6 +152,8 @@
     void reply(std::size_t daemon, std::uint64_t incarnation, event::EndpointReply reply,
                const std::string &content);
     void acquire(const PartitionId &partition, std::size_t to, Duration quarantine);
+    /// Gives a partition to the preferred daemon, or to the next one that runs.
+    void acquireAnywhere(const PartitionId &partition, std::size_t preferred, Duration wait);
     void publishOwners();
     void createDaemon(std::size_t daemon, std::uint64_t incarnation);
     void startDaemon(std::size_t daemon);
