--- a/libs/kernel/include/kernel/messages.h
+++ b/libs/kernel/include/kernel/messages.h
@@ -21,6 +21,7 @@
     std::uint64_t configurationVersion = 0;
     bool draining = false;
     LoadSummary load;
+    std::vector<PartitionId> partitions{}; ///< Owned by the sender; other regions learn it here.
 };
 
 /// Asks a named successor not to take over the sender's partitions for a while.
--- a/libs/kernel/src/jsonmodel.h
+++ b/libs/kernel/src/jsonmodel.h
@@ -114,7 +114,7 @@
 namespace cowsliprock::message {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat, location, address, peerAddress, configurationVersion,
-                                   draining, load)
+                                   draining, load, partitions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseRequest, sequence, recordVersion)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseReply, sequence, granted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaiverRequest, owner, recordVersion)
--- a/libs/ownership/src/ownershipstage.cpp
+++ b/libs/ownership/src/ownershipstage.cpp
@@ -76,6 +76,8 @@
     std::visit([this, &event,
                 &context](const auto &message) { handleMessage(event.from, message, context); },
                event.message);
+    if (std::holds_alternative<message::Heartbeat>(event.message))
+        m_partitions.raiseOwners(context);
 }
 
 void OwnershipStage::handleEvent(const event::VmList &event, EventContext &context)
@@ -128,6 +130,16 @@
         m_peers.setConfigurationVersion(event.configuration->version);
 }
 
+void OwnershipStage::handleEvent(const event::OwnersChanged &event, EventContext &)
+{
+    std::vector<PartitionId> own;
+    for (const auto &[partition, owner] : event.owners) {
+        if (owner == m_shared.self)
+            own.push_back(partition);
+    }
+    m_peers.setPartitions(std::move(own));
+}
+
 void OwnershipStage::handleMessage(const DaemonIdentity &from,
                                    const message::PromiseRequest &request, EventContext &context)
 {
--- a/libs/ownership/src/ownershipstage.h
+++ b/libs/ownership/src/ownershipstage.h
@@ -51,6 +51,7 @@
     void handleEvent(const event::JournalAppend &event, EventContext &context);
     void handleEvent(const event::LoadChanged &event, EventContext &context);
     void handleEvent(const event::ConfigurationInForce &event, EventContext &context);
+    void handleEvent(const event::OwnersChanged &event, EventContext &context);
     template <typename Other>
     void handleEvent(const Other &, EventContext &)
     { }
--- a/libs/ownership/src/partitions.cpp
+++ b/libs/ownership/src/partitions.cpp
@@ -217,6 +217,7 @@
                 owners.emplace(partitionId(dataCentre, index), entry.owner);
         }
     }
+    m_peers.addFarOwners(owners);
     if (owners == m_owners)
         return;
     m_owners = std::move(owners);
--- a/libs/ownership/src/partitions.h
+++ b/libs/ownership/src/partitions.h
@@ -75,6 +75,9 @@
     [[nodiscard]] std::vector<PartitionId> held() const;
     [[nodiscard]] std::set<DaemonName> knownOwners() const;
 
+    /// Raises OwnersChanged if the owners differ from those raised last.
+    void raiseOwners(EventContext &context);
+
 private:
     enum class State { Acquiring, Held, Releasing };
 
@@ -141,7 +144,6 @@
     // Records
     void reconcile(const Cell &cell, EventContext &context);
     void acquire(const PartitionId &partition, const PartitionEntry &entry, EventContext &context);
-    void raiseOwners(EventContext &context);
 
     const Shared &m_shared;
     StoreCalls &m_calls;
--- a/libs/ownership/src/peers.cpp
+++ b/libs/ownership/src/peers.cpp
@@ -22,6 +22,7 @@
     largest.cpuMillis = std::max(largest.cpuMillis, part.largestFree.cpuMillis);
     largest.memoryMb = std::max(largest.memoryMb, part.largestFree.memoryMb);
     largest.accelerators = std::max(largest.accelerators, part.largestFree.accelerators);
+    sum.workerTypes.insert(sum.workerTypes.end(), part.workerTypes.begin(), part.workerTypes.end());
 }
 
 } // namespace
@@ -80,6 +81,7 @@
     result.peerAddress = m_shared.settings.peerAddress;
     result.configurationVersion = m_configurationVersion;
     result.draining = m_draining;
+    result.partitions = m_partitions;
     for (const auto &[stage, load] : m_loads)
         add(result.load, load);
     return result;
@@ -123,6 +125,7 @@
         peer.draining = heartbeat->draining;
         peer.configurationVersion = heartbeat->configurationVersion;
         peer.load = heartbeat->load;
+        peer.partitions = heartbeat->partitions;
     }
     if (heartbeat != nullptr || !wasAlive)
         raiseStatus(peer, context);
@@ -142,6 +145,16 @@
     return highest;
 }
 
+void Peers::addFarOwners(std::map<PartitionId, DaemonIdentity> &owners) const
+{
+    for (const auto &[name, peer] : m_peers) {
+        if (isSameRegion(peer) || !peer.alive)
+            continue;
+        for (const auto &partition : peer.partitions)
+            owners.emplace(partition, peer.identity);
+    }
+}
+
 const Peers::Peer *Peers::find(const DaemonName &name) const
 {
     const auto found = m_peers.find(name);
--- a/libs/ownership/src/peers.h
+++ b/libs/ownership/src/peers.h
@@ -21,6 +21,7 @@
         bool draining = false;
         std::uint64_t configurationVersion = 0;
         LoadSummary load;
+        std::vector<PartitionId> partitions; ///< As its last heartbeat told.
         TimePoint heardAt;
     };
 
@@ -32,6 +33,10 @@
 
     void setDraining(bool draining) noexcept { m_draining = draining; }
     void setLoad(const event::LoadChanged &change) { m_loads[change.stage] = change.load; }
+    void setPartitions(std::vector<PartitionId> partitions)
+    {
+        m_partitions = std::move(partitions);
+    }
     void setConfigurationVersion(std::uint64_t version) noexcept
     {
         m_configurationVersion = version;
@@ -51,6 +56,8 @@
 
     /// Peers of this region that take part in the ownership: alive and not draining.
     [[nodiscard]] std::vector<const Peer *> takingPart() const;
+    /// Adds the partitions of other regions, whose ownership records this daemon does not read.
+    void addFarOwners(std::map<PartitionId, DaemonIdentity> &owners) const;
     [[nodiscard]] bool isSameRegion(const Peer &peer) const
     {
         return peer.location.region == m_shared.settings.location.region;
@@ -77,6 +84,7 @@
     std::optional<TimePoint> m_lastNearAt;
     std::optional<TimePoint> m_lastFarAt;
     std::uint64_t m_configurationVersion = 0;
+    std::vector<PartitionId> m_partitions;
     bool m_draining = false;
 };
 
--- a/libs/runtime/src/callerrequest.cpp
+++ b/libs/runtime/src/callerrequest.cpp
@@ -75,7 +75,8 @@
 {
     RequestProfile profile;
     profile.service = request.matches[1];
-    profile.path = request.target;
+    // The endpoint's client puts the service in front of the path again.
+    profile.path = request.target.substr(std::string("/services/").size() + profile.service.size());
     profile.method = request.method;
     profile.caller = request.has_header("X-Caller") ? request.get_header_value("X-Caller")
                                                     : std::string("anonymous");
--- a/libs/runtime/tests/runtime_test.cpp
+++ b/libs/runtime/tests/runtime_test.cpp
@@ -29,7 +29,10 @@
 {
     BOOST_TEST(!readCallerRequest(postWith({})).has_value());
     BOOST_TEST(readCallerRequest(postWith({ { "Idempotency-Key", "k" } })).has_value());
-    BOOST_TEST(readCallerRequest(postWith({ { "X-Idempotent", "true" } })).has_value());
+    const auto profile = readCallerRequest(postWith({ { "X-Idempotent", "true" } }));
+    BOOST_REQUIRE(profile.has_value());
+    // An endpoint once received "/services/fleetdesk/services/fleetdesk/check".
+    BOOST_TEST(profile.value().path == "/check");
 }
 
 BOOST_AUTO_TEST_CASE(malformedHeadersAreRejected)
