Capture a copy of the partition in the fake of a restart

Cause: clang rejects the capture of a structured binding by reference, and the linter stopped at it.

--- a/libs/requests/tests/cluster.cpp
+++ b/libs/requests/tests/cluster.cpp
@@ -460,7 +460,7 @@
             m_partitions[id].owned = false;
             const Duration wait = target.validUntil - m_now + 1s;
             after(std::max(wait, Duration(1s)),
-                  [=, this] { acquireAnywhere(id, daemon, quarantine); });
+                  [=, this, lost = id] { acquireAnywhere(lost, daemon, quarantine); });
         }
     }
     createDaemon(daemon, target.settings.self.incarnation + 1);
