--- a/libs/requests/tests/flow_test.cpp
+++ b/libs/requests/tests/flow_test.cpp
@@ -183,3 +183,20 @@
     }
     BOOST_TEST(cluster.starts("other content") == 0U);
 }
+
+// Guards against a restarted owner that runs an attempt again, or calls it not run, because its
+// memory of attempts is lost.
+BOOST_AUTO_TEST_CASE(attemptOfAnEarlierRunIsIgnored)
+{
+    Cluster cluster(fixedCapacity());
+    cluster.restart(1);
+    cluster.run(15s);
+    const std::uint64_t messages = cluster.messages();
+    message::Dispatch dispatch;
+    dispatch.attempt = AttemptId("d0#1/r1@1");
+    dispatch.request = profileOf(true);
+    dispatch.request.service = "plan";
+    cluster.give(1, event::PeerMessage{ { DaemonName("d0"), 1 }, dispatch });
+    BOOST_TEST(cluster.counted("requests.duplicateDispatches") == 1U);
+    BOOST_TEST(cluster.messages() == messages);
+}
