--- /dev/null
+++ b/tests/process/failures.py
@@ -0,0 +1,111 @@
+"""Process-level failure tests. Each starts a cell of its own, runs requests of callers while
+processes fail, and compares the answers with what the workers saw."""
+
+import signal
+import sys
+import time
+
+import steps
+from cell import Cell, Failed, call_json
+from load import Load, count_outcomes
+
+
+def prepare(cell):
+    steps.daemons_ready(cell)
+    steps.first_configuration(cell)
+    steps.start_endpoints(cell)
+    steps.desk_checks(cell)
+
+
+def owner_killed(cell):
+    """A killed owner: nothing may run twice or beyond capacity while others take over."""
+    job = steps.submit(cell, "noord-1", {"name": "long-sweep"})
+    with Load("kill", list(cell.daemons.values())) as load:
+        time.sleep(3)
+        cell.kill("noord-1")
+        steps.all_workers_owned(cell, "noord", 40)
+        steps.wait_for_state(cell, "noord-2", job, "succeeded", 60)
+    return load.answers
+
+
+def owner_paused(cell):
+    """An owner that sleeps past its lease must give no work after waking."""
+    job = steps.submit(cell, "noord-1", {"name": "long-sweep"})
+    with Load("pause", list(cell.daemons.values())) as load:
+        time.sleep(3)
+        cell.send_signal("noord-1", signal.SIGSTOP)
+        time.sleep(18)
+        cell.send_signal("noord-1", signal.SIGCONT)
+        steps.wait_for_state(cell, "noord-2", job, "succeeded", 60)
+        time.sleep(5)
+    steps.daemons_ready(cell)
+    return load.answers
+
+
+def store_down_for_all(cell):
+    """Without the store, idempotent requests go on and the others are refused as not run."""
+    with Load("outage", list(cell.daemons.values())) as load:
+        time.sleep(2)
+        cell.faults(outage=True)
+        begin = time.monotonic()
+        time.sleep(25)
+        end = time.monotonic()
+        cell.faults(outage=False)
+        time.sleep(8)
+    during = [a for a in load.answers if begin + 8 < a.sent < end - 3]
+    idempotent = count_outcomes(a for a in during if a.idempotent)
+    others = count_outcomes(a for a in during if not a.idempotent)
+    steps.require(idempotent.get("whole", 0) > 0 and set(idempotent) == {"whole"},
+                  f"idempotent requests in the outage: {idempotent}")
+    steps.require(set(others) == {"not-run"}, f"other requests in the outage: {others}")
+    return load.answers
+
+
+def store_down_for_one(cell):
+    """An owner that alone loses the store, with successors that may take over."""
+    with Load("partial", list(cell.daemons.values())) as load:
+        time.sleep(2)
+        cell.faults(outageFor=["noord-1"])
+        time.sleep(25)
+        cell.faults(outageFor=[])
+        time.sleep(8)
+        steps.all_workers_owned(cell, "noord", 40)
+    return load.answers
+
+
+def worker_killed(cell):
+    """The tasks of a dead worker run again elsewhere, and only after they ended there."""
+    job = steps.submit(cell, "zuid-1", {"name": "long-sweep"})
+    steps.wait_for_state(cell, "zuid-1", job, "running", 20)
+    with Load("worker", list(cell.daemons.values())) as load:
+        time.sleep(2)
+        cell.kill("zuid-w0-0")
+        call_json(cell.platform, "DELETE", "/v1/vms?name=zuid-w0-0")
+        steps.wait_for_state(cell, "zuid-1", job, "succeeded", 90)
+    return load.answers
+
+
+TESTS = (owner_killed, owner_paused, store_down_for_all, store_down_for_one, worker_killed)
+
+
+def main():
+    chosen = [test for test in TESTS if not sys.argv[1:] or test.__name__ in sys.argv[1:]]
+    failures = 0
+    for test in chosen:
+        start = time.monotonic()
+        try:
+            with Cell() as cell:
+                prepare(cell)
+                answers = test(cell)
+                result = f"{steps.guarantees_held(cell, answers)}; {count_outcomes(answers)}"
+            mark = "ok"
+        except Failed as error:
+            result, mark = str(error), "FAILED"
+            failures += 1
+        print(f"{mark:6} {test.__name__:20} {time.monotonic() - start:6.1f} s  {result}", flush=True)
+    print(f"{len(chosen) - failures} passed, {failures} failed")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
