--- a/libs/platform/include/platform/storeclient.h
+++ b/libs/platform/include/platform/storeclient.h
@@ -40,7 +40,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 } // namespace cowsliprock
--- a/libs/platform/src/endpointclient.cpp
+++ b/libs/platform/src/endpointclient.cpp
@@ -118,14 +118,14 @@
 };
 
 EndpointClient::EndpointClient(EndpointClientSettings settings, const Clock &clock)
-    : d(std::make_unique<Private>(std::move(settings), clock))
+    : m_private(std::make_unique<Private>(std::move(settings), clock))
 { }
 
 EndpointClient::~EndpointClient() = default;
 
 EndpointResult EndpointClient::call(const effect::CallEndpoint &effect, const Body &body)
 {
-    return d->call(effect, body);
+    return m_private->call(effect, body);
 }
 
 } // namespace cowsliprock
--- a/libs/platform/src/storeclient.cpp
+++ b/libs/platform/src/storeclient.cpp
@@ -136,14 +136,14 @@
 };
 
 StoreClient::StoreClient(StoreClientSettings settings, const Clock &clock)
-    : d(std::make_unique<Private>(std::move(settings), clock))
+    : m_private(std::make_unique<Private>(std::move(settings), clock))
 { }
 
 StoreClient::~StoreClient() = default;
 
 event::StoreReply StoreClient::execute(const effect::StoreCall &call)
 {
-    return d->execute(call);
+    return m_private->execute(call);
 }
 
 } // namespace cowsliprock
--- a/libs/platform/src/vmlistclient.cpp
+++ b/libs/platform/src/vmlistclient.cpp
@@ -46,14 +46,14 @@
 };
 
 VmListClient::VmListClient(VmListClientSettings settings, const Clock &clock)
-    : d(std::make_unique<Private>(std::move(settings), clock))
+    : m_private(std::make_unique<Private>(std::move(settings), clock))
 { }
 
 VmListClient::~VmListClient() = default;
 
 Result<event::VmList> VmListClient::fetch()
 {
-    return d->fetch();
+    return m_private->fetch();
 }
 
 } // namespace cowsliprock
--- a/libs/platform/src/workerclient.cpp
+++ b/libs/platform/src/workerclient.cpp
@@ -146,24 +146,24 @@
 };
 
 WorkerClient::WorkerClient(WorkerClientSettings settings, const Clock &clock)
-    : d(std::make_unique<Private>(std::move(settings), clock))
+    : m_private(std::make_unique<Private>(std::move(settings), clock))
 { }
 
 WorkerClient::~WorkerClient() = default;
 
 WorkerClient::PollResult WorkerClient::poll(const effect::PollWorker &effect)
 {
-    return d->poll(effect);
+    return m_private->poll(effect);
 }
 
 event::TaskStartResult WorkerClient::start(const effect::StartTask &effect)
 {
-    return d->start(effect);
+    return m_private->start(effect);
 }
 
 event::TaskStopResult WorkerClient::stop(const effect::StopTask &effect)
 {
-    return d->stop(effect);
+    return m_private->stop(effect);
 }
 
 } // namespace cowsliprock
--- a/tests/process/cell.py
+++ b/tests/process/cell.py
@@ -76,6 +76,7 @@
         self.daemons = {}
         self.workers = {}
         self.data_centres = {}
+        self.exclusive_jobs = set()  # ids
 
     def __enter__(self):
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
