--- a/standins/worker/include/standinworker/worker.h
+++ b/standins/worker/include/standinworker/worker.h
@@ -80,7 +80,7 @@
     {
         Resources maximumDeclared; ///< Component-wise maximum of the sums of running tasks.
         std::map<std::string, std::uint32_t> maximumRequests; ///< Simultaneous, by service.
-        std::map<std::string, std::uint32_t> slots;           ///< By service, latest declaration.
+        std::map<std::string, std::uint32_t> slots;           ///< By service, of all running tasks.
         std::map<std::string, std::uint32_t> attempts;        ///< Requests run, by X-Attempt.
         std::map<std::string, std::uint32_t> keys; ///< Requests run, by "<caller>/<key>".
         std::uint64_t requestsRefused = 0;
@@ -94,6 +94,7 @@
     using SteadyTime = TaskRun::SteadyTime;
 
     void advance(SteadyTime now);
+    void observeLoad();
     [[nodiscard]] bool offers(const std::string &service) const;
     [[nodiscard]] TaskReport toReport(const TaskRun &run, SteadyTime now) const;
     [[nodiscard]] std::vector<EndpointReport> endpoints() const;
--- a/standins/worker/src/worker.cpp
+++ b/standins/worker/src/worker.cpp
@@ -56,23 +56,34 @@
         return Started::Refused;
     TaskRun run{ start.launch, TaskState::Running, now, now + start.lease, {}, {} };
     if (start.launch.service.empty()) {
-        auto time = m_traits.taskTime.count() > 0
+        const auto time = m_traits.taskTime.count() > 0
             ? m_traits.taskTime
             : duration_cast<milliseconds>(start.launch.expectedRunTime);
         run.dueAt = now + (time.count() > 0 ? time : defaultTaskTime);
-    } else {
-        m_observations.slots[start.launch.service] = start.launch.slots;
     }
     if (m_faults.failStarts) {
         run.state = TaskState::Failed;
         run.endedAt = now;
     }
     m_tasks.emplace(start.launch.attempt, std::move(run));
+    observeLoad();
+    return Started::Now;
+}
+
+void Worker::observeLoad()
+{
     Resources sum;
-    for (const auto &[attempt, task] : m_tasks)
-        sum += runs(task.state) ? task.launch.declared : Resources{};
+    std::map<std::string, std::uint32_t> slots;
+    for (const auto &[attempt, task] : m_tasks) {
+        if (!runs(task.state))
+            continue;
+        sum += task.launch.declared;
+        if (!task.launch.service.empty())
+            slots[task.launch.service] += task.launch.slots;
+    }
     raise(m_observations.maximumDeclared, sum);
-    return Started::Now;
+    for (const auto &[service, count] : slots)
+        m_observations.slots[service] = std::max(m_observations.slots[service], count);
 }
 
 std::optional<TaskState> Worker::stop(const AttemptId &attempt, const std::string &mode)
