--- a/libs/configuration/tests/cell.cpp
+++ b/libs/configuration/tests/cell.cpp
@@ -298,7 +298,7 @@
 
 std::string Cell::call(std::size_t daemon, const std::string &action, const std::string &body)
 {
-    const std::string operation = "operation-" + std::to_string(++m_operationCount);
+    std::string operation = "operation-" + std::to_string(++m_operationCount);
     give(daemon, event::OperatorCall{ OperationId(operation), action, body });
     return operation;
 }
--- a/libs/settings/tests/daemonsettings_test.cpp
+++ b/libs/settings/tests/daemonsettings_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 
@@ -101,11 +102,11 @@
         { "duinrand", { "noord", "midden", "zuid" } }
     };
     for (const auto &[user, regions] : users) {
+        const auto path = std::filesystem::path(root) / "examples" / user / "settings.json";
         for (const auto &region : regions) {
             for (const char *number : { "1", "2", "3" }) {
                 const std::string name = region + "-" + number;
-                const auto result = loadDaemonSettings(
-                    root + "/examples/" + user + "/settings.json", { "name=" + name });
+                const auto result = loadDaemonSettings(path, { "name=" + name });
                 BOOST_REQUIRE_MESSAGE(result.has_value(), faults(result));
                 BOOST_TEST(result.value().kernel.location.region == region);
                 BOOST_TEST(result.value().kernel.peers.size() == 8U);
