--- a/libs/configuration/src/configurationstage.cpp
+++ b/libs/configuration/src/configurationstage.cpp
@@ -51,7 +51,8 @@
             return;
         m_learnedFrom = {};
     } else if (const auto *received = std::get_if<event::PeerMessage>(&event)) {
-        handleMessage(*received, now, output);
+        if (!handleMessage(*received, now, output))
+            return;
     } else if (const auto *status = std::get_if<event::PeerStatus>(&event)) {
         m_peers.update(*status);
     } else if (const auto *call = std::get_if<event::OperatorCall>(&event)) {
@@ -135,7 +136,7 @@
     output.perform(effect::SendPeer{ from, message::ConfigurationPull{ haveVersion } });
 }
 
-void ConfigurationStage::handleMessage(const event::PeerMessage &received, TimePoint now,
+bool ConfigurationStage::handleMessage(const event::PeerMessage &received, TimePoint now,
                                        Output &output)
 {
     const DaemonName &from = received.from.name;
@@ -144,7 +145,10 @@
             output.perform(effect::SendPeer{ from, m_versions.pushSince(pulled->haveVersion) });
     } else if (const auto *push = std::get_if<message::ConfigurationPush>(&received.message)) {
         handlePush(from, *push, now, output);
+    } else {
+        return false;
     }
+    return true;
 }
 
 void ConfigurationStage::handlePush(const DaemonName &from, const message::ConfigurationPush &push,
--- a/libs/configuration/src/configurationstage.h
+++ b/libs/configuration/src/configurationstage.h
@@ -22,7 +22,8 @@
 
 private:
     void start(TimePoint now, Output &output);
-    void handleMessage(const event::PeerMessage &received, TimePoint now, Output &output);
+    /// Returns false if the message belongs to another stage.
+    bool handleMessage(const event::PeerMessage &received, TimePoint now, Output &output);
     void handlePush(const DaemonName &from, const message::ConfigurationPush &push, TimePoint now,
                     Output &output);
     void handleOperator(const event::OperatorCall &call, Output &output);
--- a/libs/configuration/tests/document_test.cpp
+++ b/libs/configuration/tests/document_test.cpp
@@ -1,3 +1,4 @@
+#include <configuration/consolepage.h>
 #include <configuration/document.h>
 
 #include "../src/configurationschema.h"
@@ -99,7 +100,9 @@
     BOOST_TEST(std::get<1>(refused).front().path == "/kind");
 }
 
-BOOST_AUTO_TEST_CASE(embeddedSchemaIsTheCommittedOne)
+// Guards against a schema or page that was changed without scripts/embed-documents.
+BOOST_AUTO_TEST_CASE(embeddedFilesAreTheCommittedOnes)
 {
+    BOOST_TEST((fileText("libs/configuration/console/console.html") == consolePage()));
     BOOST_TEST(fileText("schemas/configuration.schema.json") == configurationSchema());
 }
