Let a change replace an older state of the store

After a store was set back, its version was below the one in force and every change was refused with 503 for good. A compare-and-swap on the older row is safe: the change leads to a higher version than any daemon has. Before: the new test got 503. After: version 6 is accepted.

--- a/libs/configuration/src/applyflow.cpp
+++ b/libs/configuration/src/applyflow.cpp
@@ -183,7 +183,7 @@
     } else if (!present || !present.value().accepted) {
         m_changeRow = reply.version;
     } else {
-        answerConflict(output);
+        answerUnavailable("the store answers reads with an old state", false, output);
         finish();
         return;
     }
@@ -223,15 +223,18 @@
         return;
     }
     const StoredState state = adoptStored(m_versions, reply.version, reply.value, output);
-    const bool rowWasWrong = present && present.value().version == m_change.from;
-    if (rowWasWrong && ++m_attempts <= maxAttempts) {
+    // The row was not known, or the store was set back to an older state. Both are safe to replace
+    // by the change: it leads to a higher version than any daemon has.
+    const bool replaceable =
+        state == StoredState::Absent || (present && present.value().version <= m_change.from);
+    if (replaceable && ++m_attempts <= maxAttempts) {
         m_currentRow = reply.version;
         send(now, output);
         return;
     }
-    if (state == StoredState::Older || state == StoredState::Absent
-        || state == StoredState::Unreadable)
-        answerUnavailable("the store holds an older or unreadable configuration", false, output);
+    if (replaceable || state == StoredState::Unreadable)
+        answerUnavailable("the store holds an unreadable configuration or changes too often", false,
+                          output);
     else
         answerConflict(output);
     finish();
--- a/libs/configuration/tests/stage_test.cpp
+++ b/libs/configuration/tests/stage_test.cpp
@@ -26,15 +26,16 @@
             if (const auto *readiness = std::get_if<effect::SetReady>(&effect))
                 ready.push_back(readiness->ready);
             if (const auto *call = std::get_if<effect::StoreCall>(&effect))
-                lastCall = call->call;
+                last = *call;
             if (const auto *answer = std::get_if<effect::AnswerOperator>(&effect))
                 answers.push_back({ answer->httpStatus, answer->body });
         }
     }
 
-    void storeAnswers(event::StoreStatus status, const std::string &value = {})
+    void storeAnswers(event::StoreStatus status, const std::string &value = {},
+                      std::uint64_t version = 1)
     {
-        give(event::StoreReply{ lastCall, status, 1, value, {}, {} });
+        give(event::StoreReply{ last.call, status, version, value, {}, {} });
     }
 
     void peerNames(std::uint64_t version)
@@ -47,7 +48,7 @@
 
     std::vector<bool> ready;
     std::vector<std::pair<int, std::string>> answers;
-    CallId lastCall;
+    effect::StoreCall last;
 
 private:
     Kernel m_kernel;
@@ -89,6 +90,23 @@
     BOOST_TEST((daemon.ready == std::vector{ false, true }));
 }
 
+// Guards against a store that was set back, where no change could be applied any more.
+BOOST_AUTO_TEST_CASE(changeReplacesAnOlderStateOfTheStore)
+{
+    Daemon daemon;
+    daemon.storeAnswers(event::StoreStatus::Ok, encodedVersion(5), 9);
+    daemon.give(event::OperatorCall{ OperationId("o"), "configurationApply",
+                                     R"({"baseVersion":5,"document":{"teams":[]}})" });
+    daemon.storeAnswers(event::StoreStatus::Ok); // The proposal.
+    BOOST_TEST(daemon.last.version == 9U);
+    daemon.storeAnswers(event::StoreStatus::Conflict, encodedVersion(3), 4);
+    BOOST_TEST(daemon.last.key == currentKey);
+    BOOST_TEST(daemon.last.version == 4U);
+    daemon.storeAnswers(event::StoreStatus::Ok, {}, 5);
+    BOOST_REQUIRE(daemon.answers.size() == 1U);
+    BOOST_TEST(daemon.answers.front().second == R"({"version":6})");
+}
+
 // Guards against an operator that waits for an answer that never comes, or gets the wrong one.
 BOOST_AUTO_TEST_CASE(operatorIsAnsweredOnce)
 {
