--- a/libs/scheduling/src/context.cpp
+++ b/libs/scheduling/src/context.cpp
@@ -49,6 +49,7 @@
     // An empty list is an error of the platform, not the end of all VMs.
     if (list.entries.empty())
         return;
+    vmListAt = now;
     for (const auto &[name, entry] : workerVms)
         endedWorkers.insert(name);
     workerVms.clear();
@@ -86,6 +87,12 @@
                        settings.partitionsPerDataCentre);
 }
 
+bool Context::vmEnded(const WorkerName &worker, TimePoint existedAt) const
+{
+    return endedWorkers.contains(worker)
+        || (!workerVms.contains(worker) && vmListAt > existedAt + vmListLag);
+}
+
 std::vector<std::string> Context::dataCentres(std::string_view region) const
 {
     std::set<std::string> result;
--- a/libs/scheduling/src/context.h
+++ b/libs/scheduling/src/context.h
@@ -48,6 +48,10 @@
     /// Partition of a worker that the VM list has named.
     [[nodiscard]] std::optional<PartitionId> partitionOfWorker(const WorkerName &worker) const;
 
+    /// True if the VM of a worker has ended that existed at a time: the VM list has named it before
+    /// and does not any more, or a list that is newer by more than its lag does not name it.
+    [[nodiscard]] bool vmEnded(const WorkerName &worker, TimePoint existedAt) const;
+
     /// Data centres of a region that the settings name, in order.
     [[nodiscard]] std::vector<std::string> dataCentres(std::string_view region) const;
     [[nodiscard]] std::string regionOf(const DaemonName &daemon) const;
@@ -75,6 +79,7 @@
     std::map<PartitionId, DaemonIdentity> owners;
     std::map<DaemonName, event::PeerStatus> peers;
     std::map<WorkerName, VmEntry> workerVms;
+    TimePoint vmListAt;                ///< When the last VM list arrived.
     std::set<WorkerName> endedWorkers; ///< Named by an earlier VM list, not by the present one.
     std::deque<Message> localMessages;
 
@@ -99,6 +104,9 @@
 /// take effect at the latest is known.
 inline constexpr Duration sendLimit = std::chrono::seconds(2);
 
+/// The VM list lags by less than this. It is read every 2 s.
+inline constexpr Duration vmListLag = std::chrono::seconds(60);
+
 /// Covers clock rates when the end of a task lease counts as proof that the task has ended.
 inline constexpr Duration taskLeaseMargin = std::chrono::seconds(5);
 
--- a/libs/scheduling/src/gangrunner.cpp
+++ b/libs/scheduling/src/gangrunner.cpp
@@ -161,11 +161,15 @@
 void GangRunner::fail(Job &job)
 {
     job.gang.phase = GangPhase::Stopping;
+    // The end of a member on an ended VM is proven at once, and must not settle the gang before
+    // all members have been asked to stop.
+    job.gang.asking = true;
     for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
         const TaskReference member{ &job, index };
         if (!isFinal(member.task().phase))
             m_tasks.stop(member);
     }
+    job.gang.asking = false;
     settle(job);
 }
 
@@ -173,7 +177,7 @@
 {
     const bool over = std::all_of(job.tasks.begin(), job.tasks.end(),
                                   [](const Task &task) { return isFinal(task.phase); });
-    if (job.gang.phase != GangPhase::Stopping || !over || job.accepted.cancelled)
+    if (job.gang.phase != GangPhase::Stopping || job.gang.asking || !over || job.accepted.cancelled)
         return;
     if (job.gang.failed && job.gang.starts >= job.definition().maxAttempts) {
         for (std::uint32_t index = 0; index < job.tasks.size(); ++index)
--- a/libs/scheduling/src/job.h
+++ b/libs/scheduling/src/job.h
@@ -42,6 +42,7 @@
     TaskPhase phase = TaskPhase::Queued;
     AttemptId attempt;
     WorkerName worker;
+    TimePoint workerKnownAt;        ///< When the worker was named by its owner.
     DaemonName owner;               ///< Daemon that was asked, or that holds the reservation.
     std::vector<DaemonName> owners; ///< Left to ask in this round.
     bool preempting = false;
@@ -66,6 +67,7 @@
     TimePoint giveUpAt;
     std::uint32_t starts = 0;
     bool failed = false; ///< A member failed, which counts as an attempt.
+    bool asking = false; ///< Members are being asked to stop.
 };
 
 struct Job
--- a/libs/scheduling/src/taskrepeats.cpp
+++ b/libs/scheduling/src/taskrepeats.cpp
@@ -58,15 +58,15 @@
     return owner ? owner->name : known;
 }
 
-bool TaskRunner::vmEnded(const WorkerName &worker) const
+bool TaskRunner::vmEnded(const Task &task) const
 {
-    return m_state.context.endedWorkers.contains(worker);
+    return m_state.context.vmEnded(task.worker, task.workerKnownAt);
 }
 
 void TaskRunner::repeatStart(TaskReference reference)
 {
     const Task &task = reference.task();
-    if (vmEnded(task.worker))
+    if (vmEnded(task))
         return over(reference, TaskState::Lapsed);
     m_state.setDue(reference, m_state.context.now + startRepeat);
     m_state.context.send(ownerOf(task.worker, task.owner),
@@ -76,7 +76,7 @@
 void TaskRunner::auditDue(TaskReference reference)
 {
     const Task &task = reference.task();
-    if (vmEnded(task.worker))
+    if (vmEnded(task))
         return over(reference, TaskState::Lapsed);
     m_state.setDue(reference, m_state.context.now + auditInterval);
     m_state.context.send(ownerOf(task.worker, task.owner),
@@ -90,7 +90,7 @@
 void TaskRunner::repeatStop(TaskReference reference)
 {
     const Task &task = reference.task();
-    if (vmEnded(task.worker))
+    if (vmEnded(task))
         return over(reference, TaskState::Stopped);
     m_state.setDue(reference, m_state.context.now + stopRepeat);
     sendStop(task.attempt, task.worker, task.owner);
@@ -111,7 +111,7 @@
         return m_state.setDue(reference, context.owned.at(job.partition).usableFrom);
     const auto inherited = reference.task().inherited;
     for (const auto &[attempt, worker] : inherited) {
-        if (vmEnded(worker)) {
+        if (context.vmEnded(worker, job.acceptedAt)) {
             inheritedOver({ attempt, job.accepted.id, reference.index, TaskState::Lapsed, {} });
         } else if (const DaemonName owner = ownerOf(worker, {}); owner.empty()) {
             continue;
@@ -168,6 +168,7 @@
                   [&](const auto &inherited) { return inherited.attempt == reply.attempt; });
     task.attempt = reply.attempt;
     task.worker = reply.worker;
+    task.workerKnownAt = m_state.context.now;
     task.owner = from;
     task.starts = std::max(task.starts, 1U);
     m_state.countUsage(reference);
--- a/libs/scheduling/src/taskrunner.cpp
+++ b/libs/scheduling/src/taskrunner.cpp
@@ -104,8 +104,10 @@
         return;
     }
     Task &task = reference->task();
-    if (reply.granted)
+    if (reply.granted) {
         task.worker = reply.worker;
+        task.workerKnownAt = m_state.context.now;
+    }
     if (reference->job->isGang())
         m_gangs->reserveReply(*reference, reply.granted);
     else if (reply.granted)
--- a/libs/scheduling/src/taskrunner.h
+++ b/libs/scheduling/src/taskrunner.h
@@ -59,7 +59,7 @@
     void repeatStart(TaskReference reference);
     void repeatStop(TaskReference reference);
     void recoveryDue(TaskReference reference);
-    [[nodiscard]] bool vmEnded(const WorkerName &worker) const;
+    [[nodiscard]] bool vmEnded(const Task &task) const;
     [[nodiscard]] DaemonName ownerOf(const WorkerName &worker, const DaemonName &known) const;
     void sendStop(const AttemptId &attempt, const WorkerName &worker, const DaemonName &owner);
 
--- a/libs/scheduling/src/workerledger.h
+++ b/libs/scheduling/src/workerledger.h
@@ -38,7 +38,7 @@
     bool reportedLive = false;
     DaemonIdentity announcedTo; ///< Home that was told that the task runs.
     TimePoint announcedAt;
-    bool adopted = false; ///< Started by an earlier owner.
+    bool ownerOrHomeChanged = false; ///< Since the start; the home may not know of the task.
 };
 
 struct Worker
--- a/libs/scheduling/src/workerreports.cpp
+++ b/libs/scheduling/src/workerreports.cpp
@@ -159,11 +159,15 @@
         if (hold->stopWanted)
             m_state.stop(*hold, effect::StopTask::Mode::Stop);
     }
-    // A home that lost the announcement of an adopted task would never learn of it.
+    const auto home = m_state.homeOf(task.attempt);
+    if (!home)
+        return;
+    const bool changed = hold->announcedTo != *home;
+    hold->ownerOrHomeChanged |= changed && !hold->announcedTo.name.empty();
+    // The announcement, or the home's answer that a task is surplus, may be lost.
     const bool repeat =
-        hold->adopted && hold->announcedAt + announcementInterval <= m_state.context.now;
-    if (const auto home = m_state.homeOf(task.attempt);
-        home && (hold->announcedTo != *home || repeat))
+        hold->ownerOrHomeChanged && hold->announcedAt + announcementInterval <= m_state.context.now;
+    if (changed || repeat)
         m_state.sendStarted(*hold);
 }
 
@@ -180,7 +184,7 @@
     hold.amount = task.declared;
     hold.confirmedAt = askedAt;
     hold.reportedLive = true;
-    hold.adopted = true;
+    hold.ownerOrHomeChanged = true;
     Hold &added = m_state.ledger.add(std::move(hold));
     if (record != nullptr) {
         // Stopped or released before it was seen here.
--- a/libs/scheduling/tests/world.cpp
+++ b/libs/scheduling/tests/world.cpp
@@ -60,6 +60,7 @@
     }
     tellOwners();
     renew();
+    at(m_now + 2s, [this] { tellVms(); });
     for (std::size_t node = 0; node < m_nodes.size(); ++node)
         at(m_now + 50ms, [this, node] { deliver(node, event::Tick{}); });
 }
@@ -164,8 +165,8 @@
 void World::tellVms()
 {
     for (std::size_t node = 0; node < m_nodes.size(); ++node)
-        at(m_now + between(0ms, 2s),
-           [this, node, list = event::VmList{ m_vms }] { deliver(node, list); });
+        deliver(node, event::VmList{ m_vms });
+    at(m_now + 2s, [this] { tellVms(); });
 }
 
 void World::renew()
@@ -251,7 +252,6 @@
     const WorkerName name = workerName(number);
     std::erase_if(m_vms, [&](const VmEntry &entry) { return entry.name == name.value(); });
     m_workers.erase(name);
-    tellVms();
 }
 
 void World::setLeaving(int number)
@@ -260,7 +260,6 @@
         if (entry.name == workerName(number).value())
             entry.leaving = true;
     }
-    tellVms();
 }
 
 void World::deliver(std::size_t node, const Event &event)
