Wake waiting jobs in their order when capacity becomes free

Each job that found no capacity retried on its own timer of up to 2 s: 10,000 waiting jobs cost 5,000 decisions a second, and a job that came later could take capacity that became free before the next try of one ahead of it. Now the first eight jobs in order are tried again on each release and every 500 ms, and the timer goes up to 10 s.

--- a/libs/scheduling/src/homestate.cpp
+++ b/libs/scheduling/src/homestate.cpp
@@ -10,6 +10,12 @@
 constexpr Duration endedJobRetention = std::chrono::hours(1);
 constexpr std::size_t maximumEndedJobs = 5'000;
 
+/// Waiting jobs are woken in their order when capacity becomes free; the timer is for those behind
+/// jobs that cannot be placed. With 10,000 waiting jobs it costs 1,000 to 2,000 decisions a second.
+constexpr Duration shortestBackOff = std::chrono::milliseconds(200);
+constexpr Duration longestBackOff = std::chrono::seconds(10);
+constexpr Duration longestUrgentBackOff = std::chrono::milliseconds(500);
+
 std::string taskIdentity(const JobId &job, std::uint32_t index)
 {
     return job.value() + "/" + std::to_string(index);
@@ -68,7 +74,7 @@
             ++iterator;
             continue;
         }
-        queue.remove(dropped);
+        dequeue(dropped);
         for (std::uint32_t index = 0; index < dropped.tasks.size(); ++index)
             releaseUsage({ &dropped, index });
         iterator = m_jobs.erase(iterator);
@@ -108,26 +114,56 @@
 {
     const bool gangBusy = job.isGang()
         && (job.gang.phase != GangPhase::Idle || job.pending.size() != job.tasks.size());
-    if (!job.pending.empty() && !job.ended() && !job.accepted.cancelled && !gangBusy
-        && job.notBefore <= context.now)
+    const bool ready = !job.pending.empty() && !job.ended() && !job.accepted.cancelled && !gangBusy;
+    if (ready && job.notBefore <= context.now)
         queue.add(job);
+    else if (ready && job.waitsForCapacity)
+        waiting.add(job);
     else
-        queue.remove(job);
+        dequeue(job);
+}
+
+void HomeState::dequeue(Job &job)
+{
+    if (job.queue != nullptr)
+        job.queue->remove(job);
 }
 
-void HomeState::backOff(Job &job, Duration shortest, Duration longest)
+void HomeState::backOff(Job &job)
 {
-    job.backOff = std::clamp(job.backOff * 2, shortest, longest);
-    delay(job, context.randomBetween(job.backOff / 2, job.backOff));
+    const Duration longest =
+        job.definition().priority == Priority::Urgent ? longestUrgentBackOff : longestBackOff;
+    job.backOff = std::clamp(job.backOff * 2, shortestBackOff, longest);
+    job.waitsForCapacity = true;
+    keepUntil(job, context.now + context.randomBetween(job.backOff / 2, job.backOff));
 }
 
 void HomeState::delay(Job &job, Duration time)
 {
-    job.notBefore = context.now + time;
-    m_jobTimers.emplace(job.notBefore, job.accepted.id);
+    job.waitsForCapacity = false;
+    keepUntil(job, context.now + time);
+}
+
+void HomeState::keepUntil(Job &job, TimePoint time)
+{
+    job.notBefore = time;
+    m_jobTimers.emplace(time, job.accepted.id);
     updateQueue(job);
 }
 
+void HomeState::wakeWaiting(std::size_t count)
+{
+    const auto jobOf = [this](const JobId &id) -> const Job & { return m_jobs.at(id); };
+    while (count-- > 0 && waiting.size() > 0) {
+        const auto next = waiting.next(jobOf);
+        if (!next)
+            return;
+        Job &woken = m_jobs.at(*next);
+        woken.notBefore = context.now;
+        updateQueue(woken);
+    }
+}
+
 void HomeState::countUsage(TaskReference reference)
 {
     if (Task &task = reference.task(); !std::exchange(task.counted, true))
@@ -197,7 +233,7 @@
     job.accepted.outcome = job.accepted.cancelled ? JobOutcome::Cancelled
         : succeeded                               ? JobOutcome::Succeeded
                                                   : JobOutcome::Failed;
-    queue.remove(job);
+    dequeue(job);
     rows.write(job.accepted, job.partition);
     m_ended.emplace_back(context.now, job.accepted.id);
     if (job.accepted.cancelled || job.isService())
--- a/libs/scheduling/src/homestate.h
+++ b/libs/scheduling/src/homestate.h
@@ -33,6 +33,7 @@
         : context(sharedContext)
         , usage(sharedContext)
         , queue(usage)
+        , waiting(usage)
         , rows(sharedContext)
     { }
 
@@ -52,10 +53,16 @@
     /// Puts the job into the queue if it has queued tasks and may be tried now.
     void updateQueue(Job &job);
 
-    /// Keeps the job out of the queue for a while, longer each time in a row.
-    void backOff(Job &job, Duration shortest, Duration longest);
+    /// Keeps a job that found no capacity out of the queue, longer each time in a row.
+    void backOff(Job &job);
+
+    /// Keeps a job out of the queue.
     void delay(Job &job, Duration time);
 
+    /// Puts the first jobs that wait for capacity back into the queue.
+    void wakeWaiting(std::size_t count);
+    void dequeue(Job &job);
+
     void countUsage(TaskReference reference);
     void releaseUsage(TaskReference reference);
 
@@ -79,6 +86,7 @@
     Context &context;
     TeamUsage usage;
     JobQueue queue;
+    JobQueue waiting; ///< Jobs that found no capacity.
     JobRows rows;
     std::set<PartitionId> loaded; ///< Partitions whose rows have been read.
 
@@ -89,6 +97,7 @@
     using TaskTimer = std::tuple<TimePoint, JobId, std::uint32_t>;
 
     void finish(Job &job);
+    void keepUntil(Job &job, TimePoint time);
     void append(std::uint64_t ticket, JournalEntry entry);
 
     std::map<JobId, Job> m_jobs;
--- a/libs/scheduling/src/job.h
+++ b/libs/scheduling/src/job.h
@@ -70,6 +70,8 @@
     bool asking = false; ///< Members are being asked to stop.
 };
 
+class JobQueue;
+
 struct Job
 {
     AcceptedJob accepted;
@@ -86,7 +88,8 @@
     std::set<std::uint32_t> pending; ///< Indices of queued tasks.
     std::uint32_t finalTasks = 0;
     std::uint32_t failedTasks = 0;
-    bool queued = false; ///< In the queue.
+    JobQueue *queue = nullptr; ///< The queue that the job is in.
+    bool waitsForCapacity = false;
     bool startedOnce = false;
     bool endedLate = false;
     Gang gang;
--- a/libs/scheduling/src/jobqueue.cpp
+++ b/libs/scheduling/src/jobqueue.cpp
@@ -43,9 +43,11 @@
 
 void JobQueue::add(Job &job)
 {
-    if (job.queued)
+    if (job.queue == this)
         return;
-    job.queued = true;
+    if (job.queue != nullptr)
+        job.queue->remove(job);
+    job.queue = this;
     ++m_size;
     m_classes[static_cast<std::size_t>(job.definition().priority)][job.definition().team].emplace(
         job.deadlineAt, job.arrival, job.accepted.id);
@@ -53,9 +55,9 @@
 
 void JobQueue::remove(Job &job)
 {
-    if (!job.queued)
+    if (job.queue != this)
         return;
-    job.queued = false;
+    job.queue = nullptr;
     --m_size;
     Teams &teams = m_classes[static_cast<std::size_t>(job.definition().priority)];
     const auto team = teams.find(job.definition().team);
--- a/libs/scheduling/src/schedulingstage.cpp
+++ b/libs/scheduling/src/schedulingstage.cpp
@@ -21,6 +21,10 @@
 /// Bounds the time that one event takes when many jobs wait.
 constexpr int decisionsPerEvent = 64;
 
+/// Jobs that are tried again when capacity becomes free, and at least this often.
+constexpr std::size_t jobsWoken = 8;
+constexpr Duration wakeInterval = std::chrono::milliseconds(500);
+
 /// Wires the parts together and gives each event to those that it concerns.
 class SchedulingStage : public Stage
 {
@@ -47,6 +51,7 @@
         m_context.handle(event);
         std::visit([this](const auto &value) { on(value); }, event);
         deliverLocal();
+        wakeWaiting();
         startQueued();
         deliverLocal();
         m_home.rows.pump();
@@ -151,6 +156,16 @@
         }
     }
 
+    void wakeWaiting()
+    {
+        // Peers may have capacity again as well, which only the next question shows.
+        const bool due = m_wokenAt + wakeInterval <= m_context.now;
+        if (!due && !m_owner.ledger.takeFreed())
+            return;
+        m_wokenAt = m_context.now;
+        m_home.wakeWaiting(jobsWoken);
+    }
+
     void startQueued()
     {
         const auto jobOf = [this](const JobId &id) -> const Job & { return *m_home.job(id); };
@@ -208,6 +223,7 @@
     OperatorActions m_operators;
     LoadSummary m_load;
     TimePoint m_loadRaisedAt;
+    TimePoint m_wokenAt;
     bool m_drained = false;
 };
 
--- a/libs/scheduling/src/taskrunner.cpp
+++ b/libs/scheduling/src/taskrunner.cpp
@@ -15,8 +15,6 @@
 /// owner's own patience of 4 s.
 constexpr Duration displacementReplyTime = std::chrono::milliseconds(4'200);
 
-constexpr Duration shortestBackOff = std::chrono::milliseconds(200);
-constexpr Duration longestBackOff = std::chrono::seconds(2);
 constexpr Duration startRepeat = std::chrono::milliseconds(1'500);
 
 } // namespace
@@ -87,7 +85,7 @@
 {
     Job &job = *reference.job;
     m_state.setPhase(reference, TaskPhase::Queued);
-    m_state.backOff(job, shortestBackOff, longestBackOff);
+    m_state.backOff(job);
 }
 
 void TaskRunner::reserveReply(const DaemonName &from, const message::ReserveReply &reply)
@@ -237,7 +235,7 @@
             m_gangs->memberNotStarted(reference);
         } else {
             m_state.setPhase(reference, TaskPhase::Queued);
-            m_state.backOff(*reference.job, shortestBackOff, longestBackOff);
+            m_state.backOff(*reference.job);
         }
         break;
     case TaskPhase::Running:
--- a/libs/scheduling/src/workerledger.cpp
+++ b/libs/scheduling/src/workerledger.cpp
@@ -150,6 +150,8 @@
         return;
     }
     const Resources free = componentMax(worker.capacity - worker.held, Resources{});
+    const Candidate *before = m_index.find(name);
+    m_freed |= before == nullptr || !free.fitsIn(before->free);
     m_index.update({ name, worker.capacity, free, worker.starting });
 }
 
--- a/libs/scheduling/src/workerledger.h
+++ b/libs/scheduling/src/workerledger.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace cowsliprock::scheduling {
@@ -88,6 +89,9 @@
     /// Updates the index after a change of the worker.
     void refresh(Worker &worker);
 
+    /// True if capacity has become free since the last call.
+    [[nodiscard]] bool takeFreed() noexcept { return std::exchange(m_freed, false); }
+
     [[nodiscard]] const CapacityIndex &index() const noexcept { return m_index; }
     [[nodiscard]] Ejection &ejection() noexcept { return m_ejection; }
     [[nodiscard]] const Ejection &ejection() const noexcept { return m_ejection; }
@@ -107,6 +111,7 @@
     std::set<AttemptId> m_active;
     CapacityIndex m_index;
     Ejection m_ejection;
+    bool m_freed = false;
 };
 
 /// Removes every amount that fits in another one. More than eight are merged.
