--- a/libs/scheduling/src/jobrows.cpp
+++ b/libs/scheduling/src/jobrows.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t maximumWritesInFlight = 16;
+constexpr std::size_t maximumWritesInFlight = 8;
 constexpr Duration firstRetry = std::chrono::milliseconds(300);
 constexpr Duration longestRetry = std::chrono::seconds(2);
 
--- a/libs/scheduling/src/jobrows.h
+++ b/libs/scheduling/src/jobrows.h
@@ -11,7 +11,7 @@
 namespace cowsliprock::scheduling {
 
 /// The rows of jobs in the store. The home is the only writer of a row; each row has at most one
-/// write in flight, and all rows together at most 16, so that a burst does not overload the store.
+/// write in flight, and all rows together at most 8, so that a burst does not overload the store.
 ///
 /// A write whose reply was lost is sent again with the same expected version. The conflict that it
 /// meets when it took effect returns the present value, which is compared with what was sent.
--- a/libs/scheduling/tests/fakeworker.cpp
+++ b/libs/scheduling/tests/fakeworker.cpp
@@ -38,8 +38,10 @@
     for (const auto &[attempt, task] : m_tasks) {
         if (!live(task) && task.endedAt + std::chrono::seconds(60) < now)
             continue;
+        Resources used = task.launch.declared;
+        used.cpuMillis = used.cpuMillis * usedPercent / 100;
         result.tasks.push_back({ attempt, task.launch.job, task.launch.index, task.state,
-                                 task.launch.declared, task.launch.declared });
+                                 task.launch.declared, used });
     }
     return result;
 }
--- a/libs/scheduling/tests/jobs.h
+++ b/libs/scheduling/tests/jobs.h
@@ -63,7 +63,7 @@
 
 [[nodiscard]] inline json statusOf(World &world, const JobId &id)
 {
-    return json::parse(world.ask(1, "status", idBody(id)).body);
+    return json::parse(world.ask(world.daemons() - 1, "status", idBody(id)).body);
 }
 
 } // namespace cowsliprock::test
--- a/libs/scheduling/tests/world.h
+++ b/libs/scheduling/tests/world.h
@@ -43,6 +43,7 @@
 
     /// Runs until the model time has advanced; checks the guarantees all the time.
     void run(Duration time);
+    [[nodiscard]] int daemons() const noexcept { return m_options.daemons; }
     void setConfiguration(Configuration configuration);
     [[nodiscard]] FakeWorker &worker(int number) { return m_workers.at(workerName(number)); }
     [[nodiscard]] static WorkerName workerName(int number);
@@ -79,6 +80,7 @@
 
     /// Effects by name, and counters by metric, of all daemons since the start.
     [[nodiscard]] std::uint64_t effects(const std::string &name) const;
+    [[nodiscard]] std::uint64_t allEffects() const; ///< But for counters and histograms.
     [[nodiscard]] std::uint64_t counter(const std::string &metric) const;
     [[nodiscard]] const std::vector<std::string> &violations() const noexcept
     {
--- a/libs/scheduling/tests/worldeffects.cpp
+++ b/libs/scheduling/tests/worldeffects.cpp
@@ -222,6 +222,14 @@
     return iterator == m_effects.end() ? 0 : iterator->second;
 }
 
+std::uint64_t World::allEffects() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[name, count] : m_effects)
+        sum += name == effect::Count::name || name == effect::Observe::name ? 0 : count;
+    return sum;
+}
+
 std::uint64_t World::counter(const std::string &metric) const
 {
     const auto iterator = m_counters.find(metric);
