--- a/libs/scheduling/src/job.h
+++ b/libs/scheduling/src/job.h
@@ -42,6 +42,7 @@
     TaskPhase phase = TaskPhase::Queued;
     AttemptId attempt;
     WorkerName worker;
+    TimePoint workerKnownAt;        ///< When the worker was named by its owner.
     DaemonName owner;               ///< Daemon that was asked, or that holds the reservation.
     std::vector<DaemonName> owners; ///< Left to ask in this round.
     bool preempting = false;
@@ -66,8 +67,11 @@
     TimePoint giveUpAt;
     std::uint32_t starts = 0;
     bool failed = false; ///< A member failed, which counts as an attempt.
+    bool asking = false; ///< Members are being asked to stop.
 };
 
+class JobQueue;
+
 struct Job
 {
     AcceptedJob accepted;
@@ -84,7 +88,8 @@
     std::set<std::uint32_t> pending; ///< Indices of queued tasks.
     std::uint32_t finalTasks = 0;
     std::uint32_t failedTasks = 0;
-    bool queued = false; ///< In the queue.
+    JobQueue *queue = nullptr; ///< The queue that the job is in.
+    bool waitsForCapacity = false;
     bool startedOnce = false;
     bool endedLate = false;
     Gang gang;
