--- a/libs/ownership/tests/cluster.cpp
+++ b/libs/ownership/tests/cluster.cpp
@@ -55,15 +55,20 @@
     }
 }
 
+Location Cluster::location(std::size_t index) const
+{
+    return { "region", "centre" + std::to_string(index % m_options.dataCentres), "rack" };
+}
+
 KernelSettings Cluster::settings(std::size_t index) const
 {
     KernelSettings result;
     result.self = m_daemons[index].identity;
-    result.location = { "region", "centre", "rack" };
+    result.location = location(index);
     result.partitionsPerDataCentre = m_options.partitions;
     for (std::size_t peer = 0; peer < m_daemons.size(); ++peer) {
         if (peer != index)
-            result.peers.push_back({ m_daemons[peer].identity.name, result.location, {} });
+            result.peers.push_back({ m_daemons[peer].identity.name, location(peer), {} });
     }
     if (m_options.change)
         m_options.change(result);
--- a/libs/ownership/tests/cluster.h
+++ b/libs/ownership/tests/cluster.h
@@ -40,7 +40,8 @@
     {
         std::uint64_t seed = 1;
         std::size_t daemons = 3;
-        std::uint32_t partitions = 6;
+        std::size_t dataCentres = 1;
+        std::uint32_t partitions = 6; ///< Of each data centre.
         Duration tick{ std::chrono::milliseconds(100) };
         bool skewClocks = false;
         bool trace = false;
@@ -141,6 +142,7 @@
     [[nodiscard]] TimePoint localTime(const Daemon &daemon) const;
     [[nodiscard]] TimePoint trueTime(const Daemon &daemon, TimePoint local) const;
     [[nodiscard]] KernelSettings settings(std::size_t index) const;
+    [[nodiscard]] Location location(std::size_t index) const;
     [[nodiscard]] Duration randomDelay(Duration max);
     [[nodiscard]] bool chance(double share);
 
--- a/libs/ownership/tests/exploration_test.cpp
+++ b/libs/ownership/tests/exploration_test.cpp
@@ -50,7 +50,8 @@
         result.seed = seed;
         result.trace = trace;
         result.daemons = 2 + seed % 4;
-        result.partitions = partitionCount;
+        result.dataCentres = 1 + seed % 2;
+        result.partitions = partitionCount / static_cast<std::uint32_t>(result.dataCentres);
         result.skewClocks = true;
         result.change = [seed](KernelSettings &settings) {
             settings.drainLimit = 10s;
--- a/libs/ownership/tests/ownership_test.cpp
+++ b/libs/ownership/tests/ownership_test.cpp
@@ -276,6 +276,37 @@
     BOOST_TEST(bytes <= 500U);
 }
 
+// Guards against a successor that waived or began a take-over and then promises again for the same
+// record, and against one that refuses for ever.
+BOOST_AUTO_TEST_CASE(waiverHoldsUntilANewerRecord)
+{
+    KernelSettings settings;
+    settings.self = { DaemonName("d9"), 1 };
+    Kernel kernel(settings, { "ownership" });
+    const DaemonIdentity owner{ DaemonName("d0"), 1 };
+    const DaemonIdentity other{ DaemonName("d1"), 1 };
+    const auto ask = [&kernel](const DaemonIdentity &from, const Message &message, TimePoint now) {
+        const auto effects = kernel.handle(event::PeerMessage{ from, message }, now);
+        return std::get<effect::SendPeer>(effects.back()).message;
+    };
+    const auto promises = [&](std::uint64_t version, TimePoint now) {
+        return std::get<message::PromiseReply>(
+                   ask(owner, message::PromiseRequest{ 1, version }, now))
+            .granted;
+    };
+    const auto waives = [&](std::uint64_t version, TimePoint now) {
+        return std::get<message::WaiverReply>(
+                   ask(other, message::WaiverRequest{ owner, version }, now))
+            .waived;
+    };
+    const TimePoint start(1000s);
+    BOOST_TEST(promises(7, start));
+    BOOST_TEST(!waives(7, start + 5s));
+    BOOST_TEST(waives(7, start + 7s));
+    BOOST_TEST(!promises(7, start + 8s));
+    BOOST_TEST(promises(8, start + 9s));
+}
+
 // Guards against an answer to operators that lacks a documented member.
 BOOST_AUTO_TEST_CASE(operatorsSeeTheDaemons)
 {
