--- a/libs/ownership/src/journal.cpp
+++ b/libs/ownership/src/journal.cpp
@@ -11,7 +11,7 @@
 
 constexpr Duration unsentTimeLimit = std::chrono::seconds(2);
 // Keeps the daemon record far below the store's limit of 1 MB for a value.
-constexpr std::size_t maxBytesPerWrite = 256 * 1024;
+constexpr std::size_t maxBytesPerWrite = 262'144;
 
 } // namespace
 
--- a/libs/ownership/src/lease.cpp
+++ b/libs/ownership/src/lease.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Larger heads make every renewal larger; smaller ones make more segments.
-constexpr std::size_t maxHeadBytes = 16 * 1024;
+constexpr std::size_t maxHeadBytes = 16'384;
 // A single lost reply delays the journal only a little; an outage is probed once a second.
 constexpr Duration firstRetryInterval = std::chrono::milliseconds(200);
 constexpr Duration retryInterval = std::chrono::seconds(1);
--- a/libs/ownership/src/partitions.cpp
+++ b/libs/ownership/src/partitions.cpp
@@ -160,44 +160,52 @@
     if (m_leaving)
         return;
 
+    readJournals(partition, entry, context);
+}
+
+void Partitions::readJournals(const PartitionId &partition, const PartitionEntry &entry,
+                              EventContext &context)
+{
     struct Progress
     {
         std::size_t missing = 0;
-        std::vector<JournalReader::Entries> journals;
-    };
-    const auto finish = [this, partition, self = m_shared.self,
-                         epoch = entry.epoch](const Progress &progress, EventContext &inner) {
-        const auto found = m_holdings.find(partition);
-        if (self != m_shared.self || found == m_holdings.end() || found->second.epoch != epoch
-            || found->second.state != State::Acquiring)
-            return;
-        found->second.state = State::Held;
-        event::PartitionAcquired acquired{ partition, epoch, found->second.usableFrom, {} };
-        for (const auto &journal : progress.journals) {
-            std::copy_if(
-                journal.begin(), journal.end(), std::back_inserter(acquired.inherited),
-                [&partition](const JournalEntry &item) { return item.partition == partition; });
-        }
-        inner.output.raise(std::move(acquired));
+        std::vector<JournalReader::Entries> journals; ///< In the order of the owners.
     };
+    if (entry.earlier.empty())
+        return finish(partition, m_shared.self, entry.epoch, {}, context);
     // Shared by the reads of all journals, the last of which finishes.
     const auto progress = std::make_shared<Progress>();
     progress->missing = entry.earlier.size();
     progress->journals.resize(entry.earlier.size());
-    if (entry.earlier.empty())
-        return finish(*progress, context);
     for (std::size_t index = 0; index < entry.earlier.size(); ++index) {
-        m_journals.read(
-            entry.earlier[index].identity,
-            [progress, index, finish](const JournalReader::Entries &entries, EventContext &inner) {
-                progress->journals[index] = entries;
-                if (--progress->missing == 0)
-                    finish(*progress, inner);
-            },
-            context);
+        const auto handler = [this, progress, index, partition, self = m_shared.self,
+                              epoch = entry.epoch](const JournalReader::Entries &entries,
+                                                   EventContext &inner) {
+            std::copy_if(entries.begin(), entries.end(),
+                         std::back_inserter(progress->journals[index]),
+                         [&partition](const auto &item) { return item.partition == partition; });
+            if (--progress->missing == 0)
+                finish(partition, self, epoch, progress->journals, inner);
+        };
+        m_journals.read(entry.earlier[index].identity, handler, context);
     }
 }
 
+void Partitions::finish(const PartitionId &partition, const DaemonIdentity &self,
+                        std::uint64_t epoch, const std::vector<JournalReader::Entries> &journals,
+                        EventContext &context)
+{
+    const auto found = m_holdings.find(partition);
+    if (self != m_shared.self || found == m_holdings.end() || found->second.epoch != epoch
+        || found->second.state != State::Acquiring)
+        return;
+    found->second.state = State::Held;
+    event::PartitionAcquired acquired{ partition, epoch, found->second.usableFrom, {} };
+    for (const auto &journal : journals)
+        acquired.inherited.insert(acquired.inherited.end(), journal.begin(), journal.end());
+    context.output.raise(std::move(acquired));
+}
+
 void Partitions::loseAll(EventContext &context)
 {
     for (const auto &[partition, holding] : m_holdings) {
--- a/libs/ownership/src/partitions.h
+++ b/libs/ownership/src/partitions.h
@@ -141,6 +141,10 @@
     // Records
     void reconcile(const Cell &cell, EventContext &context);
     void acquire(const PartitionId &partition, const PartitionEntry &entry, EventContext &context);
+    void readJournals(const PartitionId &partition, const PartitionEntry &entry,
+                      EventContext &context);
+    void finish(const PartitionId &partition, const DaemonIdentity &self, std::uint64_t epoch,
+                const std::vector<JournalReader::Entries> &journals, EventContext &context);
     void raiseOwners(EventContext &context);
 
     const Shared &m_shared;
--- a/libs/ownership/tests/ownership_test.cpp
+++ b/libs/ownership/tests/ownership_test.cpp
@@ -259,6 +259,31 @@
     BOOST_TEST(cluster.usableCount() == 6U);
 }
 
+// Guards against an owner that forgets the successors of a write whose reply was lost.
+BOOST_AUTO_TEST_CASE(successorsOfAnUnknownWriteCount)
+{
+    startFour();
+    const auto indexOf = [](const DaemonIdentity &identity) {
+        return static_cast<std::size_t>(std::stoul(identity.name.value().substr(1)));
+    };
+    const auto before = recordOf(0).successors;
+    BOOST_REQUIRE(before.size() == 2U);
+    const std::size_t added = 6 - indexOf(before[0]) - indexOf(before[1]);
+    // A draining successor is replaced, but it still answers.
+    cluster.drain(indexOf(before[1]), false);
+    cluster.daemon(0).faults.loseReplies = 1;
+    cluster.run(4s);
+    const auto after = recordOf(0).successors;
+    BOOST_REQUIRE(after.size() == 2U);
+    BOOST_TEST((indexOf(after[0]) == added || indexOf(after[1]) == added));
+    // The new successor reaches the store, but not the owner.
+    cluster.daemon(0).faults.storeDown = true;
+    cluster.daemon(added).networkGroup = 1;
+    cluster.run(10s);
+    BOOST_TEST(cluster.usable(0).empty());
+    cluster.run(15s);
+}
+
 // Guards against heartbeats that outgrow the control traffic of a daemon.
 BOOST_AUTO_TEST_CASE(heartbeatIsSmall)
 {
