Correct the timing in successorsOfAnUnknownWriteCount

The lost reply hit a renewal that still named the old successors, so the test failed in its own preparation. It now waits for a renewal first.

--- a/libs/ownership/tests/ownership_test.cpp
+++ b/libs/ownership/tests/ownership_test.cpp
@@ -269,10 +269,13 @@
     const auto before = recordOf(0).successors;
     BOOST_REQUIRE(before.size() == 2U);
     const std::size_t added = 6 - indexOf(before[0]) - indexOf(before[1]);
-    // A draining successor is replaced, but it still answers.
+    for (const auto writes = callsOf(0, "put"); callsOf(0, "put") == writes;)
+        cluster.run(100ms);
+    // A draining successor is replaced by the next renewal, but it still answers.
     cluster.drain(indexOf(before[1]), false);
+    cluster.run(1500ms);
     cluster.daemon(0).faults.loseReplies = 1;
-    cluster.run(4s);
+    cluster.run(1s);
     const auto after = recordOf(0).successors;
     BOOST_REQUIRE(after.size() == 2U);
     BOOST_TEST((indexOf(after[0]) == added || indexOf(after[1]) == added));
