--- a/libs/ownership/src/partitions.cpp
+++ b/libs/ownership/src/partitions.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration ageStep = std::chrono::hours(1);
+// Claims and releases follow from records that are read every few seconds.
+constexpr Duration checkInterval = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -39,8 +41,10 @@
     const bool writing = std::any_of(m_cells.begin(), m_cells.end(),
                                      [](const auto &item) { return item.second.writing; });
     // While the result of a write is unknown, the number of owned partitions is, too.
-    if (writing || !areAllKnown() || !conditions.mayWrite)
+    if (writing || !areAllKnown() || !conditions.mayWrite
+        || context.now - m_checkedAt < checkInterval)
         return;
+    m_checkedAt = context.now;
     noteFree(context.now);
     std::set<PartitionId> chosen;
     if (!m_leaving) {
--- a/libs/ownership/src/partitions.h
+++ b/libs/ownership/src/partitions.h
@@ -153,6 +153,7 @@
     const Peers &m_peers;
     JournalReader m_journals;
     TimePoint m_startedAt;
+    TimePoint m_checkedAt;
     std::map<std::string, Cell> m_cells;
     std::map<PartitionId, Holding> m_holdings;
     std::map<PartitionId, Claim> m_claims;
