--- a/libs/ownership/src/partitions.h
+++ b/libs/ownership/src/partitions.h
@@ -144,6 +144,10 @@
     // Records
     void reconcile(const Cell &cell, EventContext &context);
     void acquire(const PartitionId &partition, const PartitionEntry &entry, EventContext &context);
+    void readJournals(const PartitionId &partition, const PartitionEntry &entry,
+                      EventContext &context);
+    void finish(const PartitionId &partition, const DaemonIdentity &self, std::uint64_t epoch,
+                const std::vector<JournalReader::Entries> &journals, EventContext &context);
 
     const Shared &m_shared;
     StoreCalls &m_calls;
@@ -151,6 +155,7 @@
     const Peers &m_peers;
     JournalReader m_journals;
     TimePoint m_startedAt;
+    TimePoint m_checkedAt;
     std::map<std::string, Cell> m_cells;
     std::map<PartitionId, Holding> m_holdings;
     std::map<PartitionId, Claim> m_claims;
--- a/libs/ownership/tests/ownership_test.cpp
+++ b/libs/ownership/tests/ownership_test.cpp
@@ -259,6 +259,34 @@
     BOOST_TEST(cluster.usableCount() == 6U);
 }
 
+// Guards against an owner that forgets the successors of a write whose reply was lost.
+BOOST_AUTO_TEST_CASE(successorsOfAnUnknownWriteCount)
+{
+    startFour();
+    const auto indexOf = [](const DaemonIdentity &identity) {
+        return static_cast<std::size_t>(std::stoul(identity.name.value().substr(1)));
+    };
+    const auto before = recordOf(0).successors;
+    BOOST_REQUIRE(before.size() == 2U);
+    const std::size_t added = 6 - indexOf(before[0]) - indexOf(before[1]);
+    for (const auto writes = callsOf(0, "put"); callsOf(0, "put") == writes;)
+        cluster.run(100ms);
+    // A draining successor is replaced by the next renewal, but it still answers.
+    cluster.drain(indexOf(before[1]), false);
+    cluster.run(1500ms);
+    cluster.daemon(0).faults.loseReplies = 1;
+    cluster.run(1s);
+    const auto after = recordOf(0).successors;
+    BOOST_REQUIRE(after.size() == 2U);
+    BOOST_TEST((indexOf(after[0]) == added || indexOf(after[1]) == added));
+    // The new successor reaches the store, but not the owner.
+    cluster.daemon(0).faults.storeDown = true;
+    cluster.daemon(added).networkGroup = 1;
+    cluster.run(10s);
+    BOOST_TEST(cluster.usable(0).empty());
+    cluster.run(15s);
+}
+
 // Guards against heartbeats that outgrow the control traffic of a daemon.
 BOOST_AUTO_TEST_CASE(heartbeatIsSmall)
 {
@@ -276,6 +304,37 @@
     BOOST_TEST(bytes <= 500U);
 }
 
+// Guards against a successor that waived or began a take-over and then promises again for the same
+// record, and against one that refuses for ever.
+BOOST_AUTO_TEST_CASE(waiverHoldsUntilANewerRecord)
+{
+    KernelSettings settings;
+    settings.self = { DaemonName("d9"), 1 };
+    Kernel kernel(settings, { "ownership" });
+    const DaemonIdentity owner{ DaemonName("d0"), 1 };
+    const DaemonIdentity other{ DaemonName("d1"), 1 };
+    const auto ask = [&kernel](const DaemonIdentity &from, const Message &message, TimePoint now) {
+        const auto effects = kernel.handle(event::PeerMessage{ from, message }, now);
+        return std::get<effect::SendPeer>(effects.back()).message;
+    };
+    const auto promises = [&](std::uint64_t version, TimePoint now) {
+        return std::get<message::PromiseReply>(
+                   ask(owner, message::PromiseRequest{ 1, version }, now))
+            .granted;
+    };
+    const auto waives = [&](std::uint64_t version, TimePoint now) {
+        return std::get<message::WaiverReply>(
+                   ask(other, message::WaiverRequest{ owner, version }, now))
+            .waived;
+    };
+    const TimePoint start(1000s);
+    BOOST_TEST(promises(7, start));
+    BOOST_TEST(!waives(7, start + 5s));
+    BOOST_TEST(waives(7, start + 7s));
+    BOOST_TEST(!promises(7, start + 8s));
+    BOOST_TEST(promises(8, start + 9s));
+}
+
 // Guards against an answer to operators that lacks a documented member.
 BOOST_AUTO_TEST_CASE(operatorsSeeTheDaemons)
 {
--- a/libs/runtime/src/bodystore.cpp
+++ b/libs/runtime/src/bodystore.cpp
@@ -16,7 +16,7 @@
     const std::lock_guard lock(m_mutex);
     if (const auto found = m_bodies.find(key); found != m_bodies.end())
         return found->second;
-    return std::make_shared<const Body>();
+    return nullptr;
 }
 
 void BodyStore::forget(const BodyKey &key)
--- a/libs/runtime/src/bodystore.h
+++ b/libs/runtime/src/bodystore.h
@@ -18,7 +18,7 @@
 public:
     void put(const BodyKey &key, Body body);
 
-    /// An unknown key gives an empty body.
+    /// Null for an unknown key.
     [[nodiscard]] BodyPointer find(const BodyKey &key) const;
 
     void forget(const BodyKey &key);
--- a/libs/runtime/src/effectrouter.cpp
+++ b/libs/runtime/src/effectrouter.cpp
@@ -21,6 +21,15 @@
     }
 };
 
+event::EndpointReply notSent(const AttemptId &attempt, std::string detail)
+{
+    event::EndpointReply reply;
+    reply.attempt = attempt;
+    reply.outcome = event::EndpointOutcome::NotSent;
+    reply.detail = std::move(detail);
+    return reply;
+}
+
 } // namespace
 
 std::optional<Event> EffectRouter::perform(Effect &effect)
@@ -43,7 +52,13 @@
 
 std::optional<Event> EffectRouter::perform(effect::SendPeer &send)
 {
-    auto body = m_bodies.find(std::visit(BodyKeyOf{}, send.message));
+    const BodyKey key = std::visit(BodyKeyOf{}, send.message);
+    auto body = key.empty() ? std::make_shared<const Body>() : m_bodies.find(key);
+    // A message without its body would pass an empty request or answer off as the whole one.
+    if (!body) {
+        m_metrics.count("bodies.missing");
+        return std::nullopt;
+    }
     if (!m_duties.peers->send({ send.to, { m_self, std::move(send.message) }, std::move(body) }))
         m_metrics.count("peer.ringFull");
     return std::nullopt;
@@ -65,14 +80,14 @@
 {
     const AttemptId attempt = call.attempt;
     auto body = m_bodies.find(call.body);
+    if (!body) {
+        m_metrics.count("bodies.missing");
+        return notSent(attempt, "body missing");
+    }
     if (m_duties.endpoints->tryAdd({ std::move(call), std::move(body) }))
         return std::nullopt;
     m_metrics.count("endpoints.ringFull");
-    event::EndpointReply reply;
-    reply.attempt = attempt;
-    reply.outcome = event::EndpointOutcome::NotSent;
-    reply.detail = "ring full";
-    return reply;
+    return notSent(attempt, "ring full");
 }
 
 std::optional<Event> EffectRouter::perform(effect::ForgetBody &forget)
--- a/libs/runtime/src/httpservice.cpp
+++ b/libs/runtime/src/httpservice.cpp
@@ -2,6 +2,8 @@
 
 #include "callerrequest.h"
 
+#include <configuration/consolepage.h>
+
 #include <nlohmann/json.hpp>
 
 namespace cowsliprock {
@@ -70,7 +72,15 @@
 
 void HttpService::answer(const effect::AnswerCaller &answer)
 {
-    CallerAnswer result{ answer.answer, m_bodies.find(answer.answer.body) };
+    CallerAnswer result{ answer.answer, nullptr };
+    if (answer.answer.kind == AnswerKind::Whole) {
+        result.body = m_bodies.find(answer.answer.body);
+        if (!result.body) {
+            m_metrics.count("bodies.missing");
+            result.answer.kind = AnswerKind::Unknown;
+            result.answer.reason = "the answer was not kept";
+        }
+    }
     if (!m_callers.complete(answer.request, std::move(result)))
         m_metrics.count("http.answersWithoutCaller");
 }
@@ -110,6 +120,9 @@
             document[stage] = json::parse(snapshot, nullptr, false);
         response.set_content(document.dump(), "application/json");
     });
+    http.Get("/console", [](const httplib::Request &, httplib::Response &response) {
+        response.set_content(std::string(consolePage()), "text/html; charset=utf-8");
+    });
 }
 
 void HttpService::addOperatorRoutes()
--- a/libs/runtime/tests/runtime_test.cpp
+++ b/libs/runtime/tests/runtime_test.cpp
@@ -76,10 +76,21 @@
     EffectRouter router({ DaemonName("noord-1"), 1 }, bodies, metrics, clock);
     router.connect({ &store, &store, &workers, &endpoints, nullptr, nullptr });
 
+    effect::CallEndpoint withoutBody;
+    withoutBody.body = BodyKey("unknown");
+    Effect missing = withoutBody;
+    // A request whose body is gone must not reach the endpoint with an empty one.
+    const auto refusal = router.perform(missing);
+    BOOST_REQUIRE(refusal.has_value());
+    BOOST_TEST(
+        (std::get<event::EndpointReply>(*refusal).outcome == event::EndpointOutcome::NotSent));
+
+    bodies.put(BodyKey("r-1"), { "text/plain", "hello" });
     std::vector<Event> refused;
     for (int index = 0; index < 4; ++index) {
         effect::CallEndpoint call;
         call.attempt = AttemptId("a" + std::to_string(index));
+        call.body = BodyKey("r-1");
         Effect effect = call;
         if (auto event = router.perform(effect))
             refused.push_back(std::move(*event));
