Apply the service's priority to requests without one

Cause: X-Priority defaulted to normal, so desk checks of an urgent service waited behind others. Before/after: the entry side now fills in the priority of the service. Conclusion: hasPriority tells a caller's choice from the default.

--- a/libs/kernel/include/kernel/model.h
+++ b/libs/kernel/include/kernel/model.h
@@ -55,6 +55,7 @@
     std::string idempotencyKey; ///< Empty if the caller gave none.
     bool idempotent = false;
     Priority priority = Priority::Normal;
+    bool hasPriority = false; ///< False: the priority of the service applies.
     Duration timeLeft{ 0 };   ///< Until the caller's deadline, at the moment of the message.
     std::uint64_t digest = 0; ///< Of service, path and body; tells a reused key from a retry.
     std::uint32_t bodyBytes = 0;
--- a/libs/kernel/src/jsonmodel.h
+++ b/libs/kernel/src/jsonmodel.h
@@ -100,7 +100,7 @@
                                    activeRequests, leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskReport, attempt, job, index, state, declared, used)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestProfile, caller, service, idempotencyKey, idempotent,
-                                   priority, timeLeft, digest, bodyBytes, path, method)
+                                   priority, hasPriority, timeLeft, digest, bodyBytes, path, method)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestAnswer, kind, httpStatus, body, reason, retryAfter,
                                    served)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JournalEntry, kind, partition, identity, attempt, digest, worker)
--- a/libs/requests/src/entry.cpp
+++ b/libs/requests/src/entry.cpp
@@ -49,6 +49,8 @@
     request.body = arrived.bodyKey;
     request.arrived = m_context.now;
     const ServiceDefinition *service = m_context.service(arrived.profile.service);
+    if (!request.profile.hasPriority && service != nullptr)
+        request.profile.priority = service->priority;
     if (request.profile.timeLeft <= Duration(0) && service != nullptr)
         request.profile.timeLeft = service->defaultDeadline;
     request.profile.timeLeft = std::min(request.profile.timeLeft, longestDeadline);
--- a/libs/runtime/src/callerrequest.cpp
+++ b/libs/runtime/src/callerrequest.cpp
@@ -91,6 +91,7 @@
     profile.timeLeft = timeLeft;
     BOOST_OUTCOME_TRY(priority, readPriority(request));
     profile.priority = priority;
+    profile.hasPriority = request.has_header("X-Priority");
     profile.bodyBytes = static_cast<std::uint32_t>(request.body.size());
     profile.digest = stableHash(profile.method + "\n" + profile.path + "\n" + request.body);
     return profile;
