--- a/libs/platform/include/platform/storeclient.h
+++ b/libs/platform/include/platform/storeclient.h
@@ -38,6 +38,10 @@
     /// empty value. sentAt is read before the first byte is written. Nothing is sent twice.
     [[nodiscard]] event::StoreReply execute(const effect::StoreCall &call);
 
+    /// Ends the calls in progress, and every later one, as Unavailable. Without it, a waiting watch
+    /// delays the end of its thread by up to watchTime.
+    void cancel() noexcept;
+
 private:
     class Private;
     std::unique_ptr<Private> m_private;
--- a/libs/platform/src/guardedstream.cpp
+++ b/libs/platform/src/guardedstream.cpp
@@ -16,17 +16,21 @@
 
 constexpr std::size_t bufferBytes = 8192;
 
-/// Waits until one of \p events holds. Returns the events that hold, 0 at the deadline.
-[[nodiscard]] short waitFor(int socket, short events,
+/// Waits until one of \p events holds. Returns the events that hold, 0 at the deadline or once
+/// \p cancelDescriptor is readable.
+[[nodiscard]] short waitFor(int socket, short events, int cancelDescriptor,
                             std::chrono::steady_clock::time_point deadline) noexcept
 {
     for (;;) {
         const auto left = std::chrono::ceil<std::chrono::milliseconds>(
             deadline - std::chrono::steady_clock::now());
-        pollfd descriptor{ socket, events, 0 };
-        const int ready = ::poll(&descriptor, 1, std::max<int>(0, static_cast<int>(left.count())));
+        // A negative descriptor is ignored by poll.
+        std::array<pollfd, 2> descriptors{ { { socket, events, 0 },
+                                             { cancelDescriptor, POLLIN, 0 } } };
+        const int ready = ::poll(descriptors.data(), descriptors.size(),
+                                 std::max<int>(0, static_cast<int>(left.count())));
         if (ready > 0)
-            return descriptor.revents;
+            return descriptors[1].revents != 0 ? short{ 0 } : descriptors[0].revents;
         if (ready == 0 || errno != EINTR)
             return 0;
     }
@@ -58,7 +62,8 @@
 
 bool GuardedStream::is_readable() const
 {
-    return m_begin < m_end || waitFor(m_socket, POLLIN, m_limits.deadline) != 0;
+    return m_begin < m_end
+        || waitFor(m_socket, POLLIN, m_limits.cancelDescriptor, m_limits.deadline) != 0;
 }
 
 bool GuardedStream::is_writable() const
@@ -68,7 +73,7 @@
         limit = std::min(limit,
                          std::chrono::steady_clock::now() + (m_limits.validUntil - m_clock.now()));
     }
-    const short ready = waitFor(m_socket, POLLOUT | POLLIN, limit);
+    const short ready = waitFor(m_socket, POLLOUT | POLLIN, m_limits.cancelDescriptor, limit);
     if ((ready & (POLLIN | POLLHUP | POLLERR)) != 0)
         return hasAnswer();
     return (ready & POLLOUT) != 0;
@@ -100,7 +105,7 @@
     if (m_bytesRead >= m_limits.maxAnswerBytes)
         return false;
     for (;;) {
-        if (waitFor(m_socket, POLLIN, m_limits.deadline) == 0)
+        if (waitFor(m_socket, POLLIN, m_limits.cancelDescriptor, m_limits.deadline) == 0)
             return false;
         const ssize_t count = ::recv(m_socket, m_buffer.data(), m_buffer.size(), MSG_DONTWAIT);
         if (count > 0) {
--- a/libs/platform/src/guardedstream.h
+++ b/libs/platform/src/guardedstream.h
@@ -17,6 +17,7 @@
     std::chrono::steady_clock::time_point deadline; ///< For the whole exchange.
     TimePoint validUntil = TimePoint::max();        ///< No byte is written from then on.
     std::size_t maxAnswerBytes = std::size_t{ 64 } << 20U;
+    int cancelDescriptor = -1; ///< The exchange ends once this descriptor is readable.
 };
 
 /// Byte stream of one HTTP exchange on a connected socket. It does not own the socket.
--- a/libs/platform/src/storeclient.cpp
+++ b/libs/platform/src/storeclient.cpp
@@ -4,6 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <sys/eventfd.h>
+#include <unistd.h>
+
 namespace cowsliprock {
 
 namespace {
@@ -91,6 +94,12 @@
         , m_pool({ m_settings.connectTimeout, true, false }, maxIdle)
     { }
 
+    ~Private() { ::close(m_cancelDescriptor); }
+    Private(const Private &) = delete;
+    Private &operator=(const Private &) = delete;
+
+    void cancel() noexcept { static_cast<void>(::eventfd_write(m_cancelDescriptor, 1)); }
+
     [[nodiscard]] event::StoreReply execute(const effect::StoreCall &call)
     {
         event::StoreReply reply;
@@ -125,6 +134,7 @@
                                    write ? &body : nullptr };
         ExchangeLimits limits;
         limits.deadline = std::chrono::steady_clock::now() + m_settings.callTimeout;
+        limits.cancelDescriptor = m_cancelDescriptor;
         if (call.operation == Operation::Watch)
             limits.deadline += m_settings.watchTime;
         return m_pool.exchange(m_settings.address, request, m_clock, limits);
@@ -133,6 +143,7 @@
     StoreClientSettings m_settings;
     const Clock &m_clock;
     ConnectionPool m_pool;
+    int m_cancelDescriptor = ::eventfd(0, EFD_CLOEXEC);
 };
 
 StoreClient::StoreClient(StoreClientSettings settings, const Clock &clock)
@@ -141,6 +152,11 @@
 
 StoreClient::~StoreClient() = default;
 
+void StoreClient::cancel() noexcept
+{
+    m_private->cancel();
+}
+
 event::StoreReply StoreClient::execute(const effect::StoreCall &call)
 {
     return m_private->execute(call);
--- a/standins/platform/tests/storeclient_test.cpp
+++ b/standins/platform/tests/storeclient_test.cpp
@@ -109,6 +109,21 @@
     BOOST_TEST(changed.get().value == "new");
 }
 
+// Guards against a watch that delays the end of its process until its time limit.
+BOOST_FIXTURE_TEST_CASE(cancelEndsAWaitingWatch, PlatformFixture)
+{
+    StoreClientSettings patient = settings("client");
+    patient.watchTime = 20s;
+    StoreClient watcher(patient, clock);
+    auto waiting = std::async(std::launch::async, [&] {
+        return watcher.execute({ CallId("w"), Operation::Watch, "k", 0, {} });
+    });
+    BOOST_TEST((waiting.wait_for(50ms) == std::future_status::timeout));
+    watcher.cancel();
+    BOOST_TEST((waiting.wait_for(5s) == std::future_status::ready));
+    BOOST_TEST((waiting.get().status == StoreStatus::Unavailable));
+}
+
 // Guards against an outage for one client that stops another, or that covers a waiting watch not at
 // all.
 BOOST_FIXTURE_TEST_CASE(outageIsUnavailableForThoseNamed, PlatformFixture)
--- a/tests/process/steps.py
+++ b/tests/process/steps.py
@@ -114,6 +114,10 @@
 def desk_checks(cell):
     answers = []
     addresses = list(cell.running_daemons().values())
+    for number, address in enumerate(addresses):
+        # A daemon hears of the endpoints of another region within 15 s.
+        wait_until(20, f"a first answer by {address}", lambda a=address, n=number: send(
+            a, f"first-{n}-{time.monotonic()}", True).outcome == "whole")
     threads = [threading.Thread(target=lambda n=n: answers.append(
         send(addresses[n % len(addresses)], f"desk-{n}", n % 2 == 0))) for n in range(90)]
     for thread in threads:
