Cut workers off in the exploration and prove the exclusive attempt rules

Workers that run on while no call reaches them, and a focused test that cuts workers off and takes over the home, make both visible.

--- a/libs/kernel/include/kernel/model.h
+++ b/libs/kernel/include/kernel/model.h
@@ -92,7 +92,7 @@
     std::map<std::string, std::uint32_t> freeSlots; ///< By service.
     std::map<std::string, std::uint32_t> waiting;   ///< Queued requests by service.
     Resources freeResources;                        ///< Sum over the workers it owns.
-    Resources largestFree; ///< Component-wise largest free amount on one worker.
+    Resources largestFree;              ///< Component-wise largest free amount on one worker.
     std::vector<Resources> workerTypes; ///< Capacities of its workers that fit in no other one.
 };
 
--- a/libs/scheduling/include/scheduling/placement.h
+++ b/libs/scheduling/include/scheduling/placement.h
@@ -54,7 +54,7 @@
 {
 public:
     static PolicyRegistry &instance();
-    void add(std::string name, PolicyFactory factory);
+    void add(std::string name, const PolicyFactory &factory);
 
     /// Null if no policy has this name.
     [[nodiscard]] const PlacementPolicy *find(const std::string &name) const;
@@ -67,9 +67,9 @@
 class PolicyRegistrar
 {
 public:
-    PolicyRegistrar(std::string name, PolicyFactory factory)
+    PolicyRegistrar(std::string name, const PolicyFactory &factory)
     {
-        PolicyRegistry::instance().add(std::move(name), std::move(factory));
+        PolicyRegistry::instance().add(std::move(name), factory);
     }
 };
 
--- a/libs/scheduling/src/ownerchoice.cpp
+++ b/libs/scheduling/src/ownerchoice.cpp
@@ -86,6 +86,7 @@
         insert(entry.name);
     std::sort(order.begin(), order.end());
     std::vector<DaemonName> result;
+    result.reserve(order.size());
     for (auto &[partition, name] : order)
         result.push_back(std::move(name));
     return result;
--- a/libs/scheduling/src/placementpolicies.cpp
+++ b/libs/scheduling/src/placementpolicies.cpp
@@ -169,7 +169,7 @@
     return registry;
 }
 
-void PolicyRegistry::add(std::string name, PolicyFactory factory)
+void PolicyRegistry::add(std::string name, const PolicyFactory &factory)
 {
     m_policies[std::move(name)] = factory();
 }
--- a/libs/scheduling/tests/exploration_test.cpp
+++ b/libs/scheduling/tests/exploration_test.cpp
@@ -86,6 +86,7 @@
             return;
         case 11:
             m_world.worker(1).refuses = pick(2) == 0;
+            m_world.worker(2 + pick(4)).cutOff = pick(3) == 0;
             return;
         default:
             return;
@@ -95,7 +96,7 @@
     void submit()
     {
         json changes{ { "taskCount", 1 + pick(4) },
-                      { "expectedRunTimeMs", 500 + pick(15'000) },
+                      { "expectedRunTimeMs", 500 + pick(pick(3) == 0 ? 60'000 : 15'000) },
                       { "policy", pick(2) == 0 ? "pack" : "spread" },
                       { "perTask",
                         { { "cpuMillis", 1'000 * (1 + pick(8)) }, { "memoryMb", 4'000 } } } };
@@ -162,6 +163,8 @@
         thaw();
         for (int number = 0; number < 7; ++number)
             m_world.worker(number).failureShare = 0;
+        for (int number = 0; number < 7; ++number)
+            m_world.worker(number).cutOff = false;
         m_world.run(150s);
         collect();
     }
--- a/libs/scheduling/tests/fakeworker.h
+++ b/libs/scheduling/tests/fakeworker.h
@@ -24,6 +24,7 @@
 
     Resources capacity{ 16'000, 65'536, 0 };
     bool refuses = false;
+    bool cutOff = false;     ///< Runs, but no call reaches it.
     int usedPercent = 100;   ///< Of the declared processors.
     double failureShare = 0; ///< Of tasks that end as failed; decided by their attempt's hash.
 
--- a/libs/scheduling/tests/scheduling_test.cpp
+++ b/libs/scheduling/tests/scheduling_test.cpp
@@ -64,6 +64,7 @@
     const std::string body = jobBody({ { "taskCount", 1 }, { "expectedRunTimeMs", 600'000 } });
     const auto submits = call("submit", std::vector<std::string>(jobs, body));
     std::vector<std::string> ids;
+    ids.reserve(submits.size());
     for (const auto &submit : submits)
         ids.push_back(idBody(submittedId(*world.answer(submit))));
     // The jobs that run come last, so that no cancellation lets another job start.
@@ -244,3 +245,32 @@
     world.run(30s);
     BOOST_TEST(statusOf(world, id).at("state") == "succeeded");
 }
+
+// Guards against a second attempt of an exclusive task while the first may still run: its worker is
+// cut off, so that no report tells of it, and its home is taken over. Then only the durable intent
+// keeps the new home from starting it again before the lease has ended.
+BOOST_AUTO_TEST_CASE(exclusiveTaskStartsAgainOnlyAfterProof)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        World world({ seed, 3, 9, 6 });
+        world.setConfiguration(testConfiguration());
+        world.run(2s);
+        const JobId id = submittedId(world.ask(0, "submit",
+                                               jobBody({ { "name", "exclusive" },
+                                                         { "exclusive", true },
+                                                         { "expectedRunTimeMs", 60'000 } })));
+        world.run(2s);
+        BOOST_TEST(world.liveTasks(id) == 4);
+        for (int number = 0; number < 9; ++number)
+            world.worker(number).cutOff = !world.worker(number).tasks().empty();
+        world.freeze(0);
+        world.run(60s);
+        BOOST_TEST(world.violations().empty(), "seed " << seed);
+        for (int number = 0; number < 9; ++number)
+            world.worker(number).cutOff = false;
+        world.thaw(0);
+        world.run(150s);
+        BOOST_TEST(statusOf(world, id).at("state") == "succeeded", "seed " << seed);
+        BOOST_TEST(world.violations().empty(), "seed " << seed);
+    }
+}
--- a/libs/scheduling/tests/worldeffects.cpp
+++ b/libs/scheduling/tests/worldeffects.cpp
@@ -108,7 +108,7 @@
     const event::WorkerUnreachable unreachable{ effect.worker };
     const auto call = [this, node, effect, unreachable](TimePoint sentAt, bool answered) {
         const auto worker = m_workers.find(effect.worker);
-        if (worker == m_workers.end())
+        if (worker == m_workers.end() || worker->second.cutOff)
             return reply(node, unreachable, 1s);
         auto report = worker->second.report(effect.renew, effect.lease, m_now);
         report.worker = effect.worker;
@@ -129,7 +129,7 @@
         violation(attempt.value() + " started from an expired reservation");
     const auto call = [this, node, effect, attempt](TimePoint, bool answered) {
         const auto worker = m_workers.find(effect.worker);
-        if (worker == m_workers.end())
+        if (worker == m_workers.end() || worker->second.cutOff)
             return reply(node, event::TaskStartResult{ attempt, message::StartOutcome::Unknown },
                          1s);
         const bool known = worker->second.tasks().contains(attempt);
@@ -152,7 +152,8 @@
     const auto call = [this, node, effect](TimePoint, bool answered) {
         const auto worker = m_workers.find(effect.worker);
         bool confirmed = false;
-        if (worker != m_workers.end() && effect.mode == effect::StopTask::Mode::Stop)
+        if (worker != m_workers.end() && !worker->second.cutOff
+            && effect.mode == effect::StopTask::Mode::Stop)
             confirmed = worker->second.stop(effect.attempt, m_now) && answered;
         reply(node, event::TaskStopResult{ effect.attempt, confirmed },
               answered ? between(200us, 3ms) : 1s);
@@ -197,7 +198,7 @@
 
 OperationId World::call(int daemon, const std::string &action, const std::string &body)
 {
-    const OperationId operation("operation-" + std::to_string(++m_nextOperation));
+    OperationId operation("operation-" + std::to_string(++m_nextOperation));
     deliver(static_cast<std::size_t>(daemon), event::OperatorCall{ operation, action, body });
     return operation;
 }
