--- a/libs/scheduling/tests/world.cpp
+++ b/libs/scheduling/tests/world.cpp
@@ -284,8 +284,8 @@
                               + daemonName(node) + " " + describeEffect(effect));
         perform(node, effect);
     }
-    for (const auto &event_ : events)
-        raised(node, event_);
+    for (const auto &raisedEvent : events)
+        raised(node, raisedEvent);
 }
 
 void World::raised(std::size_t node, const Event &event)
