--- a/standins/worker/src/worker.cpp
+++ b/standins/worker/src/worker.cpp
@@ -236,6 +236,7 @@
             report.activeRequests = active->second;
     }
     std::vector<EndpointReport> result;
+    result.reserve(byService.size());
     for (auto &[service, report] : byService)
         result.push_back(std::move(report));
     return result;
--- a/standins/worker/src/workerhandler.cpp
+++ b/standins/worker/src/workerhandler.cpp
@@ -89,7 +89,7 @@
 }
 
 /// Announces the whole body and closes after half of it.
-void cut(httplib::Response &response, std::string body)
+void cut(httplib::Response &response, const std::string &body)
 {
     response.status = 200;
     response.set_content_provider(body.size(), jsonType,
