--- a/libs/requests/tests/exploration_test.cpp
+++ b/libs/requests/tests/exploration_test.cpp
@@ -47,6 +47,7 @@
     RequestProfile profile;
     profile.caller = cluster.random(2) == 0 ? "home1" : "other";
     profile.priority = static_cast<Priority>(cluster.random(3));
+    profile.hasPriority = true;
     profile.idempotent = cluster.random(2) == 0;
     profile.timeLeft = Duration(static_cast<std::int64_t>(20'000 + cluster.random(3'000'000)));
     std::string content = "r" + std::to_string(number);
--- a/libs/requests/tests/flow_test.cpp
+++ b/libs/requests/tests/flow_test.cpp
@@ -79,6 +79,7 @@
     for (int index = 0; index < offered; ++index) {
         RequestProfile profile = profileOf(true);
         profile.priority = index % 10 == 0 ? Priority::Urgent : Priority::Normal;
+        profile.hasPriority = true;
         cluster.request(cluster.random(2), profile, "content " + std::to_string(index));
         cluster.run(Duration(1'000'000 / 120));
     }
--- a/libs/runtime/src/daemon.cpp
+++ b/libs/runtime/src/daemon.cpp
@@ -227,6 +227,9 @@
     peers.reset();
     endpoints.reset();
     workers.reset();
+    // The release is written before the kernel ends, so only waiting watches are cut off here.
+    if (storeClient)
+        storeClient->cancel();
     watch.reset();
     store.reset();
 }
--- a/libs/runtime/src/httpservice.cpp
+++ b/libs/runtime/src/httpservice.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <sys/socket.h>
+
 namespace cowsliprock {
 
 namespace {
@@ -15,6 +17,10 @@
 /// The kernel answers by the deadline; this bounds the wait of an HTTP thread if it does not.
 constexpr std::chrono::milliseconds answerGrace(2'000);
 constexpr std::chrono::milliseconds operatorTimeout(10'000);
+constexpr time_t keepAliveSeconds = 2;
+/// The library listens with a backlog of 5, which drops connections of a burst; a dropped one is
+/// tried again only after a second.
+constexpr int backlog = 1024;
 
 void writeError(httplib::Response &response, int status, const std::string &text)
 {
@@ -27,6 +33,7 @@
 struct HttpService::Server
 {
     httplib::Server http;
+    int listeningSocket = -1;
 };
 
 HttpService::HttpService(const Builder &builder)
@@ -43,7 +50,15 @@
     http.set_read_timeout(
         std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.readTimeout));
     http.set_tcp_nodelay(true);
-    http.set_keep_alive_max_count(1'000'000);
+    // A kept connection occupies a thread, so that idle and very busy ones give way to others.
+    http.set_keep_alive_max_count(1'000);
+    http.set_keep_alive_timeout(keepAliveSeconds);
+    // Replaces the library's SO_REUSEPORT, with which two processes could share the port.
+    http.set_socket_options([this](socket_t socket) {
+        const int on = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        m_server->listeningSocket = socket;
+    });
     addHealthRoutes();
     addOperatorRoutes();
     addCallerRoutes();
@@ -58,6 +73,7 @@
     const int port = std::atoi(address.substr(colon + 1).c_str());
     if (!service->m_server->http.bind_to_port(host, port))
         return Error{ ErrorKind::Unavailable, "http.listen", address, "cannot bind" };
+    ::listen(service->m_server->listeningSocket, backlog);
     service->m_thread =
         std::thread([target = service.get()] { target->m_server->http.listen_after_bind(); });
     return service;
--- a/libs/settings/include/settings/daemonsettings.h
+++ b/libs/settings/include/settings/daemonsettings.h
@@ -26,10 +26,10 @@
 {
     /// Without an incarnation. A randomSeed of 0 leaves the choice to the runtime.
     KernelSettings kernel;
-    std::string httpAddress;  ///< "host:port" that callers and operators use.
-    std::string peerAddress;  ///< "host:port" that other daemons use.
-    std::string storeAddress; ///< "host:port" of the platform.
-    std::uint32_t httpThreads = 32;
+    std::string httpAddress;         ///< "host:port" that callers and operators use.
+    std::string peerAddress;         ///< "host:port" that other daemons use.
+    std::string storeAddress;        ///< "host:port" of the platform.
+    std::uint32_t httpThreads = 256; ///< A kept connection occupies one while it is open.
     std::uint32_t endpointCallThreads = 64;
     std::uint32_t workerCallThreads = 8;
     RingSizes rings;
