Raise late work, merge burn parts in the command line, add replay

Cause: the stages never raised lateWorkChanged, so the list of late work stayed empty; report burn showed each daemon apart; traces could not be replayed by hand. Before/after: late requests at endpoints and late jobs are raised each second until they end; parts are merged and an unreachable daemon is a gap.

--- /dev/null
+++ b/apps/cowsliprock/src/reportcommands.cpp
@@ -0,0 +1,61 @@
+#include "session.h"
+
+#include <burn/report.h>
+#include <kernel/replay.h>
+
+#include <algorithm>
+#include <fstream>
+
+namespace cowsliprock::cli {
+
+namespace {
+
+using nlohmann::json;
+
+/// A daemon that does not answer in this time is shown as a gap.
+constexpr std::chrono::seconds reportTimeout(5);
+
+} // namespace
+
+ExitCode Session::reportBurn()
+{
+    std::vector<BurnPart> parts;
+    std::vector<std::string> missing;
+    for (const std::string &daemon : m_line.daemons) {
+        const auto answer = m_program.transport(
+            daemon,
+            { "GET", "/v1/burn", {}, {}, std::chrono::duration_cast<Duration>(reportTimeout) });
+        if (!answer || exitCodeOf(answer.value()) != ExitCode::Ok) {
+            m_program.errors << (answer ? daemon + ": " + answer.value().body
+                                        : answer.error().text())
+                             << '\n';
+            missing.push_back(daemon);
+            continue;
+        }
+        auto part = decodePart(answer.value().body);
+        if (!part)
+            return fail(part.error());
+        parts.push_back(std::move(part.value()));
+    }
+    const BurnReport report = mergeParts(parts, missing);
+    m_program.out << (m_line.json ? reportAsJson(report) + "\n" : reportAsText(report));
+    return missing.empty() ? ExitCode::Ok : ExitCode::Unreachable;
+}
+
+ExitCode Session::replay()
+{
+    std::ifstream trace(m_line.positionals[0]);
+    if (!trace)
+        return usage(m_line.positionals[0] + ": cannot be read");
+    const auto summary = replayTrace(trace);
+    if (!summary)
+        return fail(summary.error());
+    const auto &[events, effects, answers, violations] = summary.value();
+    print({ { "events", events },
+            { "effects", effects },
+            { "answers", answers },
+            { "violations", violations } });
+    return violations.empty() ? ExitCode::Ok : ExitCode::Refused;
+}
+
+} // namespace cowsliprock::cli
--- a/apps/cowsliprock/src/session.cpp
+++ b/apps/cowsliprock/src/session.cpp
@@ -60,7 +60,9 @@
         return perDaemon("/v1/daemons");
     if (command == "late")
         return perDaemon("/v1/late");
-    return perDaemon("/v1/burn");
+    if (command == "replay")
+        return replay();
+    return reportBurn();
 }
 
 Result<HttpAnswer> Session::sendToFirst(const HttpCall &call)
--- a/apps/cowsliprock/src/session.h
+++ b/apps/cowsliprock/src/session.h
@@ -39,6 +39,10 @@
     // Lists of all daemons.
     [[nodiscard]] ExitCode list(const std::string &path, const std::string &member);
     [[nodiscard]] ExitCode perDaemon(const std::string &path);
+    /// Merges the parts of the daemons; a daemon without a part is a gap.
+    [[nodiscard]] ExitCode reportBurn();
+
+    [[nodiscard]] ExitCode replay();
 
     /// Sends to the daemons in their order until one can be reached.
     [[nodiscard]] Result<HttpAnswer> sendToFirst(const HttpCall &call);
--- a/apps/cowsliprock/tests/cli_test.cpp
+++ b/apps/cowsliprock/tests/cli_test.cpp
@@ -163,3 +163,16 @@
             (run.out.str().find("Example:\n  cowsliprock " + command[0]) != std::string::npos));
     }
 }
+
+// Guards against a report that hides a daemon which does not answer.
+BOOST_AUTO_TEST_CASE(burnReportShowsUnreachableDaemonAsGap)
+{
+    const std::string part =
+        R"({"daemon":"noord-1","incarnation":1,"ageMinutes":9000,"services":{}})";
+    const Run run({ "report", "burn", "--daemon", "here:1", "--daemon", "gone:1" },
+                  HttpAnswer{ 200, {}, part });
+    BOOST_TEST((run.code == ExitCode::Unreachable));
+    BOOST_TEST(run.out.str().find("gap: gone:1 covers 0 of the last 5 minutes")
+               != std::string::npos);
+    BOOST_TEST(run.out.str().find("noord-1") == std::string::npos);
+}
--- a/libs/requests/src/owner.cpp
+++ b/libs/requests/src/owner.cpp
@@ -283,6 +283,17 @@
     return summary;
 }
 
+std::vector<event::LateItem> Owner::late() const
+{
+    std::vector<event::LateItem> items;
+    for (const auto &[attempt, request] : m_called) {
+        if (request.deadline < m_context.now)
+            items.push_back({ attempt.value(), request.profile.service, request.profile.caller,
+                              request.deadline });
+    }
+    return items;
+}
+
 bool Owner::idle() const noexcept
 {
     return m_called.empty()
--- a/libs/requests/src/owner.h
+++ b/libs/requests/src/owner.h
@@ -35,6 +35,8 @@
     [[nodiscard]] const EndpointTable &endpoints() const noexcept { return m_endpoints; }
     [[nodiscard]] std::uint32_t waiting(const std::string &service) const;
     [[nodiscard]] LoadSummary load() const;
+    /// Requests at endpoints whose deadline has passed.
+    [[nodiscard]] std::vector<event::LateItem> late() const;
     [[nodiscard]] bool idle() const noexcept;
 
 private:
--- a/libs/requests/src/requestsstage.cpp
+++ b/libs/requests/src/requestsstage.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr Duration loadInterval = std::chrono::milliseconds(250);
+constexpr Duration lateInterval = std::chrono::seconds(1);
 
 const StageRegistrar registrar(30, "requests", [](const KernelSettings &settings) {
     return std::make_unique<RequestsStage>(settings);
@@ -76,6 +77,7 @@
     m_entry.tick();
     settle();
     publishLoad();
+    publishLate();
 }
 
 void RequestsStage::on(const event::PeerMessage &message)
@@ -180,6 +182,18 @@
     m_context.output->raise(event::LoadChanged{ "requests", std::move(load) });
 }
 
+void RequestsStage::publishLate()
+{
+    if (m_context.now < m_latePublishedAt + lateInterval)
+        return;
+    m_latePublishedAt = m_context.now;
+    auto items = m_owner.late();
+    const bool any = !items.empty();
+    if (any || m_anyLate)
+        m_context.output->raise(event::LateWorkChanged{ "requests", std::move(items) });
+    m_anyLate = any;
+}
+
 void RequestsStage::checkDrained()
 {
     if (m_drainedRaised || !m_entry.idle() || !m_dispatcher.idle() || !m_home.idle()
--- a/libs/requests/src/requestsstage.h
+++ b/libs/requests/src/requestsstage.h
@@ -50,6 +50,7 @@
     void deliver(const WorkDone &done);
     void deliver(const HomeReply &reply);
     void publishLoad();
+    void publishLate();
     void checkDrained();
 
     Context m_context;
@@ -59,6 +60,8 @@
     Home m_home;
     Entry m_entry;
     LoadSummary m_publishedLoad;
+    TimePoint m_latePublishedAt;
+    bool m_anyLate = false;
     TimePoint m_publishedAt;
     bool m_drainedRaised = false;
 };
--- a/libs/scheduling/src/schedulingstage.cpp
+++ b/libs/scheduling/src/schedulingstage.cpp
@@ -17,6 +17,7 @@
 
 constexpr int rank = 40;
 constexpr Duration loadInterval = std::chrono::milliseconds(500);
+constexpr Duration lateInterval = std::chrono::seconds(1);
 
 /// Bounds the time that one event takes when many jobs wait.
 constexpr int decisionsPerEvent = 64;
@@ -82,6 +83,7 @@
         m_operators.tick();
         m_home.forgetOldJobs();
         raiseLoad();
+        raiseLate();
     }
     void on(const event::StoreReply &reply)
     {
@@ -201,6 +203,24 @@
         m_context.output->raise(event::LoadChanged{ "scheduling", std::move(load) });
     }
 
+    /// Also once when the last late job has ended.
+    void raiseLate()
+    {
+        if (m_context.now < m_lateRaisedAt + lateInterval)
+            return;
+        m_lateRaisedAt = m_context.now;
+        std::vector<event::LateItem> items;
+        for (const auto &[id, job] : m_home.jobs()) {
+            if (!job.ended() && job.late(m_context.now))
+                items.push_back(
+                    { id.value(), job.definition().name, job.definition().team, job.deadlineAt });
+        }
+        const bool any = !items.empty();
+        if (any || m_anyLate)
+            m_context.output->raise(event::LateWorkChanged{ "scheduling", std::move(items) });
+        m_anyLate = any;
+    }
+
     /// Tasks keep running after a drain. A start whose outcome is open holds the drain back: the
     /// next owner would otherwise take the report of its worker for the whole truth.
     void raiseDrained()
@@ -222,6 +242,8 @@
     JobRecovery m_recovery;
     OperatorActions m_operators;
     LoadSummary m_load;
+    TimePoint m_lateRaisedAt;
+    bool m_anyLate = false;
     TimePoint m_loadRaisedAt;
     TimePoint m_wokenAt;
     bool m_drained = false;
