--- a/apps/cowsliprock/src/jobcommands.cpp
+++ b/apps/cowsliprock/src/jobcommands.cpp
@@ -48,7 +48,7 @@
     for (;;) {
         const auto answer = sendToFirst({ "GET", "/v1/jobs/" + m_line.positionals.front() });
         if (answer && exitCodeOf(answer.value()) == ExitCode::Ok) {
-            const json body = json::parse(answer.value().body, nullptr, false);
+            const json body = json::parse(*answer, nullptr, false);
             const std::string state = body.is_object() ? body.value("state", "") : "";
             if (state == "succeeded" || state == "failed" || state == "cancelled") {
                 print(body);
@@ -106,20 +106,27 @@
     return code;
 }
 
+std::optional<std::string> Session::read(const std::string &daemon, const std::string &path)
+{
+    const auto answer = m_program.transport(daemon, { "GET", path });
+    if (answer && exitCodeOf(answer.value()) == ExitCode::Ok)
+        return answer.value().body;
+    m_program.errors << (answer ? daemon + ": " + answer.value().body : answer.error().text())
+                     << '\n';
+    return std::nullopt;
+}
+
 ExitCode Session::list(const std::string &path, const std::string &member)
 {
     json merged = json::array();
     ExitCode code = ExitCode::Ok;
     for (const std::string &daemon : m_line.daemons) {
-        const auto answer = m_program.transport(daemon, { "GET", path });
-        if (!answer || exitCodeOf(answer.value()) != ExitCode::Ok) {
-            m_program.errors << (answer ? daemon + ": " + answer.value().body
-                                        : answer.error().text())
-                             << '\n';
-            code = std::max(code, ExitCode::Unreachable);
+        const auto answer = read(daemon, path);
+        if (!answer) {
+            code = ExitCode::Unreachable;
             continue;
         }
-        const json body = json::parse(answer.value().body, nullptr, false);
+        const json body = json::parse(*answer, nullptr, false);
         if (!body.is_object())
             continue;
         for (json row : body.value(member, json::array())) {
@@ -139,15 +146,12 @@
     json merged = json::object();
     ExitCode code = ExitCode::Ok;
     for (const std::string &daemon : m_line.daemons) {
-        const auto answer = m_program.transport(daemon, { "GET", path });
-        if (!answer || exitCodeOf(answer.value()) != ExitCode::Ok) {
-            m_program.errors << (answer ? daemon + ": " + answer.value().body
-                                        : answer.error().text())
-                             << '\n';
-            code = std::max(code, ExitCode::Unreachable);
+        const auto answer = read(daemon, path);
+        if (!answer) {
+            code = ExitCode::Unreachable;
             continue;
         }
-        merged[daemon] = json::parse(answer.value().body, nullptr, false);
+        merged[daemon] = json::parse(*answer, nullptr, false);
     }
     if (m_line.json) {
         print(merged);
--- a/apps/cowsliprock/src/reportcommands.cpp
+++ b/apps/cowsliprock/src/reportcommands.cpp
@@ -3,36 +3,21 @@
 #include <burn/report.h>
 #include <kernel/replay.h>
 
-#include <algorithm>
 #include <fstream>
 
 namespace cowsliprock::cli {
 
-namespace {
-
-using nlohmann::json;
-
-/// A daemon that does not answer in this time is shown as a gap.
-constexpr std::chrono::seconds reportTimeout(5);
-
-} // namespace
-
 ExitCode Session::reportBurn()
 {
     std::vector<BurnPart> parts;
     std::vector<std::string> missing;
     for (const std::string &daemon : m_line.daemons) {
-        const auto answer = m_program.transport(
-            daemon,
-            { "GET", "/v1/burn", {}, {}, std::chrono::duration_cast<Duration>(reportTimeout) });
-        if (!answer || exitCodeOf(answer.value()) != ExitCode::Ok) {
-            m_program.errors << (answer ? daemon + ": " + answer.value().body
-                                        : answer.error().text())
-                             << '\n';
+        const auto answer = read(daemon, "/v1/burn");
+        if (!answer) {
             missing.push_back(daemon);
             continue;
         }
-        auto part = decodePart(answer.value().body);
+        auto part = decodePart(*answer);
         if (!part)
             return fail(part.error());
         parts.push_back(std::move(part.value()));
--- a/apps/cowsliprock/src/session.h
+++ b/apps/cowsliprock/src/session.h
@@ -37,6 +37,9 @@
     [[nodiscard]] ExitCode configurationApply();
 
     // Lists of all daemons.
+    /// Body of a daemon's list; a daemon that does not give it is reported as an error.
+    [[nodiscard]] std::optional<std::string> read(const std::string &daemon,
+                                                  const std::string &path);
     [[nodiscard]] ExitCode list(const std::string &path, const std::string &member);
     [[nodiscard]] ExitCode perDaemon(const std::string &path);
     /// Merges the parts of the daemons; a daemon without a part is a gap.
