--- a/apps/cowsliprock/src/jobcommands.cpp
+++ b/apps/cowsliprock/src/jobcommands.cpp
@@ -48,7 +48,7 @@
     for (;;) {
         const auto answer = sendToFirst({ "GET", "/v1/jobs/" + m_line.positionals.front() });
         if (answer && exitCodeOf(answer.value()) == ExitCode::Ok) {
-            const json body = json::parse(*answer, nullptr, false);
+            const json body = json::parse(answer.value().body, nullptr, false);
             const std::string state = body.is_object() ? body.value("state", "") : "";
             if (state == "succeeded" || state == "failed" || state == "cancelled") {
                 print(body);
