Keep callers' faults out of the burn report

Ruled out: a filter in the burn stage, which does not know the reasons. Before/after: callersFaultsAreNotInTheBurnReport fails without the change and passes with it. Conclusion: only work that the system was to do counts.

--- a/libs/requests/src/entry.cpp
+++ b/libs/requests/src/entry.cpp
@@ -175,12 +175,16 @@
 {
     const bool whole = answer.kind == AnswerKind::Whole;
     m_context.output->count(metricOf(answer.kind));
+    // The objectives are about the system. A service that does not exist must not become a row of
+    // the report either, since callers could then fill the memory with names.
+    if (faultOfCaller(answer))
+        return;
     event::WorkFinished finished;
     finished.service = request.profile.service;
     finished.caller = request.profile.caller;
     finished.waited = std::max(Duration(0), m_context.now - request.arrived - answer.served);
     finished.deadlineMet = whole && m_context.now <= request.deadline;
-    finished.available = whole || faultOfCaller(answer);
+    finished.available = whole;
     m_context.output->raise(std::move(finished));
 }
 
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -1,3 +1,4 @@
+#include <burn/report.h>
 #include <kernel/replay.h>
 
 #include <nlohmann/json.hpp>
@@ -75,3 +76,21 @@
     // Unknown request; after the lease; beyond the (unknown, so zero) slots.
     BOOST_TEST(checker.violations().size() == 3U);
 }
+
+// Guards against callers' faults in the burn report: a reused key once counted as a missed
+// deadline, and each unknown service name took memory for good.
+BOOST_AUTO_TEST_CASE(callersFaultsAreNotInTheBurnReport)
+{
+    Kernel kernel(KernelSettings{}, { "requests", "burn" });
+    event::RequestArrived arrived;
+    arrived.request = RequestId("r-1");
+    arrived.profile.service = "no such service";
+    arrived.profile.idempotent = true;
+    const TimePoint now(std::chrono::seconds(1));
+    static_cast<void>(kernel.handle(arrived, now));
+    const auto effects = kernel.handle(event::OperatorCall{ OperationId("o"), "burn", "{}" }, now);
+    BOOST_REQUIRE(effects.size() == 1U);
+    const auto part = decodePart(std::get<effect::AnswerOperator>(effects.front()).body);
+    BOOST_REQUIRE(part.has_value());
+    BOOST_TEST(part.value().services.empty());
+}
