Move the test ports out of the ephemeral range

Cause: the peer transport test failed under ASan with the address in use; an outgoing connection of another process had port 39402 (seen in TIME-WAIT). Ruled out: a leftover process; none was running. Before/after: three failures in a row with 39402; with ports below 32768 three runs each of the optimised and the sanitizer build passed. Conclusion: fixed ports of tests stay below 32768.

--- a/libs/runtime/tests/httpservice_test.cpp
+++ b/libs/runtime/tests/httpservice_test.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr int port = 39411;
+constexpr int port = 29411; // Outside the range of the ports of outgoing connections.
 
 /// An HTTP service in front of a kernel without stages, which answers nothing.
 struct Service
--- a/libs/runtime/tests/runtime_test.cpp
+++ b/libs/runtime/tests/runtime_test.cpp
@@ -110,15 +110,15 @@
     Metrics metrics;
     std::promise<Envelope> arrived;
     PeerTransport::Builder first;
-    first.listenAddress = "127.0.0.1:39401";
-    first.peers = { { DaemonName("b"), {}, "127.0.0.1:39402" } };
+    first.listenAddress = "127.0.0.1:29401";
+    first.peers = { { DaemonName("b"), {}, "127.0.0.1:29402" } };
     first.largestMessage = 1'000'000;
     first.ringSize = 16;
     first.metrics = &metrics;
     first.received = [](const Envelope &) {};
     PeerTransport::Builder second = first;
-    second.listenAddress = "127.0.0.1:39402";
-    second.peers = { { DaemonName("a"), {}, "127.0.0.1:39401" } };
+    second.listenAddress = "127.0.0.1:29402";
+    second.peers = { { DaemonName("a"), {}, "127.0.0.1:29401" } };
     bool done = false;
     second.received = [&](Envelope envelope) {
         if (!std::exchange(done, true))
