End a test server whose client keeps its connection

Cause: platform_test hung once: the early-answer test joined a server thread that waited for a client which keeps its connection until the test's end (backtrace in RawServer::drain). Ruled out: a hang in the client; no client thread was waiting on a socket. Conclusion: the server shuts down the connection that it is serving.

--- a/cmake/CowsliprockTargets.cmake
+++ b/cmake/CowsliprockTargets.cmake
@@ -43,4 +43,6 @@
     set_source_files_properties(${main_source} PROPERTIES COMPILE_DEFINITIONS
                                 BOOST_TEST_MODULE=${name})
     add_test(NAME ${name} COMMAND ${name})
+    # Ends a test that hangs; far above the slowest run under a sanitizer.
+    set_tests_properties(${name} PROPERTIES TIMEOUT 600)
 endfunction()
--- a/libs/platform/tests/rawserver.h
+++ b/libs/platform/tests/rawserver.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -37,6 +38,12 @@
     ~RawServer()
     {
         ::shutdown(m_socket, SHUT_RDWR);
+        {
+            // A client may keep its connection open for longer than this server lives.
+            const std::lock_guard lock(m_peerMutex);
+            if (m_peer >= 0)
+                ::shutdown(m_peer, SHUT_RDWR);
+        }
         m_thread.join();
         ::close(m_socket);
     }
@@ -75,13 +82,23 @@
     void run()
     {
         for (int peer = 0; (peer = ::accept(m_socket, nullptr, nullptr)) >= 0;) {
+            setPeer(peer);
             ++m_connections;
             m_script(peer);
+            setPeer(-1);
             ::close(peer);
         }
     }
 
+    void setPeer(int peer)
+    {
+        const std::lock_guard lock(m_peerMutex);
+        m_peer = peer;
+    }
+
     std::function<void(int)> m_script;
+    std::mutex m_peerMutex;
+    int m_peer = -1;
     int m_socket;
     int m_port = 0;
     std::atomic<int> m_connections{ 0 };
