Use one distribution for metrics and the burn report

Cause: metrics.cpp built the same logarithmic Boost.Histogram as the burn library. Before/after: two copies; Distribution moved to base, and Metrics keeps only the sum beside it. Counts above a million are written as whole numbers now.

--- a/libs/burn/include/burn/distribution.h
+++ b/libs/base/include/base/distribution.h
@@ -8,7 +8,7 @@
 
 namespace cowsliprock {
 
-/// Distribution of waiting times with logarithmic bins from 100 microseconds to 1000 seconds.
+/// Distribution of times or shares with logarithmic bins from 0.0001 to 1000; times are in seconds.
 /// Merging is exact: the bins of a merged distribution equal those of all samples together.
 class Distribution
 {
@@ -20,6 +20,7 @@
     Distribution &operator=(Distribution &&) noexcept;
     ~Distribution();
 
+    void add(double value);
     void add(Duration value);
     void merge(const Distribution &other);
 
@@ -28,6 +29,9 @@
     [[nodiscard]] static Distribution fromBins(const std::vector<std::uint64_t> &bins);
     [[nodiscard]] static std::size_t binCount() noexcept;
 
+    /// Upper edge of a bin of bins(); the last one gets the edge that a further bin would have.
+    [[nodiscard]] static double upperEdge(std::size_t bin) noexcept;
+
     [[nodiscard]] std::uint64_t samples() const;
 
     /// Upper edge of the bin that holds the quantile; the error is below one bin (78%).
--- a/libs/burn/src/distribution.cpp
+++ b/libs/base/src/distribution.cpp
@@ -1,4 +1,4 @@
-#include <burn/distribution.h>
+#include <base/distribution.h>
 
 #include <boost/histogram.hpp>
 
@@ -12,16 +12,15 @@
 
 namespace histogram = boost::histogram;
 
-constexpr double lowestSeconds = 1e-4;
-constexpr double highestSeconds = 1e3;
+constexpr double lowestValue = 1e-4;
+constexpr double highestValue = 1e3;
 constexpr int innerBins = 28; // Four bins for each power of ten.
 
 auto makeHistogram()
 {
     using LogAxis = histogram::axis::regular<double, histogram::axis::transform::log>;
     using Storage = histogram::dense_storage<std::uint64_t>;
-    return histogram::make_histogram_with(Storage(),
-                                          LogAxis(innerBins, lowestSeconds, highestSeconds));
+    return histogram::make_histogram_with(Storage(), LogAxis(innerBins, lowestValue, highestValue));
 }
 
 } // namespace
@@ -47,9 +46,14 @@
 Distribution &Distribution::operator=(Distribution &&) noexcept = default;
 Distribution::~Distribution() = default;
 
+void Distribution::add(double value)
+{
+    m_state->histogram(value);
+}
+
 void Distribution::add(Duration value)
 {
-    m_state->histogram(std::chrono::duration<double>(value).count());
+    add(std::chrono::duration<double>(value).count());
 }
 
 void Distribution::merge(const Distribution &other)
@@ -81,6 +85,13 @@
     return innerBins + 2;
 }
 
+double Distribution::upperEdge(std::size_t bin) noexcept
+{
+    const double decades = std::log10(highestValue / lowestValue);
+    return lowestValue
+        * std::pow(10.0, decades * static_cast<double>(bin) / static_cast<double>(innerBins));
+}
+
 std::uint64_t Distribution::samples() const
 {
     const auto counts = bins();
@@ -98,10 +109,7 @@
         if (seen >= rank && seen > 0)
             break;
     }
-    const double decades = std::log10(highestSeconds / lowestSeconds);
-    const double edge = lowestSeconds
-        * std::pow(10.0, decades * static_cast<double>(index) / static_cast<double>(innerBins));
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(edge));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(upperEdge(index)));
 }
 
 } // namespace cowsliprock
--- a/libs/base/src/metrics.cpp
+++ b/libs/base/src/metrics.cpp
@@ -1,6 +1,6 @@
 #include <base/metrics.h>
 
-#include <boost/histogram.hpp>
+#include <base/distribution.h>
 
 #include <algorithm>
 #include <map>
@@ -11,25 +11,11 @@
 
 namespace {
 
-namespace histogram = boost::histogram;
-
-constexpr double lowestValue = 1e-4;
-constexpr double highestValue = 1e3;
-constexpr unsigned binCount = 28; // Four bins for each power of ten.
-
-auto makeHistogram()
-{
-    using LogAxis = histogram::axis::regular<double, histogram::axis::transform::log>;
-    return histogram::make_histogram(LogAxis(binCount, lowestValue, highestValue));
-}
-
-using Histogram = decltype(makeHistogram());
-
-struct Distribution
+/// What the text format needs beside the bins.
+struct Series
 {
-    Histogram bins = makeHistogram();
+    Distribution distribution;
     double sum = 0;
-    std::uint64_t samples = 0;
 };
 
 std::string metricName(const std::string &name)
@@ -40,17 +26,21 @@
     return result;
 }
 
-void writeDistribution(std::ostream &out, const std::string &name, const Distribution &distribution)
+void writeSeries(std::ostream &out, const std::string &name, const Series &series)
 {
     out << "# TYPE " << name << " histogram\n";
-    double below = distribution.bins.at(-1);
-    for (const auto &bin : histogram::indexed(distribution.bins)) {
-        below += *bin;
-        out << name << "_bucket{le=\"" << bin.bin().upper() << "\"} " << below << '\n';
+    const auto bins = series.distribution.bins();
+    std::uint64_t below = 0;
+    for (std::size_t bin = 0; bin < bins.size(); ++bin) {
+        below += bins[bin];
+        // The first bin holds what is below the first edge and has no line of its own.
+        if (bin > 0 && bin + 1 < bins.size())
+            out << name << "_bucket{le=\"" << Distribution::upperEdge(bin) << "\"} " << below
+                << '\n';
     }
-    out << name << "_bucket{le=\"+Inf\"} " << distribution.samples << '\n';
-    out << name << "_sum " << distribution.sum << '\n';
-    out << name << "_count " << distribution.samples << '\n';
+    out << name << "_bucket{le=\"+Inf\"} " << below << '\n';
+    out << name << "_sum " << series.sum << '\n';
+    out << name << "_count " << below << '\n';
 }
 
 } // namespace
@@ -60,7 +50,7 @@
     mutable std::mutex mutex;
     std::map<std::string, std::uint64_t> counters;
     std::map<std::string, double> gauges;
-    std::map<std::string, Distribution> distributions;
+    std::map<std::string, Series> series;
 };
 
 Metrics::Metrics()
@@ -84,10 +74,9 @@
 void Metrics::observe(const std::string &name, double value)
 {
     const std::lock_guard lock(m_state->mutex);
-    auto &distribution = m_state->distributions[name];
-    distribution.bins(value);
-    distribution.sum += value;
-    ++distribution.samples;
+    auto &series = m_state->series[name];
+    series.distribution.add(value);
+    series.sum += value;
 }
 
 std::uint64_t Metrics::counter(const std::string &name) const
@@ -109,8 +98,8 @@
         const std::string full = metricName(name);
         out << "# TYPE " << full << " gauge\n" << full << ' ' << value << '\n';
     }
-    for (const auto &[name, distribution] : m_state->distributions)
-        writeDistribution(out, metricName(name), distribution);
+    for (const auto &[name, series] : m_state->series)
+        writeSeries(out, metricName(name), series);
     return out.str();
 }
 
--- a/libs/burn/include/burn/report.h
+++ b/libs/burn/include/burn/report.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <base/error.h>
-#include <burn/distribution.h>
+#include <base/distribution.h>
 
 #include <array>
 #include <chrono>
--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -1,4 +1,4 @@
-#include <burn/distribution.h>
+#include <base/distribution.h>
 
 #include <cxxopts.hpp>
 #include <httplib.h>
