Release the body of a dropped message; name a message's body in one place

Cause: the receiving side stored a body before the kernel's ring refused the message, and nothing released it. The search for a message's body stood three times, in the router, the transport and the daemon. Ruled out: storing after the offer; the kernel may already ask for the body. WorkPool loses an unused thread index, and two unused accessors are gone. Conclusion: a full ring costs no memory beyond the ring.

--- a/libs/runtime/src/daemon.cpp
+++ b/libs/runtime/src/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "effectrouter.h"
 #include "kernelloop.h"
+#include "peerinbox.h"
 
 #include <base/logging.h>
 #include <platform/endpointclient.h>
@@ -35,7 +36,6 @@
     void runTimer();
     void runVmList();
     void sleepFor(Duration time);
-    void receive(Envelope envelope);
     void callEndpoint(EndpointCall &call);
     void callWorker(WorkerCall &call);
     void makeClients();
@@ -94,26 +94,6 @@
     }
 }
 
-void Daemon::State::receive(Envelope envelope)
-{
-    std::visit(
-        [this](auto &message) {
-            if constexpr (requires { message.contentType; }) {
-                BodyKey key;
-                if constexpr (requires { message.bodyKey; })
-                    key = message.bodyKey;
-                else
-                    key = message.answer.body;
-                if (!key.empty())
-                    bodies.put(key, { message.contentType, std::move(message.body) });
-                message.body.clear();
-            }
-        },
-        envelope.message);
-    if (!kernel->offer(event::PeerMessage{ envelope.from, std::move(envelope.message) }))
-        metrics.count("peer.droppedFullRing");
-}
-
 void Daemon::State::callEndpoint(EndpointCall &call)
 {
     auto [reply, answer] = endpointClient->call(call.call, *call.body);
@@ -140,20 +120,16 @@
 void Daemon::State::makePools()
 {
     const RingSizes &rings = settings.rings;
-    store = std::make_unique<WorkPool<effect::StoreCall>>(
-        storeThreads, rings.store, [this](effect::StoreCall &call, std::size_t) {
-            kernel->deliver(storeClient->execute(call));
-        });
-    watch = std::make_unique<WorkPool<effect::StoreCall>>(
-        watchThreads, rings.store, [this](effect::StoreCall &call, std::size_t) {
-            kernel->deliver(storeClient->execute(call));
-        });
+    const auto callStore = [this](effect::StoreCall &call) {
+        kernel->deliver(storeClient->execute(call));
+    };
+    store = std::make_unique<WorkPool<effect::StoreCall>>(storeThreads, rings.store, callStore);
+    watch = std::make_unique<WorkPool<effect::StoreCall>>(watchThreads, rings.store, callStore);
     workers = std::make_unique<WorkPool<WorkerCall>>(
-        settings.workerCallThreads, rings.worker,
-        [this](WorkerCall &call, std::size_t) { callWorker(call); });
+        settings.workerCallThreads, rings.worker, [this](WorkerCall &call) { callWorker(call); });
     endpoints = std::make_unique<WorkPool<EndpointCall>>(
         settings.endpointCallThreads, rings.endpoint,
-        [this](EndpointCall &call, std::size_t) { callEndpoint(call); });
+        [this](EndpointCall &call) { callEndpoint(call); });
 }
 
 void Daemon::State::makeClients()
@@ -194,7 +170,10 @@
     peerBuilder.largestMessage = settings.bodyLimitBytes + messageOverhead;
     peerBuilder.ringSize = settings.rings.peer;
     peerBuilder.metrics = &metrics;
-    peerBuilder.received = [this](Envelope envelope) { receive(std::move(envelope)); };
+    peerBuilder.received = [this](Envelope envelope) {
+        if (!receiveMessage(std::move(envelope), bodies, *kernel))
+            metrics.count("peer.droppedFullRing");
+    };
     BOOST_OUTCOME_TRY(transport, peerBuilder.build());
     peers = std::move(transport);
 
--- a/libs/runtime/src/effectrouter.cpp
+++ b/libs/runtime/src/effectrouter.cpp
@@ -1,26 +1,13 @@
 #include "effectrouter.h"
 
+#include "messagebody.h"
+
 #include <base/logging.h>
 
 namespace cowsliprock {
 
 namespace {
 
-/// Key of the body that a message refers to; empty if it carries none.
-struct BodyKeyOf
-{
-    template <typename Kind>
-    BodyKey operator()(const Kind &message) const
-    {
-        if constexpr (requires { message.bodyKey; })
-            return message.bodyKey;
-        else if constexpr (requires { message.answer.body; })
-            return message.answer.body;
-        else
-            return {};
-    }
-};
-
 event::EndpointReply notSent(const AttemptId &attempt, std::string detail)
 {
     event::EndpointReply reply;
@@ -52,7 +39,7 @@
 
 std::optional<Event> EffectRouter::perform(effect::SendPeer &send)
 {
-    const BodyKey key = std::visit(BodyKeyOf{}, send.message);
+    const BodyKey key = bodyKeyOf(send.message);
     auto body = key.empty() ? std::make_shared<const Body>() : m_bodies.find(key);
     // A message without its body would pass an empty request or answer off as the whole one.
     if (!body) {
--- a/libs/runtime/src/peertransport.cpp
+++ b/libs/runtime/src/peertransport.cpp
@@ -1,5 +1,7 @@
 #include "peertransport.h"
 
+#include "messagebody.h"
+
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
@@ -24,21 +26,6 @@
     return "tcp://" + address;
 }
 
-/// Fills the body of a message that carries one.
-struct BodyFiller
-{
-    const Body &body;
-
-    template <typename Kind>
-    void operator()(Kind &message) const
-    {
-        if constexpr (requires { message.contentType; }) {
-            message.body = body.bytes;
-            message.contentType = body.contentType;
-        }
-    }
-};
-
 } // namespace
 
 /// The sending side to one peer. It does not move, since nng keeps its address.
@@ -136,7 +123,7 @@
             m_metrics.count("peer.notConnected");
             continue;
         }
-        std::visit(BodyFiller{ *body }, envelope.message);
+        setBody(envelope.message, *body);
         std::string bytes = encodeMessage(envelope);
         m_metrics.count("peer.bytesSent", bytes.size());
         m_metrics.count("peer.messagesSent");
--- a/libs/runtime/src/peertransport.h
+++ b/libs/runtime/src/peertransport.h
@@ -49,8 +49,6 @@
     /// Thread-safe. Returns false when the ring is full.
     bool send(OutgoingMessage message) { return m_outgoing.tryPush(std::move(message)); }
 
-    [[nodiscard]] std::int64_t queued() const { return m_outgoing.size(); }
-
 private:
     struct Sockets;
     explicit PeerTransport(const Builder &builder);
--- a/libs/runtime/src/workpool.h
+++ b/libs/runtime/src/workpool.h
@@ -14,14 +14,13 @@
 class WorkPool
 {
 public:
-    /// \p work is called in the pool's threads; \p index is that of the thread.
-    WorkPool(std::size_t threadCount, std::size_t ringSize,
-             std::function<void(Item &item, std::size_t index)> work)
+    /// \p work is called in the pool's threads.
+    WorkPool(std::size_t threadCount, std::size_t ringSize, std::function<void(Item &item)> work)
         : m_ring(ringSize)
         , m_work(std::move(work))
     {
         for (std::size_t index = 0; index < threadCount; ++index)
-            m_threads.emplace_back([this, index] { run(index); });
+            m_threads.emplace_back([this] { run(); });
     }
 
     ~WorkPool() { stop(); }
@@ -29,7 +28,6 @@
     WorkPool &operator=(const WorkPool &) = delete;
 
     [[nodiscard]] bool tryAdd(Item item) { return m_ring.tryPush(std::move(item)); }
-    [[nodiscard]] std::int64_t queued() const { return m_ring.size(); }
 
     void stop()
     {
@@ -41,14 +39,14 @@
     }
 
 private:
-    void run(std::size_t index)
+    void run()
     {
         while (auto item = m_ring.pop())
-            m_work(*item, index);
+            m_work(*item);
     }
 
     BoundedRing<Item> m_ring;
-    std::function<void(Item &, std::size_t)> m_work;
+    std::function<void(Item &)> m_work;
     std::vector<std::thread> m_threads;
 };
 
--- a/libs/runtime/tests/runtime_test.cpp
+++ b/libs/runtime/tests/runtime_test.cpp
@@ -1,5 +1,6 @@
 #include "callerrequest.h"
 #include "effectrouter.h"
+#include "peerinbox.h"
 #include "peertransport.h"
 #include "workpool.h"
 
@@ -69,10 +70,9 @@
     Clock clock;
     std::promise<void> release;
     const auto released = release.get_future().share();
-    WorkPool<effect::StoreCall> store(1, 1, [](effect::StoreCall &, std::size_t) {});
-    WorkPool<WorkerCall> workers(1, 1, [released](WorkerCall &, std::size_t) { released.wait(); });
-    WorkPool<EndpointCall> endpoints(1, 1,
-                                     [released](EndpointCall &, std::size_t) { released.wait(); });
+    WorkPool<effect::StoreCall> store(1, 1, [](effect::StoreCall &) {});
+    WorkPool<WorkerCall> workers(1, 1, [released](WorkerCall &) { released.wait(); });
+    WorkPool<EndpointCall> endpoints(1, 1, [released](EndpointCall &) { released.wait(); });
     EffectRouter router({ DaemonName("noord-1"), 1 }, bodies, metrics, clock);
     router.connect({ &store, &store, &workers, &endpoints, nullptr, nullptr });
 
@@ -145,3 +145,26 @@
     const auto envelope = future.get();
     BOOST_TEST(std::get<message::Dispatch>(envelope.message).body == "course 7");
 }
+
+// Guards against the bodies of dropped messages, which once stayed in memory for good.
+BOOST_AUTO_TEST_CASE(droppedMessageLeavesNoBody)
+{
+    Clock clock;
+    Metrics metrics;
+    BodyStore bodies;
+    KernelLoop::Builder builder;
+    builder.ringSize = 1;
+    builder.clock = &clock;
+    builder.metrics = &metrics;
+    const auto kernel = builder.build(); // Not started, so that its ring stays full.
+    const auto received = [&](const char *key) {
+        message::Dispatch dispatch;
+        dispatch.bodyKey = BodyKey(key);
+        dispatch.body = "hello";
+        return receiveMessage({ { DaemonName("a"), 1 }, dispatch }, bodies, *kernel);
+    };
+    BOOST_TEST(received("r-1"));
+    BOOST_TEST(!received("r-2"));
+    BOOST_TEST(bodies.size() == 1U);
+    BOOST_TEST(bodies.find(BodyKey("r-1"))->bytes == "hello");
+}
