--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -19,7 +19,7 @@
 
 using TimePoint = RuntimeTimeScale::time_point;
 
-/// Reads the operating system's monotonic clock.
+/// Reads the operating system's monotonic clock that includes suspended time.
 struct SteadySource
 {
     [[nodiscard]] TimePoint now() const noexcept;
--- /dev/null
+++ b/libs/cell/include/cell/discovery.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cell/model.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace cowsliprock::cell {
+
+/// Where the platform keeps what it tells the product, and how that is read. A decoder returns
+/// nothing for an entry that is malformed.
+struct PlatformRecords
+{
+    std::string workersPrefix;
+    std::function<std::optional<WorkerEntry>(const std::string &key, const std::string &value)>
+        decodeWorker;
+    std::function<std::string(const std::string &key)> workerOfKey;
+
+    std::string configurationPrefix;
+    std::string configurationKey;
+    std::function<std::optional<CellConfiguration>(const std::string &value)> decodeConfiguration;
+};
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/frontdesk.cpp
@@ -0,0 +1,356 @@
+#include "frontdesk.h"
+
+#include "keys.h"
+#include "peermessages.h"
+#include "records.h"
+
+#include <base/id.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// The owner of a shard answers within this time, or the store is asked.
+constexpr std::chrono::milliseconds ownerTimeout{ 300 };
+constexpr std::chrono::milliseconds peerTimeout{ 700 };
+constexpr std::chrono::milliseconds cancelRetryDelay{ 100 };
+/// Time for the store before another daemon is asked to store a job.
+constexpr std::chrono::milliseconds ownStoreTime{ 900 };
+constexpr unsigned statusOk = 200;
+
+} // namespace
+
+FrontDesk::FrontDesk(const Ports &ports, Membership &membership, std::uint32_t shards,
+                     LocalStatus localStatus, LocalPending localPending)
+    : m_ports(ports)
+    , m_membership(membership)
+    , m_shards(shards)
+    , m_localStatus(std::move(localStatus))
+    , m_localPending(std::move(localPending))
+    , m_submissions(ports.store, ports.timers, ports.log, ports.metrics)
+    , m_random(static_cast<std::mt19937::result_type>(stableHash(membership.self().name)))
+{ }
+
+FrontDesk::~FrontDesk()
+{
+    *m_alive = false;
+}
+
+std::uint32_t FrontDesk::shardOf(const std::string &id) const noexcept
+{
+    return static_cast<std::uint32_t>(stableHash(id) % m_shards);
+}
+
+std::string FrontDesk::jobKey(const std::string &id) const
+{
+    return keys::jobsPrefix(shardOf(id)) + id;
+}
+
+std::optional<MemberRecord> FrontDesk::otherMember()
+{
+    const auto &members = m_membership.members();
+    if (members.empty())
+        return std::nullopt;
+    std::uniform_int_distribution<std::size_t> pick(0, members.size() - 1);
+    auto member = std::next(members.begin(), static_cast<std::ptrdiff_t>(pick(m_random)));
+    if (member->first == m_membership.self().name && ++member == members.end())
+        member = members.begin();
+    if (member->first == m_membership.self().name)
+        return std::nullopt;
+    return member->second;
+}
+
+void FrontDesk::submit(const JobRecord &record, TimePoint deadline, bool relayed,
+                       Done<SubmitResult> done)
+{
+    if (m_submissions.storeFailing() && !relayed) {
+        submitThroughPeer(record, deadline, false, done);
+        return;
+    }
+    const auto ownDeadline =
+        relayed ? deadline : std::min(deadline, m_ports.timers.now() + ownStoreTime);
+    m_submissions.submit(
+        jobKey(record.id), encode(record), ownDeadline,
+        [this, alive = m_alive, record, deadline, relayed, done](SubmitResult result) {
+            if (!*alive)
+                return;
+            const bool timeLeft = m_ports.timers.now() + peerTimeout < deadline;
+            if (result == SubmitResult::Accepted || relayed || !timeLeft)
+                done(result);
+            else
+                submitThroughPeer(record, deadline, result == SubmitResult::Unknown, done);
+        });
+}
+
+void FrontDesk::submitThroughPeer(const JobRecord &record, TimePoint deadline, bool uncertain,
+                                  const Done<SubmitResult> &done)
+{
+    const auto fallback = uncertain ? SubmitResult::Unknown : SubmitResult::NotStored;
+    const auto peer = otherMember();
+    if (!peer) {
+        done(fallback);
+        return;
+    }
+    m_ports.log.write(m_ports.timers.now(), "job.relayed",
+                      { { "job", record.id }, { "peer", peer->name } });
+    const auto timeout = std::min<Duration>(peerTimeout, deadline - m_ports.timers.now());
+    m_ports.peers.call({ peer->address, "POST", "/peer/submit", encode(record), timeout },
+                       [fallback, done](const Result<PeerAnswer> &answer) {
+                           if (!answer.has_value()) {
+                               done(mayHaveTakenEffect(answer.error()) ? SubmitResult::Unknown
+                                                                       : fallback);
+                               return;
+                           }
+                           const auto reply = decodeSubmitReply(answer.value().body);
+                           if (!reply)
+                               done(SubmitResult::Unknown);
+                           else if (reply->result == SubmitResult::NotStored)
+                               done(fallback);
+                           else
+                               done(reply->result);
+                       });
+}
+
+void FrontDesk::status(const std::string &id, bool relayed, Done<StatusAnswer> done)
+{
+    const auto shard = shardOf(id);
+    if (const auto local = m_localStatus(shard, id)) {
+        if (*local)
+            done({ true, *local });
+        else
+            statusFromStore(id, relayed, done);
+        return;
+    }
+    const auto owner = m_membership.owner(shard);
+    if (owner && !owner->record.address.empty()
+        && owner->record.name != m_membership.self().name) {
+        statusFromOwner(id, owner->record.address, relayed, done);
+        return;
+    }
+    statusFromStore(id, relayed, done);
+}
+
+void FrontDesk::statusFromOwner(const std::string &id, const std::string &address, bool relayed,
+                                const Done<StatusAnswer> &done)
+{
+    m_ports.peers.call({ address, "GET", "/peer/job/" + id, "", ownerTimeout },
+                       [this, alive = m_alive, id, relayed, done](const Result<PeerAnswer> &answer) {
+                           if (!*alive)
+                               return;
+                           if (answer.has_value() && answer.value().status == statusOk) {
+                               const auto status = decodeStatus(answer.value().body);
+                               if (status && *status) {
+                                   done({ true, *status });
+                                   return;
+                               }
+                           }
+                           // A job that was just accepted may not have reached its owner.
+                           statusFromStore(id, relayed, done);
+                       });
+}
+
+void FrontDesk::statusFromStore(const std::string &id, bool relayed, const Done<StatusAnswer> &done)
+{
+    const auto key = keys::statesPrefix(shardOf(id)) + id;
+    m_ports.store.read(
+        key, [this, alive = m_alive, id, relayed,
+              done](const Result<std::optional<StoreItem>> &item) {
+            if (!*alive)
+                return;
+            if (!item.has_value()) {
+                if (relayed)
+                    done({});
+                else
+                    statusThroughPeer(id, done);
+                return;
+            }
+            if (!item.value()) {
+                statusFromJob(id, false, done);
+                return;
+            }
+            const auto progress = decodeProgress(item.value()->value);
+            const bool ended = progress && progress->status != JobStatus::Queued
+                && progress->status != JobStatus::Running;
+            if (ended)
+                done({ true, progress->status });
+            else
+                statusFromJob(id, true, done);
+        });
+}
+
+void FrontDesk::statusFromJob(const std::string &id, bool begun, const Done<StatusAnswer> &done)
+{
+    m_ports.store.read(jobKey(id), [begun, done](const Result<std::optional<StoreItem>> &item) {
+        if (!item.has_value()) {
+            done({});
+            return;
+        }
+        if (!item.value()) {
+            done({ true, std::nullopt });
+            return;
+        }
+        const auto record = decodeJob(item.value()->value);
+        if (record && record->cancelled)
+            done({ true, JobStatus::Cancelled });
+        else
+            done({ true, begun ? JobStatus::Running : JobStatus::Queued });
+    });
+}
+
+void FrontDesk::statusThroughPeer(const std::string &id, const Done<StatusAnswer> &done)
+{
+    const auto peer = otherMember();
+    if (!peer) {
+        done({});
+        return;
+    }
+    m_ports.peers.call({ peer->address, "GET", "/peer/find/" + id, "", peerTimeout },
+                       [done](const Result<PeerAnswer> &answer) {
+                           if (!answer.has_value() || answer.value().status != statusOk) {
+                               done({});
+                               return;
+                           }
+                           const auto status = decodeStatus(answer.value().body);
+                           done({ status.has_value(), status.value_or(std::nullopt) });
+                       });
+}
+
+void FrontDesk::cancel(const std::string &id, TimePoint deadline, bool relayed,
+                       Done<CancelResult> done)
+{
+    cancelRead(id, deadline, relayed, done);
+}
+
+void FrontDesk::cancelRead(const std::string &id, TimePoint deadline, bool relayed,
+                           const Done<CancelResult> &done)
+{
+    m_ports.store.read(jobKey(id), [this, alive = m_alive, id, deadline, relayed,
+                                    done](const Result<std::optional<StoreItem>> &item) {
+        if (!*alive)
+            return;
+        if (!item.has_value()) {
+            cancelAgain(id, deadline, relayed, done);
+            return;
+        }
+        if (!item.value()) {
+            done(CancelResult::NoSuchJob);
+            return;
+        }
+        cancelWrite(id, *item.value(), deadline, relayed, done);
+    });
+}
+
+void FrontDesk::cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline,
+                            bool relayed, const Done<CancelResult> &done)
+{
+    auto record = decodeJob(item.value);
+    if (!record) {
+        m_ports.log.write(m_ports.timers.now(), "job.malformed", { { "key", item.key } });
+        done(CancelResult::Unavailable);
+        return;
+    }
+    if (record->cancelled) {
+        done(CancelResult::Cancelled);
+        return;
+    }
+    record->cancelled = true;
+    Transaction transaction;
+    transaction.conditions.push_back({ item.key, item.revision });
+    transaction.writes.push_back({ item.key, encode(*record), 0 });
+    m_ports.store.commit(transaction, [this, alive = m_alive, id, deadline, relayed,
+                                       done](const Result<TransactionOutcome> &outcome) {
+        if (!*alive)
+            return;
+        if (outcome.has_value() && std::holds_alternative<Committed>(outcome.value())) {
+            m_ports.metrics.count("jobs.cancelRequests");
+            m_ports.log.write(m_ports.timers.now(), "job.cancelStored", { { "job", id } });
+            done(CancelResult::Cancelled);
+            return;
+        }
+        // Reading again also settles a write without an answer.
+        cancelAgain(id, deadline, relayed, done);
+    });
+}
+
+void FrontDesk::cancelAgain(const std::string &id, TimePoint deadline, bool relayed,
+                            const Done<CancelResult> &done)
+{
+    if (m_ports.timers.now() + cancelRetryDelay >= deadline) {
+        done(CancelResult::Unavailable);
+        return;
+    }
+    m_ports.timers.after(cancelRetryDelay, [this, alive = m_alive, id, deadline, relayed, done] {
+        if (!*alive)
+            return;
+        if (!relayed && m_ports.timers.now() + peerTimeout < deadline)
+            cancelThroughPeer(id, deadline, done);
+        else
+            cancelRead(id, deadline, relayed, done);
+    });
+}
+
+void FrontDesk::cancelThroughPeer(const std::string &id, TimePoint deadline,
+                                  const Done<CancelResult> &done)
+{
+    const auto peer = otherMember();
+    if (!peer) {
+        cancelRead(id, deadline, true, done);
+        return;
+    }
+    m_ports.peers.call({ peer->address, "POST", "/peer/cancel/" + id, "", peerTimeout },
+                       [this, alive = m_alive, id, deadline,
+                        done](const Result<PeerAnswer> &answer) {
+                           if (!*alive)
+                               return;
+                           std::optional<CancelReply> reply;
+                           if (answer.has_value())
+                               reply = decodeCancelReply(answer.value().body);
+                           if (reply && reply->result != CancelResult::Unavailable)
+                               done(reply->result);
+                           else
+                               cancelRead(id, deadline, true, done);
+                       });
+}
+
+void FrontDesk::pending(const std::string &queue, Done<std::optional<std::uint64_t>> done)
+{
+    struct Sum
+    {
+        std::uint64_t total = 0;
+        std::uint32_t open = 0;
+        bool failed = false;
+    };
+    auto sum = std::make_shared<Sum>();
+    sum->open = m_shards;
+    const auto add = [sum, done](std::optional<std::uint64_t> count) {
+        sum->failed = sum->failed || !count;
+        sum->total += count.value_or(0);
+        if (--sum->open == 0)
+            done(sum->failed ? std::nullopt : std::optional(sum->total));
+    };
+    for (std::uint32_t shard = 0; shard < m_shards; ++shard) {
+        if (const auto local = m_localPending(shard, queue)) {
+            add(local);
+            continue;
+        }
+        const auto owner = m_membership.owner(shard);
+        if (!owner || owner->record.address.empty()) {
+            add(std::nullopt);
+            continue;
+        }
+        m_ports.peers.call({ owner->record.address, "GET",
+                             "/peer/pending/" + std::to_string(shard) + "/" + queue, "",
+                             peerTimeout },
+                           [add](const Result<PeerAnswer> &answer) {
+                               const bool answered =
+                                   answer.has_value() && answer.value().status == statusOk;
+                               add(answered ? decodeCount(answer.value().body) : std::nullopt);
+                           });
+    }
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/frontdesk.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "membership.h"
+#include "submissions.h"
+
+#include <cell/clientresults.h>
+#include <cell/ports.h>
+
+#include <base/eventlog.h>
+#include <base/metrics.h>
+#include <eventloop/timers.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace cowsliprock::cell {
+
+/// Handles calls of clients: asks the owner of a job's shard, the store, or another daemon if the
+/// store does not answer this one.
+class FrontDesk
+{
+public:
+    struct Ports
+    {
+        StorePort &store;
+        PeerPort &peers;
+        Timers &timers;
+        EventLog &log;
+        Metrics &metrics;
+    };
+
+    /// State of a job in a shard of this daemon; the outer value is empty if it owns no such shard.
+    using LocalStatus =
+        std::function<std::optional<std::optional<JobStatus>>(std::uint32_t, const std::string &)>;
+    using LocalPending =
+        std::function<std::optional<std::uint64_t>(std::uint32_t, const std::string &)>;
+
+    FrontDesk(const Ports &ports, Membership &membership, std::uint32_t shards,
+              LocalStatus localStatus, LocalPending localPending);
+    ~FrontDesk();
+    FrontDesk(const FrontDesk &) = delete;
+    FrontDesk &operator=(const FrontDesk &) = delete;
+
+    /// \p relayed: the call comes from another daemon and is not passed on again.
+    void submit(const JobRecord &record, TimePoint deadline, bool relayed, Done<SubmitResult> done);
+    void status(const std::string &id, bool relayed, Done<StatusAnswer> done);
+    void cancel(const std::string &id, TimePoint deadline, bool relayed, Done<CancelResult> done);
+    void pending(const std::string &queue, Done<std::optional<std::uint64_t>> done);
+
+    [[nodiscard]] std::uint32_t shardOf(const std::string &id) const noexcept;
+
+private:
+    [[nodiscard]] std::optional<MemberRecord> otherMember();
+    [[nodiscard]] std::string jobKey(const std::string &id) const;
+    void submitThroughPeer(const JobRecord &record, TimePoint deadline, bool uncertain,
+                           const Done<SubmitResult> &done);
+    void statusFromOwner(const std::string &id, const std::string &address, bool relayed,
+                         const Done<StatusAnswer> &done);
+    void statusFromStore(const std::string &id, bool relayed, const Done<StatusAnswer> &done);
+    void statusFromJob(const std::string &id, bool begun, const Done<StatusAnswer> &done);
+    void statusThroughPeer(const std::string &id, const Done<StatusAnswer> &done);
+    void cancelRead(const std::string &id, TimePoint deadline, bool relayed,
+                    const Done<CancelResult> &done);
+    void cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline, bool relayed,
+                     const Done<CancelResult> &done);
+    void cancelAgain(const std::string &id, TimePoint deadline, bool relayed,
+                     const Done<CancelResult> &done);
+    void cancelThroughPeer(const std::string &id, TimePoint deadline,
+                           const Done<CancelResult> &done);
+
+    Ports m_ports;
+    Membership &m_membership;
+    std::uint32_t m_shards;
+    LocalStatus m_localStatus;
+    LocalPending m_localPending;
+    Submissions m_submissions;
+    std::mt19937 m_random;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/jobtable.cpp
@@ -0,0 +1,193 @@
+#include "jobtable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// A job that takes this many times its objective is of no use to its caller any more.
+constexpr int usefulObjectives = 3;
+
+void estimateChains(Job &job)
+{
+    const auto &steps = job.record.spec.steps;
+    job.chainBefore.assign(steps.size(), Duration::zero());
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        Duration longest{};
+        for (const auto before : steps[index].after)
+            longest = std::max(longest, job.chainBefore.at(before));
+        job.chainBefore[index] = longest + steps[index].estimate;
+        if (job.record.queue.advice)
+            job.chainBefore[index] += job.record.queue.advice->decision;
+        job.chain = std::max(job.chain, job.chainBefore[index]);
+    }
+}
+
+void restore(Step &step, const StepProgress &progress)
+{
+    const auto count = std::min(step.tasks.size(), progress.done.size());
+    for (std::size_t index = 0; index < count; ++index) {
+        if (progress.done[index]) {
+            step.tasks[index].phase = TaskPhase::Done;
+            ++step.doneCount;
+        }
+    }
+    step.failures = progress.failures;
+    for (const auto &failure : progress.failures) {
+        if (failure.index < step.tasks.size())
+            step.tasks[failure.index].lastRun = failure.lastRun;
+    }
+}
+
+} // namespace
+
+TaskFailures &Step::failuresOf(std::uint32_t index)
+{
+    const auto found = std::find_if(failures.begin(), failures.end(),
+                                    [index](const auto &entry) { return entry.index == index; });
+    if (found != failures.end())
+        return *found;
+    return failures.emplace_back(TaskFailures{ index, 0, 0 });
+}
+
+bool Occurrence::done() const noexcept
+{
+    return std::all_of(steps.begin(), steps.end(), [](const Step &step) { return step.done(); });
+}
+
+TimePoint Job::objective(const Occurrence &occurrence) const
+{
+    const auto work = std::chrono::duration_cast<Duration>(record.queue.extension * chain);
+    return occurrence.begun + work + record.queue.targetRuntime;
+}
+
+TimePoint Job::lastUseful(const Occurrence &occurrence) const
+{
+    return occurrence.begun + (objective(occurrence) - occurrence.begun) * usefulObjectives;
+}
+
+Occurrence &beginOccurrence(Job &job, std::uint32_t number, TimePoint now)
+{
+    auto &occurrence = job.occurrences[number];
+    occurrence.number = number;
+    occurrence.begun = now;
+    occurrence.steps.resize(job.record.spec.steps.size());
+    for (std::size_t index = 0; index < occurrence.steps.size(); ++index)
+        occurrence.steps[index].tasks.resize(job.record.spec.steps[index].count);
+    updateReadiness(job, occurrence);
+    return occurrence;
+}
+
+void updateReadiness(const Job &job, Occurrence &occurrence)
+{
+    for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+        const auto &after = job.record.spec.steps[index].after;
+        occurrence.steps[index].ready =
+            std::all_of(after.begin(), after.end(), [&occurrence](std::uint32_t before) {
+                return occurrence.steps.at(before).done();
+            });
+    }
+}
+
+Job makeJob(const JobRecord &record, std::uint64_t created, TimePoint now,
+            const std::optional<JobProgress> &progress)
+{
+    Job job;
+    job.record = record;
+    job.created = created;
+    job.seen = now;
+    estimateChains(job);
+    if (progress) {
+        job.status = progress->status;
+        for (const auto &stored : progress->occurrences) {
+            if (stored.steps.size() != record.spec.steps.size())
+                continue;
+            auto &occurrence = beginOccurrence(job, stored.number, now);
+            for (std::size_t index = 0; index < stored.steps.size(); ++index)
+                restore(occurrence.steps[index], stored.steps[index]);
+            updateReadiness(job, occurrence);
+        }
+    }
+    if (record.cancelled && job.active())
+        job.status = JobStatus::Cancelled;
+    job.durableStatus = job.status;
+    if (!job.active())
+        job.endedAt = now;
+    return job;
+}
+
+JobProgress progressOf(const Job &job)
+{
+    JobProgress progress;
+    progress.status = job.status;
+    if (!job.active())
+        return progress;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        OccurrenceProgress stored;
+        stored.number = number;
+        for (const auto &step : occurrence.steps) {
+            StepProgress stepProgress;
+            for (const auto &task : step.tasks)
+                stepProgress.done.push_back(task.phase == TaskPhase::Done);
+            stepProgress.failures = step.failures;
+            stored.steps.push_back(std::move(stepProgress));
+        }
+        progress.occurrences.push_back(std::move(stored));
+    }
+    return progress;
+}
+
+bool malformed(const JobSpec &spec) noexcept
+{
+    if (spec.steps.empty())
+        return true;
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        const auto &step = spec.steps[index];
+        if (step.count == 0
+            || std::any_of(step.after.begin(), step.after.end(),
+                           [index](std::uint32_t before) { return before >= index; })) {
+            return true;
+        }
+    }
+    return false;
+}
+
+Job *JobTable::find(const std::string &id)
+{
+    const auto entry = m_jobs.find(id);
+    return entry == m_jobs.end() ? nullptr : entry->second.get();
+}
+
+const Job *JobTable::find(const std::string &id) const
+{
+    const auto entry = m_jobs.find(id);
+    return entry == m_jobs.end() ? nullptr : entry->second.get();
+}
+
+Step *JobTable::findStep(const TaskId &id)
+{
+    Job *job = find(id.job);
+    if (job == nullptr)
+        return nullptr;
+    const auto occurrence = job->occurrences.find(id.occurrence);
+    if (occurrence == job->occurrences.end() || id.step >= occurrence->second.steps.size())
+        return nullptr;
+    return &occurrence->second.steps[id.step];
+}
+
+Task *JobTable::findTask(const TaskId &id)
+{
+    Step *step = findStep(id);
+    return step == nullptr || id.index >= step->tasks.size() ? nullptr : &step->tasks[id.index];
+}
+
+Job &JobTable::insert(Job job)
+{
+    auto &slot = m_jobs[job.record.id];
+    slot = std::make_unique<Job>(std::move(job));
+    return *slot;
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/jobtable.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "records.h"
+
+#include <cell/model.h>
+
+#include <base/time.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cowsliprock::cell {
+
+enum class TaskPhase { Waiting, Placed, Done };
+
+struct Task
+{
+    TaskPhase phase = TaskPhase::Waiting;
+    std::uint32_t lastRun = 0;
+    std::uint32_t liveRuns = 0; ///< Runs that may be at work on a worker.
+    std::string checkpoint;
+    std::vector<std::string> failedOn; ///< Workers on which a run has failed.
+    TimePoint notBefore{};             ///< Earliest next start.
+};
+
+/// What a worker may be used for in one step, from the queue's policy service.
+struct StepTicket
+{
+    std::string value; ///< Empty: the worker is allowed but its ticket has to be asked for.
+    TimePoint expires{};
+    std::int64_t born = 0; ///< Life of the worker that the ticket is for.
+};
+
+struct StepAdvice
+{
+    std::map<std::string, StepTicket> allowed;
+    std::map<std::string, std::int64_t> denied; ///< Worker to its life.
+    bool asking = false;
+    TimePoint nextAsk{};
+};
+
+struct Step
+{
+    std::vector<Task> tasks;
+    std::vector<TaskFailures> failures;
+    std::uint32_t doneCount = 0;
+    bool ready = false; ///< All steps before it are done.
+    StepAdvice advice;
+
+    [[nodiscard]] bool done() const noexcept { return doneCount == tasks.size(); }
+    TaskFailures &failuresOf(std::uint32_t index);
+};
+
+struct Occurrence
+{
+    std::uint32_t number = 0;
+    std::vector<Step> steps;
+    TimePoint begun{};
+
+    [[nodiscard]] bool done() const noexcept;
+};
+
+/// A job and what is known of its tasks.
+struct Job
+{
+    JobRecord record;
+    std::uint64_t created = 0; ///< Store revision of its acceptance; orders jobs by arrival.
+    JobStatus status = JobStatus::Queued;
+    JobStatus durableStatus = JobStatus::Queued; ///< What callers may be told.
+    std::map<std::uint32_t, Occurrence> occurrences;
+    bool mayRunElsewhere = false; ///< An owner before this one may have started its tasks.
+    bool everStarted = false;
+    TimePoint seen{};
+    TimePoint endedAt{};
+    std::vector<Duration> chainBefore; ///< Estimated longest chain up to and including a step.
+    Duration chain{};                  ///< Estimated longest chain of the whole job.
+
+    [[nodiscard]] bool active() const noexcept
+    {
+        return status == JobStatus::Queued || status == JobStatus::Running;
+    }
+    [[nodiscard]] const StepSpec &spec(std::uint32_t step) const
+    {
+        return record.spec.steps.at(step);
+    }
+    [[nodiscard]] std::uint32_t occurrenceCount() const noexcept
+    {
+        return record.spec.repeatCount == 0 ? 1 : record.spec.repeatCount;
+    }
+    /// End of the time in which the job is worth most to its caller.
+    [[nodiscard]] TimePoint objective(const Occurrence &occurrence) const;
+    /// End of the time in which it is worth anything.
+    [[nodiscard]] TimePoint lastUseful(const Occurrence &occurrence) const;
+};
+
+/// Builds a job from its record and from what an earlier owner noted.
+[[nodiscard]] Job makeJob(const JobRecord &record, std::uint64_t created, TimePoint now,
+                          const std::optional<JobProgress> &progress);
+
+/// Adds an occurrence with all its tasks waiting.
+Occurrence &beginOccurrence(Job &job, std::uint32_t number, TimePoint now);
+
+/// Recomputes which steps are ready after a step has ended.
+void updateReadiness(const Job &job, Occurrence &occurrence);
+
+/// What has to be durable.
+[[nodiscard]] JobProgress progressOf(const Job &job);
+
+/// True if the job cannot be run as described: no steps, or steps that wait for later ones.
+[[nodiscard]] bool malformed(const JobSpec &spec) noexcept;
+
+/// All jobs of a shard.
+class JobTable
+{
+public:
+    Job *find(const std::string &id);
+    [[nodiscard]] const Job *find(const std::string &id) const;
+    Task *findTask(const TaskId &id);
+    Step *findStep(const TaskId &id);
+    Job &insert(Job job);
+    void erase(const std::string &id) { m_jobs.erase(id); }
+
+    [[nodiscard]] std::map<std::string, std::unique_ptr<Job>> &all() noexcept { return m_jobs; }
+    [[nodiscard]] const std::map<std::string, std::unique_ptr<Job>> &all() const noexcept
+    {
+        return m_jobs;
+    }
+
+private:
+    std::map<std::string, std::unique_ptr<Job>> m_jobs;
+};
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/keys.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace cowsliprock::cell {
+
+/// Keys of the product in the store. All begin with "cowsliprock/".
+namespace keys {
+
+inline const std::string membersPrefix = "cowsliprock/node/";
+
+inline std::string member(const std::string &name)
+{
+    return membersPrefix + "member/" + name;
+}
+
+inline std::string owner(std::uint32_t shard)
+{
+    return membersPrefix + "owner/" + std::to_string(shard);
+}
+
+inline std::string jobsPrefix(std::uint32_t shard)
+{
+    return "cowsliprock/job/" + std::to_string(shard) + "/";
+}
+
+inline std::string statesPrefix(std::uint32_t shard)
+{
+    return "cowsliprock/state/" + std::to_string(shard) + "/";
+}
+
+/// Workers that the owner of a shard uses, for its successor.
+inline std::string roster(std::uint32_t shard)
+{
+    return "cowsliprock/roster/" + std::to_string(shard);
+}
+
+} // namespace keys
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/membership.cpp
@@ -0,0 +1,202 @@
+#include "membership.h"
+
+#include "keys.h"
+
+#include <charconv>
+#include <string_view>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// A daemon that does not renew its lease for this long is taken for dead.
+constexpr std::chrono::milliseconds presenceTimeToLive{ 1800 };
+constexpr std::chrono::milliseconds renewInterval{ 500 };
+constexpr std::chrono::milliseconds retryDelay{ 200 };
+
+constexpr PrefixWatch::Options watchOptions{ std::chrono::milliseconds(1500),
+                                             std::chrono::milliseconds(5) };
+
+std::optional<std::uint32_t> shardOfKey(const std::string &key)
+{
+    const std::string prefix = keys::membersPrefix + "owner/";
+    if (!key.starts_with(prefix))
+        return std::nullopt;
+    std::uint32_t shard = 0;
+    const char *end = key.data() + key.size();
+    const auto [last, error] = std::from_chars(key.data() + prefix.size(), end, shard);
+    if (error != std::errc() || last != end)
+        return std::nullopt;
+    return shard;
+}
+
+std::optional<std::string> memberOfKey(const std::string &key)
+{
+    const std::string prefix = keys::membersPrefix + "member/";
+    if (!key.starts_with(prefix))
+        return std::nullopt;
+    return key.substr(prefix.size());
+}
+
+} // namespace
+
+Membership::Membership(StorePort &store, Timers &timers, EventLog &log, MemberRecord self)
+    : m_store(store)
+    , m_timers(timers)
+    , m_log(log)
+    , m_self(std::move(self))
+    , m_watch(store, timers, keys::membersPrefix, watchOptions,
+              { [this](const StoreItem &item) { apply(item); },
+                [this](const std::string &key, std::uint64_t revision) { forget(key, revision); },
+                [this] { listed(); }, [this](bool isReachable) { reachable(isReachable); } })
+{ }
+
+Membership::~Membership()
+{
+    *m_alive = false;
+}
+
+void Membership::start(std::function<void()> changed)
+{
+    m_changed = std::move(changed);
+    obtainLease();
+    m_watch.start();
+}
+
+void Membership::leave()
+{
+    m_leaving = true;
+    if (m_lease != 0)
+        m_store.endLease(m_lease);
+    m_lease = 0;
+}
+
+std::optional<OwnerView> Membership::owner(std::uint32_t shard) const
+{
+    if (const auto entry = m_owners.find(shard); entry != m_owners.end())
+        return entry->second;
+    return std::nullopt;
+}
+
+void Membership::rememberOwner(std::uint32_t shard, const OwnerRecord &record,
+                               std::uint64_t revision)
+{
+    auto &view = m_owners[shard];
+    if (revision > view.revision)
+        view = { record, revision };
+}
+
+void Membership::obtainLease()
+{
+    if (m_leaving)
+        return;
+    m_store.grantLease(presenceTimeToLive, [this, alive = m_alive](
+                                               const Result<std::uint64_t> &lease) {
+        if (!*alive || m_leaving)
+            return;
+        if (!lease.has_value()) {
+            m_timers.after(retryDelay, [this, alive] {
+                if (*alive)
+                    obtainLease();
+            });
+            return;
+        }
+        m_lease = lease.value();
+        announce();
+        keepLease(m_lease);
+    });
+}
+
+void Membership::announce()
+{
+    Transaction transaction;
+    transaction.writes.push_back({ keys::member(m_self.name), encode(m_self), m_lease });
+    m_store.commit(transaction,
+                   [this, alive = m_alive](const Result<TransactionOutcome> &outcome) {
+                       if (!*alive || m_leaving)
+                           return;
+                       if (outcome.has_value()
+                           && std::holds_alternative<Committed>(outcome.value())) {
+                           m_log.write(m_timers.now(), "presence.announced",
+                                       { { "lease", m_lease } });
+                           return;
+                       }
+                       leaseLost("presence was not written");
+                   });
+}
+
+void Membership::keepLease(std::uint64_t lease)
+{
+    m_timers.after(renewInterval, [this, lease, alive = m_alive] {
+        if (!*alive || m_leaving || lease != m_lease)
+            return;
+        m_store.keepLease(lease, [this, lease, alive](const Result<bool> &kept) {
+            if (!*alive || m_leaving || lease != m_lease)
+                return;
+            // Without an answer the lease may go on: only the store can say that it has ended.
+            if (kept.has_value() && !kept.value())
+                leaseLost("lease has ended");
+            else
+                keepLease(lease);
+        });
+    });
+}
+
+void Membership::leaseLost(const char *reason)
+{
+    m_log.write(m_timers.now(), "presence.lost", { { "lease", m_lease }, { "reason", reason } });
+    m_lease = 0;
+    m_timers.after(retryDelay, [this, alive = m_alive] {
+        if (*alive)
+            obtainLease();
+    });
+}
+
+void Membership::apply(const StoreItem &item)
+{
+    if (const auto shard = shardOfKey(item.key)) {
+        if (const auto record = decodeOwner(item.value))
+            rememberOwner(*shard, *record, item.revision);
+    } else if (const auto name = memberOfKey(item.key)) {
+        if (auto record = decodeMember(item.value)) {
+            if (!m_members.contains(*name))
+                m_log.write(m_timers.now(), "member.joined",
+                            { { "member", *name }, { "revision", item.revision } });
+            m_members.insert_or_assign(*name, std::move(*record));
+        }
+    }
+    if (m_watch.synchronized())
+        m_changed();
+}
+
+void Membership::listed()
+{
+    if (!m_reachableSince)
+        m_reachableSince = m_timers.now();
+    m_changed();
+}
+
+void Membership::forget(const std::string &key, std::uint64_t revision)
+{
+    if (const auto name = memberOfKey(key)) {
+        m_log.write(m_timers.now(), "member.left",
+                    { { "member", *name }, { "revision", revision } });
+        m_members.erase(*name);
+        if (*name == m_self.name && m_lease != 0 && !m_leaving)
+            announce();
+    }
+    if (m_watch.synchronized())
+        m_changed();
+}
+
+void Membership::reachable(bool isReachable)
+{
+    m_log.write(m_timers.now(), isReachable ? "store.regained" : "store.lost", {});
+    if (isReachable)
+        m_reachableSince = m_timers.now();
+    else
+        m_reachableSince.reset();
+    m_changed();
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/membership.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "prefixwatch.h"
+#include "records.h"
+
+#include <cell/ports.h>
+
+#include <base/eventlog.h>
+#include <eventloop/timers.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cowsliprock::cell {
+
+/// An owner record with its place in the store's history.
+struct OwnerView
+{
+    OwnerRecord record;
+    std::uint64_t revision = 0;
+};
+
+/// Keeps this daemon's presence in the store under a lease, and follows the other daemons and the
+/// owners of the shards.
+class Membership
+{
+public:
+    Membership(StorePort &store, Timers &timers, EventLog &log, MemberRecord self);
+    ~Membership();
+    Membership(const Membership &) = delete;
+    Membership &operator=(const Membership &) = delete;
+
+    /// \p changed is called after each change of a member or an owner.
+    void start(std::function<void()> changed);
+
+    /// Ends the lease, so that the others notice the departure at once.
+    void leave();
+
+    [[nodiscard]] const MemberRecord &self() const noexcept { return m_self; }
+    [[nodiscard]] const std::map<std::string, MemberRecord> &members() const noexcept
+    {
+        return m_members;
+    }
+    [[nodiscard]] std::optional<OwnerView> owner(std::uint32_t shard) const;
+
+    /// True once the first list has been read.
+    [[nodiscard]] bool synchronized() const noexcept { return m_watch.synchronized(); }
+
+    /// Since when the store has answered without a gap; nothing while it does not answer.
+    [[nodiscard]] std::optional<TimePoint> storeReachableSince() const noexcept
+    {
+        return m_reachableSince;
+    }
+
+    /// Takes over the result of this daemon's own write before the watch reports it.
+    void rememberOwner(std::uint32_t shard, const OwnerRecord &record, std::uint64_t revision);
+
+private:
+    void obtainLease();
+    void announce();
+    void keepLease(std::uint64_t lease);
+    void listed();
+    void leaseLost(const char *reason);
+    void apply(const StoreItem &item);
+    void forget(const std::string &key, std::uint64_t revision);
+    void reachable(bool isReachable);
+
+    StorePort &m_store;
+    Timers &m_timers;
+    EventLog &m_log;
+    MemberRecord m_self;
+    std::function<void()> m_changed;
+    std::map<std::string, MemberRecord> m_members;
+    std::map<std::uint32_t, OwnerView> m_owners;
+    std::optional<TimePoint> m_reachableSince;
+    std::uint64_t m_lease = 0;
+    bool m_leaving = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    PrefixWatch m_watch;
+};
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/model.cpp
@@ -0,0 +1,86 @@
+#include <cell/model.h>
+
+#include <array>
+#include <charconv>
+#include <string_view>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+constexpr std::array<const char *, 5> statusNames{ "queued", "running", "completed", "failed",
+                                                   "cancelled" };
+
+bool parseNumber(std::string_view text, std::uint32_t &number)
+{
+    const char *end = text.data() + text.size();
+    const auto [last, error] = std::from_chars(text.data(), end, number);
+    return error == std::errc() && last == end;
+}
+
+} // namespace
+
+const QueueSettings *CellConfiguration::queueFor(const std::string &host,
+                                                 const std::string &path) const
+{
+    const QueueSettings *best = nullptr;
+    for (const auto &queue : queues) {
+        if (queue.host == host && path.starts_with(queue.prefix)
+            && (best == nullptr || queue.prefix.size() > best->prefix.size())) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+const QueueSettings *CellConfiguration::queueNamed(const std::string &name) const
+{
+    for (const auto &queue : queues) {
+        if (queue.name == name)
+            return &queue;
+    }
+    return nullptr;
+}
+
+const char *toString(JobStatus status) noexcept
+{
+    return statusNames.at(static_cast<std::size_t>(status));
+}
+
+std::optional<JobStatus> parseJobStatus(const std::string &text)
+{
+    for (std::size_t index = 0; index < statusNames.size(); ++index) {
+        if (text == statusNames.at(index))
+            return static_cast<JobStatus>(index);
+    }
+    return std::nullopt;
+}
+
+std::string TaskId::text() const
+{
+    return stepText() + "." + std::to_string(index);
+}
+
+std::string TaskId::stepText() const
+{
+    return job + "." + std::to_string(occurrence) + "." + std::to_string(step);
+}
+
+std::optional<TaskId> parseTaskId(const std::string &text)
+{
+    TaskId result;
+    std::string_view rest = text;
+    const std::array<std::uint32_t *, 3> numbers{ &result.index, &result.step, &result.occurrence };
+    for (std::uint32_t *number : numbers) {
+        const auto dot = rest.rfind('.');
+        if (dot == std::string_view::npos || !parseNumber(rest.substr(dot + 1), *number))
+            return std::nullopt;
+        rest = rest.substr(0, dot);
+    }
+    if (rest.empty())
+        return std::nullopt;
+    result.job = std::string(rest);
+    return result;
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/node.cpp
@@ -0,0 +1,349 @@
+#include <cell/node.h>
+
+#include "advicespreader.h"
+#include "configurationfollower.h"
+#include "election.h"
+#include "frontdesk.h"
+#include "keys.h"
+#include "membership.h"
+#include "peermessages.h"
+#include "shard.h"
+
+#include <charconv>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// Calls that a daemon makes for another one end before that one gives up.
+constexpr std::chrono::milliseconds relayedCallTime{ 600 };
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusUnavailable = 503;
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const char *end = text.data() + text.size();
+    const auto [last, error] = std::from_chars(text.data(), end, number);
+    if (error != std::errc() || last != end)
+        return std::nullopt;
+    return number;
+}
+
+/// The rest of \p path after \p prefix, or nothing.
+std::optional<std::string> pathAfter(const std::string &path, std::string_view prefix)
+{
+    if (!path.starts_with(prefix))
+        return std::nullopt;
+    return path.substr(prefix.size());
+}
+
+} // namespace
+
+struct Node::State
+{
+    State(const Ports &nodePorts, Settings nodeSettings, PlatformRecords platformRecords);
+    ~State() { *alive = false; }
+
+    struct Slot
+    {
+        std::unique_ptr<Election> election;
+        std::unique_ptr<Shard> shard;
+    };
+
+    void start();
+    void won(std::uint32_t number, const Ownership &ownership);
+    void configurationChanged(const CellConfiguration &configuration);
+    void shutdown(Duration limit, std::function<void()> done);
+    [[nodiscard]] const Shard *loadedShard(std::uint32_t number) const;
+    void peerCall(const std::string &method, const std::string &path, const std::string &body,
+                  const Done<PeerAnswer> &done);
+    void peerGet(const std::string &path, const Done<PeerAnswer> &done);
+    void peerPost(const std::string &path, const std::string &body, const Done<PeerAnswer> &done);
+    void peerPending(const std::string &rest, const Done<PeerAnswer> &done);
+    void peerAdvise(const std::string &body, const Done<PeerAnswer> &done);
+    void peerSubmit(const std::string &body, const Done<PeerAnswer> &done);
+
+    Ports ports;
+    Settings settings;
+    PlatformRecords records;
+    Membership membership;
+    ConfigurationFollower configuration;
+    AdviceSpreader advice;
+    FrontDesk desk;
+    std::vector<Slot> slots;
+    bool stopping = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+Node::State::State(const Ports &nodePorts, Settings nodeSettings, PlatformRecords platformRecords)
+    : ports(nodePorts)
+    , settings(std::move(nodeSettings))
+    , records(std::move(platformRecords))
+    , membership(ports.store, ports.timers, ports.log,
+                 MemberRecord{ settings.name, settings.incarnation, settings.address,
+                               settings.dataCentre, settings.weight })
+    , configuration(ports.store, ports.peers, ports.timers, ports.log, membership, records)
+    , advice(ports.advice, ports.peers, ports.timers, membership)
+    , desk({ ports.store, ports.peers, ports.timers, ports.log, ports.metrics }, membership,
+           settings.shards,
+           [this](std::uint32_t shard,
+                  const std::string &id) -> std::optional<std::optional<JobStatus>> {
+               const Shard *owned = loadedShard(shard);
+               if (owned == nullptr)
+                   return std::nullopt;
+               return std::optional(owned->scheduler().status(id));
+           },
+           [this](std::uint32_t shard, const std::string &queue) -> std::optional<std::uint64_t> {
+               const Shard *owned = loadedShard(shard);
+               if (owned == nullptr)
+                   return std::nullopt;
+               return owned->scheduler().pending(queue);
+           })
+    , slots(settings.shards)
+{
+    for (std::uint32_t number = 0; number < settings.shards; ++number) {
+        slots[number].election = std::make_unique<Election>(
+            ports.store, ports.timers, ports.log, membership, number,
+            Election::Listener{
+                [this, number](const Ownership &ownership) { won(number, ownership); },
+                [this, number] { slots[number].shard.reset(); } });
+    }
+}
+
+void Node::State::start()
+{
+    membership.start([this] {
+        for (auto &slot : slots)
+            slot.election->evaluate();
+    });
+    configuration.start(
+        [this](const CellConfiguration &newest) { configurationChanged(newest); });
+}
+
+void Node::State::won(std::uint32_t number, const Ownership &ownership)
+{
+    Scheduler::Settings shardSettings;
+    shardSettings.shard = number;
+    shardSettings.ownershipRevision = ownership.revision;
+    shardSettings.generation = ownership.generation;
+    shardSettings.lease = settings.lease;
+    shardSettings.statusKept = settings.statusKept;
+    auto &slot = slots[number];
+    slot.shard = std::make_unique<Shard>(
+        Scheduler::Ports{ ports.workers, advice, ports.timers, ports.log, ports.metrics },
+        ports.store, records, shardSettings,
+        StoreCondition{ keys::owner(number), ownership.revision },
+        [&slot] { slot.election->deposed(); });
+    if (const auto *current = configuration.current())
+        slot.shard->configure(*current);
+    slot.shard->start();
+}
+
+void Node::State::configurationChanged(const CellConfiguration &newest)
+{
+    for (auto &slot : slots) {
+        if (slot.shard)
+            slot.shard->configure(newest);
+    }
+}
+
+const Shard *Node::State::loadedShard(std::uint32_t number) const
+{
+    if (number >= slots.size())
+        return nullptr;
+    const Shard *shard = slots[number].shard.get();
+    return shard != nullptr && shard->loaded() ? shard : nullptr;
+}
+
+void Node::State::shutdown(Duration limit, std::function<void()> done)
+{
+    stopping = true;
+    struct Progress
+    {
+        std::size_t open = 0;
+        std::function<void()> done;
+    };
+    auto progress = std::make_shared<Progress>();
+    progress->done = std::move(done);
+    const auto finish = [this, living = alive, progress] {
+        if (!progress->done)
+            return;
+        if (*living)
+            membership.leave();
+        std::exchange(progress->done, {})();
+    };
+    progress->open = slots.size();
+    for (auto &slot : slots) {
+        slot.election->retire();
+        const auto release = [&slot, living = alive, progress, finish] {
+            if (!*living)
+                return;
+            slot.election->release([progress, finish] {
+                if (--progress->open == 0)
+                    finish();
+            });
+        };
+        if (slot.shard)
+            slot.shard->whenDurable(release);
+        else
+            release();
+    }
+    ports.timers.after(limit, finish);
+}
+
+void Node::State::peerCall(const std::string &method, const std::string &path,
+                           const std::string &body, const Done<PeerAnswer> &done)
+{
+    if (method == "GET")
+        peerGet(path, done);
+    else if (method == "POST")
+        peerPost(path, body, done);
+    else
+        done({ statusBadRequest, "{}" });
+}
+
+void Node::State::peerGet(const std::string &path, const Done<PeerAnswer> &done)
+{
+    if (const auto id = pathAfter(path, "/peer/job/")) {
+        const Shard *shard = loadedShard(desk.shardOf(*id));
+        if (shard == nullptr)
+            done({ statusUnavailable, "{}" });
+        else
+            done({ statusOk, encodeStatus(shard->scheduler().status(*id)) });
+    } else if (const auto sought = pathAfter(path, "/peer/find/")) {
+        desk.status(*sought, true, [done](const StatusAnswer &answer) {
+            done({ answer.available ? statusOk : statusUnavailable, encodeStatus(answer.status) });
+        });
+    } else if (const auto rest = pathAfter(path, "/peer/pending/")) {
+        peerPending(*rest, done);
+    } else if (const auto version = pathAfter(path, "/peer/configuration/")) {
+        const auto newer = configuration.newerThan(parseNumber(*version).value_or(0));
+        done({ newer ? statusOk : statusNotFound, newer.value_or("{}") });
+    } else {
+        done({ statusNotFound, "{}" });
+    }
+}
+
+void Node::State::peerPending(const std::string &rest, const Done<PeerAnswer> &done)
+{
+    const auto slash = rest.find('/');
+    const auto number = parseNumber(std::string_view(rest).substr(0, slash));
+    const Shard *shard = slash == std::string::npos || !number
+        ? nullptr
+        : loadedShard(static_cast<std::uint32_t>(*number));
+    if (shard == nullptr)
+        done({ statusUnavailable, "{}" });
+    else
+        done({ statusOk, encodeCount(shard->scheduler().pending(rest.substr(slash + 1))) });
+}
+
+void Node::State::peerPost(const std::string &path, const std::string &body,
+                           const Done<PeerAnswer> &done)
+{
+    if (path == "/peer/advise") {
+        peerAdvise(body, done);
+    } else if (path == "/peer/submit") {
+        peerSubmit(body, done);
+    } else if (const auto id = pathAfter(path, "/peer/cancel/")) {
+        desk.cancel(*id, ports.timers.now() + relayedCallTime, true, [done](CancelResult result) {
+            done({ statusOk, encode(CancelReply{ result }) });
+        });
+    } else {
+        done({ statusNotFound, "{}" });
+    }
+}
+
+void Node::State::peerAdvise(const std::string &body, const Done<PeerAnswer> &done)
+{
+    const auto question = decodeAdviceQuestion(body);
+    if (!question) {
+        done({ statusBadRequest, "{}" });
+        return;
+    }
+    ports.advice.advise(question->step, question->workers, question->timeout,
+                        [done](const Result<Advice> &answer) {
+                            if (answer.has_value())
+                                done({ statusOk, encode(answer.value()) });
+                            else
+                                done({ statusUnavailable, "{}" });
+                        });
+}
+
+void Node::State::peerSubmit(const std::string &body, const Done<PeerAnswer> &done)
+{
+    const auto record = decodeJob(body);
+    if (!record) {
+        done({ statusBadRequest, "{}" });
+        return;
+    }
+    desk.submit(*record, ports.timers.now() + relayedCallTime, true, [done](SubmitResult result) {
+        done({ statusOk, encode(SubmitReply{ result }) });
+    });
+}
+
+Node::Node(const Ports &ports, Settings settings, PlatformRecords records)
+    : m_state(std::make_unique<State>(ports, std::move(settings), std::move(records)))
+{ }
+
+Node::~Node() = default;
+
+void Node::start()
+{
+    m_state->start();
+}
+
+bool Node::ready() const noexcept
+{
+    return !m_state->stopping && m_state->configuration.current() != nullptr
+        && m_state->membership.synchronized();
+}
+
+void Node::shutdown(Duration limit, std::function<void()> done)
+{
+    m_state->shutdown(limit, std::move(done));
+}
+
+const CellConfiguration *Node::configuration() const noexcept
+{
+    return m_state->configuration.current();
+}
+
+void Node::submit(const std::string &id, const QueueSettings &queue, JobSpec spec,
+                  TimePoint deadline, Done<SubmitResult> done)
+{
+    JobRecord record;
+    record.id = id;
+    record.queue = queue;
+    record.configurationVersion = configuration()->version;
+    record.spec = std::move(spec);
+    m_state->desk.submit(record, deadline, false, std::move(done));
+}
+
+void Node::status(const std::string &id, Done<StatusAnswer> done)
+{
+    m_state->desk.status(id, false, std::move(done));
+}
+
+void Node::cancel(const std::string &id, TimePoint deadline, Done<CancelResult> done)
+{
+    m_state->desk.cancel(id, deadline, false, std::move(done));
+}
+
+void Node::pending(const std::string &queue, Done<std::optional<std::uint64_t>> done)
+{
+    m_state->desk.pending(queue, std::move(done));
+}
+
+void Node::peerCall(const std::string &method, const std::string &path, const std::string &body,
+                    Done<PeerAnswer> done)
+{
+    m_state->peerCall(method, path, body, done);
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/peermessages.cpp
@@ -0,0 +1,102 @@
+#include "peermessages.h"
+
+#include "decodejson.h"
+
+namespace cowsliprock::cell {
+
+std::string encode(const AdviceQuestion &question)
+{
+    return Json{ { "step", question.step },
+                 { "workers", question.workers },
+                 { "timeoutUs", question.timeout.count() } }
+        .dump();
+}
+
+std::string encode(const Advice &advice)
+{
+    Json allowed = Json::array();
+    for (const auto &ticket : advice.allowed)
+        allowed.push_back(Json::array({ ticket.worker, ticket.value }));
+    return Json{ { "allowed", std::move(allowed) }, { "validityUs", advice.validity.count() } }
+        .dump();
+}
+
+std::string encode(const SubmitReply &reply)
+{
+    return Json{ { "result", static_cast<int>(reply.result) } }.dump();
+}
+
+std::string encode(const CancelReply &reply)
+{
+    return Json{ { "result", static_cast<int>(reply.result) } }.dump();
+}
+
+std::string encodeStatus(const std::optional<JobStatus> &status)
+{
+    Json json = Json::object();
+    if (status)
+        json["status"] = toString(*status);
+    return json.dump();
+}
+
+std::string encodeCount(std::uint64_t count)
+{
+    return Json{ { "count", count } }.dump();
+}
+
+std::optional<AdviceQuestion> decodeAdviceQuestion(const std::string &text)
+{
+    return decodeWith(text, [](const Json &json) {
+        return AdviceQuestion{ json.at("step"),
+                               json.at("workers").get<std::vector<std::string>>(),
+                               Duration(json.at("timeoutUs").get<std::int64_t>()) };
+    });
+}
+
+std::optional<Advice> decodeAdvice(const std::string &text)
+{
+    return decodeWith(text, [](const Json &json) {
+        Advice advice;
+        for (const auto &row : json.at("allowed"))
+            advice.allowed.push_back({ row.at(0), row.at(1) });
+        advice.validity = Duration(json.at("validityUs").get<std::int64_t>());
+        return advice;
+    });
+}
+
+std::optional<SubmitReply> decodeSubmitReply(const std::string &text)
+{
+    return decodeWith(text, [](const Json &json) {
+        // An unknown number promises nothing.
+        const int number = json.at("result");
+        const bool known = number >= 0 && number <= static_cast<int>(SubmitResult::Unknown);
+        return SubmitReply{ known ? static_cast<SubmitResult>(number) : SubmitResult::Unknown };
+    });
+}
+
+std::optional<CancelReply> decodeCancelReply(const std::string &text)
+{
+    return decodeWith(text, [](const Json &json) {
+        const int number = json.at("result");
+        const bool known = number >= 0 && number <= static_cast<int>(CancelResult::Unavailable);
+        return CancelReply{ known ? static_cast<CancelResult>(number)
+                                  : CancelResult::Unavailable };
+    });
+}
+
+std::optional<std::optional<JobStatus>> decodeStatus(const std::string &text)
+{
+    return decodeWith(text, [](const Json &json) -> std::optional<JobStatus> {
+        if (const auto status = json.find("status"); status != json.end())
+            return parseJobStatus(status->get<std::string>());
+        return std::nullopt;
+    });
+}
+
+std::optional<std::uint64_t> decodeCount(const std::string &text)
+{
+    return decodeWith(text,
+                      [](const Json &json) { return json.at("count").get<std::uint64_t>(); });
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/peermessages.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cell/clientresults.h>
+#include <cell/model.h>
+#include <cell/ports.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cowsliprock::cell {
+
+/// Bodies of the calls between daemons, as JSON. Decoders return nothing for malformed text.
+
+struct AdviceQuestion
+{
+    std::string step;
+    std::vector<std::string> workers;
+    Duration timeout{};
+};
+
+/// What became of a call that another daemon makes on this one's behalf.
+struct SubmitReply
+{
+    SubmitResult result = SubmitResult::Unknown;
+};
+
+struct CancelReply
+{
+    CancelResult result = CancelResult::Unavailable;
+};
+
+[[nodiscard]] std::string encode(const AdviceQuestion &question);
+[[nodiscard]] std::string encode(const Advice &advice);
+[[nodiscard]] std::string encode(const SubmitReply &reply);
+[[nodiscard]] std::string encode(const CancelReply &reply);
+[[nodiscard]] std::string encodeStatus(const std::optional<JobStatus> &status);
+[[nodiscard]] std::string encodeCount(std::uint64_t count);
+
+[[nodiscard]] std::optional<AdviceQuestion> decodeAdviceQuestion(const std::string &text);
+[[nodiscard]] std::optional<Advice> decodeAdvice(const std::string &text);
+[[nodiscard]] std::optional<SubmitReply> decodeSubmitReply(const std::string &text);
+[[nodiscard]] std::optional<CancelReply> decodeCancelReply(const std::string &text);
+/// The outer value is empty if the text is malformed, the inner one if the job is not known.
+[[nodiscard]] std::optional<std::optional<JobStatus>> decodeStatus(const std::string &text);
+[[nodiscard]] std::optional<std::uint64_t> decodeCount(const std::string &text);
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/placement.cpp
@@ -0,0 +1,208 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// Room left over that counts as much as running one time longer than on other workers.
+constexpr double slownessWeight = 40.0;
+/// A worker away from the data is taken only if none near it has room.
+constexpr double distanceWeight = 1000.0;
+
+std::int64_t quotient(std::int64_t amount, std::int64_t each) noexcept
+{
+    if (each <= 0)
+        return std::numeric_limits<std::int32_t>::max();
+    return std::max<std::int64_t>(0, amount / each);
+}
+
+std::uint32_t howMany(const Resources &room, const Resources &each) noexcept
+{
+    const auto count = std::min({ quotient(room.cpuMillis, each.cpuMillis),
+                                  quotient(room.memoryMb, each.memoryMb),
+                                  quotient(room.accelerators, each.accelerators) });
+    return static_cast<std::uint32_t>(
+        std::min<std::int64_t>(count, std::numeric_limits<std::int32_t>::max()));
+}
+
+bool sameStep(const TaskId &task, const TaskId &step)
+{
+    return task.step == step.step && task.occurrence == step.occurrence && task.job == step.job;
+}
+
+std::uint32_t underSpreadLimit(const Worker &worker, const StepDemand &demand, std::uint32_t room)
+{
+    const auto limit = demand.spec->maxPerWorker;
+    if (limit == 0 || room == 0)
+        return room;
+    const auto present =
+        std::count_if(worker.runs.begin(), worker.runs.end(), [&demand](const auto &entry) {
+            return sameStep(entry.first.first, demand.step);
+        });
+    const auto used = static_cast<std::uint32_t>(present);
+    return used >= limit ? 0 : std::min(room, limit - used);
+}
+
+bool hasLabel(const WorkerEntry &entry, const std::string &label)
+{
+    return std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
+}
+
+double leftOver(const Worker &worker, const StepDemand &demand)
+{
+    const Resources rest = worker.free() - heldBy(*demand.spec);
+    const auto share = [](std::int64_t amount, std::int64_t capacity) {
+        return capacity > 0 ? static_cast<double>(amount) / static_cast<double>(capacity) : 0.0;
+    };
+    const auto &capacity = worker.entry.capacity;
+    return 100.0
+        * (share(rest.cpuMillis, capacity.cpuMillis) + share(rest.memoryMb, capacity.memoryMb)
+           + share(rest.accelerators, capacity.accelerators));
+}
+
+double cost(const Worker &worker, const StepDemand &demand)
+{
+    double result =
+        leftOver(worker, demand) + slownessWeight * std::max(0.0, worker.health.slowness - 1.0);
+    if (!demand.spec->preferredRack.empty() && !hasLabel(worker.entry, demand.spec->preferredRack))
+        result += distanceWeight;
+    return result;
+}
+
+std::vector<Worker *> byCost(std::vector<Worker *> workers, const StepDemand &demand)
+{
+    std::vector<std::pair<double, Worker *>> keyed;
+    keyed.reserve(workers.size());
+    for (Worker *worker : workers)
+        keyed.emplace_back(cost(*worker, demand), worker);
+    std::stable_sort(keyed.begin(), keyed.end(),
+                     [](const auto &left, const auto &right) { return left.first < right.first; });
+    for (std::size_t index = 0; index < keyed.size(); ++index)
+        workers[index] = keyed[index].second;
+    return workers;
+}
+
+/// Fills workers in order until \p count tasks have one.
+template <typename Room>
+std::vector<Worker *> fill(const std::vector<Worker *> &workers, std::uint32_t count,
+                           const Room &room)
+{
+    std::vector<Worker *> chosen;
+    for (Worker *worker : workers) {
+        const std::uint32_t takes =
+            std::min<std::uint32_t>(room(*worker), count - static_cast<std::uint32_t>(chosen.size()));
+        chosen.insert(chosen.end(), takes, worker);
+        if (chosen.size() == count)
+            return chosen;
+    }
+    return {};
+}
+
+/// The rack is the last label of a worker.
+std::string rackOf(const Worker &worker)
+{
+    return worker.entry.labels.empty() ? std::string() : worker.entry.labels.back();
+}
+
+std::vector<Worker *> chooseInOneRack(const std::vector<Worker *> &workers,
+                                      const StepDemand &demand, std::uint32_t count)
+{
+    std::map<std::string, std::vector<Worker *>> racks;
+    for (Worker *worker : workers)
+        racks[rackOf(*worker)].push_back(worker);
+    for (const auto &[rack, members] : racks) {
+        auto chosen = fill(members, count,
+                           [&demand](const Worker &worker) { return roomFor(worker, demand); });
+        if (!chosen.empty())
+            return chosen;
+    }
+    return {};
+}
+
+} // namespace
+
+void Reservations::reserve(const std::string &worker, std::uint32_t priority)
+{
+    const auto [entry, added] = m_priorities.try_emplace(worker, priority);
+    if (!added)
+        entry->second = std::min(entry->second, priority);
+}
+
+bool Reservations::blocks(const std::string &worker, std::uint32_t priority) const
+{
+    const auto entry = m_priorities.find(worker);
+    return entry != m_priorities.end() && entry->second <= priority;
+}
+
+bool suits(const Worker &worker, const StepDemand &demand)
+{
+    return worker.entry.service == demand.service
+        && (demand.spec->requiredLabel.empty()
+            || hasLabel(worker.entry, demand.spec->requiredLabel));
+}
+
+std::uint32_t roomFor(const Worker &worker, const StepDemand &demand)
+{
+    const auto room = howMany(worker.free(), heldBy(*demand.spec));
+    return underSpreadLimit(worker, demand, room);
+}
+
+std::uint32_t roomWithoutLesser(const Worker &worker, const StepDemand &demand)
+{
+    Resources room = worker.free();
+    for (const auto &[key, run] : worker.runs) {
+        if (run.priority > demand.priority)
+            room += run.held;
+    }
+    return underSpreadLimit(worker, demand, howMany(room, heldBy(*demand.spec)));
+}
+
+Worker *chooseForTask(const std::vector<Worker *> &candidates, const StepDemand &demand,
+                      const Task &task)
+{
+    Worker *best = nullptr;
+    double bestCost = 0;
+    for (Worker *worker : candidates) {
+        if (roomFor(*worker, demand) == 0)
+            continue;
+        double candidateCost = cost(*worker, demand);
+        // A worker on which the task has failed is the last resort.
+        if (std::find(task.failedOn.begin(), task.failedOn.end(), worker->entry.id)
+            != task.failedOn.end()) {
+            candidateCost += 2 * distanceWeight;
+        }
+        if (best == nullptr || candidateCost < bestCost) {
+            best = worker;
+            bestCost = candidateCost;
+        }
+    }
+    return best;
+}
+
+std::vector<Worker *> chooseForGang(const std::vector<Worker *> &candidates,
+                                    const StepDemand &demand, std::uint32_t count)
+{
+    const auto ordered = byCost(candidates, demand);
+    if (demand.spec->sameRack) {
+        if (auto chosen = chooseInOneRack(ordered, demand, count); !chosen.empty())
+            return chosen;
+    }
+    return fill(ordered, count,
+                [&demand](const Worker &worker) { return roomFor(worker, demand); });
+}
+
+std::vector<Worker *> chooseToReserve(const std::vector<Worker *> &candidates,
+                                      const StepDemand &demand, std::uint32_t count)
+{
+    std::vector<Worker *> ordered = candidates;
+    std::stable_sort(ordered.begin(), ordered.end(), [](const Worker *left, const Worker *right) {
+        return left->free().cpuMillis > right->free().cpuMillis;
+    });
+    return fill(ordered, count,
+                [&demand](const Worker &worker) { return roomWithoutLesser(worker, demand); });
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/placement.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "jobtable.h"
+#include "workertable.h"
+
+#include <cell/model.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cowsliprock::cell {
+
+/// What is placed: tasks of one step.
+struct StepDemand
+{
+    const StepSpec *spec = nullptr;
+    TaskId step; ///< The index is not used.
+    std::string service;
+    std::uint32_t priority = 0;
+};
+
+/// Workers that are kept for gangs which wait for room. Only more urgent work may use them.
+class Reservations
+{
+public:
+    void reserve(const std::string &worker, std::uint32_t priority);
+    [[nodiscard]] bool blocks(const std::string &worker, std::uint32_t priority) const;
+    [[nodiscard]] std::size_t size() const noexcept { return m_priorities.size(); }
+
+private:
+    std::map<std::string, std::uint32_t> m_priorities;
+};
+
+/// True if the worker's kind and service suit the step, whether it has room or not.
+[[nodiscard]] bool suits(const Worker &worker, const StepDemand &demand);
+
+/// How many more tasks of the step the worker can take now.
+[[nodiscard]] std::uint32_t roomFor(const Worker &worker, const StepDemand &demand);
+
+/// How many tasks of the step the worker could take if all less urgent work left it.
+[[nodiscard]] std::uint32_t roomWithoutLesser(const Worker &worker, const StepDemand &demand);
+
+/// Chooses the worker for one task among \p candidates: the one that is left with the least room,
+/// so that large tasks find whole workers. Null if none has room.
+[[nodiscard]] Worker *chooseForTask(const std::vector<Worker *> &candidates,
+                                    const StepDemand &demand, const Task &task);
+
+/// Chooses a worker for each of \p count tasks that must run together; empty if there is no room.
+[[nodiscard]] std::vector<Worker *> chooseForGang(const std::vector<Worker *> &candidates,
+                                                  const StepDemand &demand, std::uint32_t count);
+
+/// Chooses the workers that can soonest hold \p count tasks once less urgent work has left.
+[[nodiscard]] std::vector<Worker *> chooseToReserve(const std::vector<Worker *> &candidates,
+                                                    const StepDemand &demand, std::uint32_t count);
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/prefixwatch.cpp
@@ -0,0 +1,211 @@
+#include "prefixwatch.h"
+
+#include <set>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+constexpr std::chrono::milliseconds firstRetryDelay{ 100 };
+constexpr std::chrono::milliseconds maxRetryDelay{ 800 };
+
+} // namespace
+
+struct PrefixWatch::State : std::enable_shared_from_this<PrefixWatch::State>
+{
+    State(StorePort &storePort, Timers &timerPort, std::string keyPrefix, Options watchOptions,
+          Listener watchListener)
+        : store(storePort)
+        , timers(timerPort)
+        , prefix(std::move(keyPrefix))
+        , options(watchOptions)
+        , listener(std::move(watchListener))
+    { }
+
+    StorePort &store;
+    Timers &timers;
+    std::string prefix;
+    Options options;
+    Listener listener;
+    std::map<std::string, std::uint64_t> revisions; ///< Newest known revision of each key.
+    std::set<std::string> listedKeys;
+    std::uint64_t position = 0; ///< Revision after which the next watch begins.
+    std::uint64_t listPosition = 0;
+    TimePoint answered{};
+    Duration retryDelay = firstRetryDelay;
+    bool closed = false;
+    bool synchronized = false;
+    bool reachable = true;
+
+    void beginList();
+    void listPage(const std::string &after);
+    void takePage(const StorePage &page);
+    void finishList();
+    void watch();
+    void takeEvents(const StoreEvents &events);
+    void apply(const StoreItem &item);
+    void remove(const std::string &key, std::uint64_t revision);
+    void retry(void (State::*step)());
+    void succeeded();
+};
+
+void PrefixWatch::State::beginList()
+{
+    listedKeys.clear();
+    listPosition = 0;
+    listPage("");
+}
+
+void PrefixWatch::State::listPage(const std::string &after)
+{
+    store.list(prefix, after, [self = shared_from_this()](const Result<StorePage> &page) {
+        if (self->closed)
+            return;
+        if (!page.has_value()) {
+            self->retry(&State::beginList);
+            return;
+        }
+        self->succeeded();
+        self->takePage(page.value());
+    });
+}
+
+void PrefixWatch::State::takePage(const StorePage &page)
+{
+    // Pages are not a snapshot: the watch begins at the first page's revision.
+    if (listPosition == 0)
+        listPosition = page.asOf;
+    for (const auto &item : page.items) {
+        listedKeys.insert(item.key);
+        apply(item);
+        if (closed)
+            return;
+    }
+    if (page.more && !page.items.empty())
+        listPage(page.items.back().key);
+    else
+        finishList();
+}
+
+void PrefixWatch::State::finishList()
+{
+    std::vector<std::string> missing;
+    for (const auto &[key, revision] : revisions) {
+        if (!listedKeys.contains(key) && revision <= listPosition)
+            missing.push_back(key);
+    }
+    for (const auto &key : missing)
+        remove(key, listPosition);
+    listedKeys.clear();
+    position = listPosition;
+    synchronized = true;
+    if (listener.listed)
+        listener.listed();
+    if (!closed)
+        watch();
+}
+
+void PrefixWatch::State::watch()
+{
+    store.watch(prefix, position, options.wait,
+                [self = shared_from_this()](const Result<StoreEvents> &events) {
+                    if (self->closed)
+                        return;
+                    if (!events.has_value()) {
+                        self->retry(&State::watch);
+                        return;
+                    }
+                    self->succeeded();
+                    self->takeEvents(events.value());
+                });
+}
+
+void PrefixWatch::State::takeEvents(const StoreEvents &events)
+{
+    if (events.historyLost) {
+        beginList();
+        return;
+    }
+    for (const auto &event : events.events) {
+        if (event.removed)
+            remove(event.item.key, event.item.revision);
+        else
+            apply(event.item);
+        if (closed)
+            return;
+    }
+    position = std::max(position, events.asOf);
+    const Duration pause = events.events.empty() ? Duration::zero() : options.coalesce;
+    timers.after(pause, [self = shared_from_this()] {
+        if (!self->closed)
+            self->watch();
+    });
+}
+
+void PrefixWatch::State::apply(const StoreItem &item)
+{
+    auto &known = revisions[item.key];
+    if (item.revision <= known)
+        return;
+    known = item.revision;
+    listener.changed(item);
+}
+
+void PrefixWatch::State::remove(const std::string &key, std::uint64_t revision)
+{
+    const auto known = revisions.find(key);
+    if (known == revisions.end() || revision < known->second)
+        return;
+    revisions.erase(known);
+    listener.removed(key, revision);
+}
+
+void PrefixWatch::State::retry(void (State::*step)())
+{
+    if (std::exchange(reachable, false) && listener.reachable)
+        listener.reachable(false);
+    if (closed)
+        return;
+    timers.after(retryDelay, [self = shared_from_this(), step] {
+        if (!self->closed)
+            (self.get()->*step)();
+    });
+    retryDelay = std::min<Duration>(retryDelay * 2, maxRetryDelay);
+}
+
+void PrefixWatch::State::succeeded()
+{
+    answered = timers.now();
+    retryDelay = firstRetryDelay;
+    if (!std::exchange(reachable, true) && listener.reachable)
+        listener.reachable(true);
+}
+
+PrefixWatch::PrefixWatch(StorePort &store, Timers &timers, std::string prefix, Options options,
+                         Listener listener)
+    : m_state(std::make_shared<State>(store, timers, std::move(prefix), options,
+                                      std::move(listener)))
+{ }
+
+PrefixWatch::~PrefixWatch()
+{
+    m_state->closed = true;
+}
+
+void PrefixWatch::start()
+{
+    m_state->beginList();
+}
+
+bool PrefixWatch::synchronized() const noexcept
+{
+    return m_state->synchronized;
+}
+
+TimePoint PrefixWatch::lastAnswer() const noexcept
+{
+    return m_state->answered;
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/records.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cell/model.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cowsliprock::cell {
+
+/// A daemon that is alive, as written under its lease.
+struct MemberRecord
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::string address; ///< For calls of peers.
+    std::string dataCentre;
+    double weight = 1.0; ///< Processor share; stronger daemons are preferred as owners.
+};
+
+/// Who schedules a shard. The revision of this record is the fencing epoch.
+struct OwnerRecord
+{
+    std::string name; ///< Empty after a hand-over.
+    std::uint64_t incarnation = 0;
+    std::string address;
+    std::uint64_t generation = 0; ///< Rises by one with each owner.
+};
+
+/// Failed runs of one task. Ends are listed by workers until they are acknowledged, so a failure
+/// is counted only if its run is later than the last one counted.
+struct TaskFailures
+{
+    std::uint32_t index = 0;
+    std::uint32_t count = 0;
+    std::uint32_t lastRun = 0;
+};
+
+struct StepProgress
+{
+    std::vector<bool> done;
+    std::vector<TaskFailures> failures;
+};
+
+struct OccurrenceProgress
+{
+    std::uint32_t number = 0;
+    std::vector<StepProgress> steps;
+};
+
+/// What must outlive the owner of a job: ends that workers are allowed to forget.
+struct JobProgress
+{
+    JobStatus status = JobStatus::Queued;
+    std::vector<OccurrenceProgress> occurrences;
+};
+
+[[nodiscard]] std::string encode(const MemberRecord &record);
+[[nodiscard]] std::string encode(const OwnerRecord &record);
+[[nodiscard]] std::string encode(const JobRecord &record);
+[[nodiscard]] std::string encode(const JobProgress &progress);
+
+[[nodiscard]] std::string encode(const std::vector<WorkerEntry> &roster);
+
+/// The decoders return nothing if the text is malformed.
+[[nodiscard]] std::optional<MemberRecord> decodeMember(const std::string &text);
+[[nodiscard]] std::optional<OwnerRecord> decodeOwner(const std::string &text);
+[[nodiscard]] std::optional<JobRecord> decodeJob(const std::string &text);
+[[nodiscard]] std::optional<JobProgress> decodeProgress(const std::string &text);
+[[nodiscard]] std::optional<std::vector<WorkerEntry>> decodeRoster(const std::string &text);
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/scheduler.cpp
@@ -0,0 +1,175 @@
+#include "scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+constexpr std::chrono::milliseconds recoveryCheckInterval{ 50 };
+constexpr std::chrono::seconds garbageInterval{ 5 };
+/// Workers that discovery does not show for this long, and that run nothing, are forgotten.
+constexpr std::chrono::seconds unlistedKept{ 8 };
+
+} // namespace
+
+Scheduler::Scheduler(const Ports &ports, const Settings &settings, FencedWriter &writer,
+                     std::function<void()> fenced)
+    : m_ports(ports)
+    , m_settings(settings)
+    , m_writer(writer)
+    , m_fenced(std::move(fenced))
+    , m_sender(ports.workers, ports.timers)
+    , m_links(ports.workers, ports.timers, ports.log, m_workers,
+              { settings.ownershipRevision, settings.lease },
+              { [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
+                   takeInventory(worker, inventory, asked);
+               },
+                [this](Worker &worker) { endAllRuns(worker, "the worker has a new life", true); },
+                [this](Worker &worker) {
+                    if (!worker.runs.empty())
+                        endAllRuns(worker, "the worker's leases are over", false);
+                },
+                [this] { m_fenced(); } })
+{
+    collectGarbage();
+}
+
+Scheduler::~Scheduler()
+{
+    *m_alive = false;
+}
+
+TaskId Scheduler::StepView::task(std::uint32_t taskIndex) const
+{
+    return { job->record.id, occurrence->number, index, taskIndex };
+}
+
+void Scheduler::configure(const CellConfiguration &configuration)
+{
+    m_configuration = configuration;
+    for (const auto &id : m_activeJobs) {
+        Job &job = *m_jobs.find(id);
+        if (const auto *queue = configuration.queueNamed(job.record.queue.name))
+            job.record.queue = *queue;
+    }
+    requestPass();
+}
+
+void Scheduler::workerListed(const WorkerEntry &entry)
+{
+    auto [found, added] = m_workers.try_emplace(entry.id);
+    Worker &worker = found->second;
+    if (added || worker.entry.address != entry.address || worker.entry.draining != entry.draining) {
+        m_ports.log.write(now(), "worker.listed",
+                          { { "worker", entry.id },
+                            { "address", entry.address },
+                            { "draining", entry.draining },
+                            { "born", entry.born } });
+    }
+    worker.entry = entry;
+    worker.unlistedSince.reset();
+    if (added)
+        m_links.add(worker);
+    else if (entry.born != 0 && worker.born != 0 && entry.born != worker.born)
+        m_links.poke(entry.id);
+    requestPass();
+}
+
+void Scheduler::workerUnlisted(const std::string &id)
+{
+    const auto entry = m_workers.find(id);
+    if (entry == m_workers.end() || entry->second.unlistedSince)
+        return;
+    entry->second.unlistedSince = now();
+    m_ports.log.write(now(), "worker.unlisted", { { "worker", id } });
+}
+
+void Scheduler::workerUsedBefore(const WorkerEntry &entry)
+{
+    auto [found, added] = m_workers.try_emplace(entry.id);
+    if (!added)
+        return;
+    found->second.entry = entry;
+    found->second.unlistedSince = now();
+    m_links.add(found->second);
+}
+
+void Scheduler::loaded()
+{
+    m_loaded = true;
+    checkRecovery();
+}
+
+void Scheduler::checkRecovery()
+{
+    if (!m_recovering)
+        return;
+    if (m_loaded && m_links.allAnswered()) {
+        finishRecovery();
+        return;
+    }
+    m_ports.timers.after(recoveryCheckInterval, [this, alive = m_alive] {
+        if (*alive)
+            checkRecovery();
+    });
+}
+
+std::optional<JobStatus> Scheduler::status(const std::string &id) const
+{
+    const Job *job = m_jobs.find(id);
+    if (job == nullptr)
+        return std::nullopt;
+    if (job->active())
+        return job->status;
+    // The end of a job is told once it is durable.
+    const bool durable = job->durableStatus == job->status;
+    return durable ? job->status : JobStatus::Running;
+}
+
+std::uint64_t Scheduler::pending(const std::string &queue) const
+{
+    return static_cast<std::uint64_t>(
+        std::count_if(m_activeJobs.begin(), m_activeJobs.end(), [&](const std::string &id) {
+            const Job *job = m_jobs.find(id);
+            return job != nullptr && !job->everStarted && job->record.queue.name == queue;
+        }));
+}
+
+std::vector<WorkerEntry> Scheduler::roster() const
+{
+    std::vector<WorkerEntry> result;
+    for (const auto &[id, worker] : m_workers)
+        result.push_back(worker.entry);
+    return result;
+}
+
+void Scheduler::collectGarbage()
+{
+    const auto current = now();
+    for (auto entry = m_workers.begin(); entry != m_workers.end();) {
+        const Worker &worker = entry->second;
+        const bool gone = worker.unlistedSince && current - *worker.unlistedSince > unlistedKept
+            && worker.runs.empty() && !worker.reachable;
+        if (gone) {
+            m_links.forget(entry->first);
+            entry = m_workers.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    std::vector<std::string> ended;
+    for (const auto &[id, job] : m_jobs.all()) {
+        if (!job->active() && current - job->endedAt > m_settings.statusKept)
+            ended.push_back(id);
+    }
+    for (const auto &id : ended)
+        jobRemoved(id);
+    m_ports.timers.after(garbageInterval, [this, alive = m_alive] {
+        if (*alive)
+            collectGarbage();
+    });
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/scheduler.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "fencedwriter.h"
+#include "jobtable.h"
+#include "ordersender.h"
+#include "placement.h"
+#include "workerlinks.h"
+#include "workertable.h"
+
+#include <cell/model.h>
+#include <cell/ports.h>
+
+#include <base/eventlog.h>
+#include <base/metrics.h>
+#include <eventloop/timers.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cowsliprock::cell {
+
+/// Runs the jobs of one shard on the workers, for as long as this daemon owns the shard.
+class Scheduler
+{
+public:
+    struct Settings
+    {
+        std::uint32_t shard = 0;
+        std::uint64_t ownershipRevision = 0;
+        std::uint64_t generation = 0;
+        Duration lease{};      ///< Of tasks on a worker, from each contact on.
+        Duration statusKept{}; ///< How long the state of an ended job can be asked for.
+    };
+
+    struct Ports
+    {
+        WorkerPort &workers;
+        AdvicePort &advice;
+        Timers &timers;
+        EventLog &log;
+        Metrics &metrics;
+    };
+
+    /// \p fenced is called when a worker shows that there is a newer owner.
+    Scheduler(const Ports &ports, const Settings &settings, FencedWriter &writer,
+              std::function<void()> fenced);
+    ~Scheduler();
+    Scheduler(const Scheduler &) = delete;
+    Scheduler &operator=(const Scheduler &) = delete;
+
+    void configure(const CellConfiguration &configuration);
+
+    void workerListed(const WorkerEntry &entry);
+    void workerUnlisted(const std::string &id);
+    /// A worker that an earlier owner used: it may run tasks though discovery does not show it.
+    void workerUsedBefore(const WorkerEntry &entry);
+
+    /// A job was stored, or its record changed. \p progress is what an earlier owner noted.
+    void jobStored(const JobRecord &record, std::uint64_t created,
+                   const std::optional<JobProgress> &progress);
+    void jobRemoved(const std::string &id);
+
+    /// All jobs and workers that were there at the take-over are known.
+    void loaded();
+
+    /// The state that a caller may be told; nothing if the job is not known here.
+    [[nodiscard]] std::optional<JobStatus> status(const std::string &job) const;
+
+    /// Accepted jobs of a queue of which no task has started.
+    [[nodiscard]] std::uint64_t pending(const std::string &queue) const;
+
+    /// Workers that a successor has to ask, for the roster.
+    [[nodiscard]] std::vector<WorkerEntry> roster() const;
+
+    [[nodiscard]] bool recovering() const noexcept { return m_recovering; }
+
+private:
+    /// A ready step of a job, while a pass lasts.
+    struct StepView
+    {
+        Job *job = nullptr;
+        Occurrence *occurrence = nullptr;
+        Step *step = nullptr;
+        const StepSpec *spec = nullptr;
+        std::uint32_t index = 0;
+        int band = 0;
+
+        [[nodiscard]] TaskId task(std::uint32_t taskIndex) const;
+    };
+
+    // Passes: which waiting tasks start where (schedulerpass.cpp).
+    void requestPass();
+    void requestLaterPass();
+    void pass();
+    [[nodiscard]] std::vector<StepView> waitingSteps();
+    [[nodiscard]] int bandOf(const StepView &view, TimePoint now) const;
+    [[nodiscard]] std::vector<Worker *> candidates(const StepView &view, const StepDemand &demand,
+                                                   const Reservations &reservations);
+    bool placeTasks(const StepView &view, const StepDemand &demand,
+                    const Reservations &reservations);
+    bool placeGang(const StepView &view, const StepDemand &demand,
+                   const Reservations &reservations);
+    void reserveFor(const StepView &view, const StepDemand &demand, Reservations &reservations);
+    void askAdvice(const StepView &view, const StepDemand &demand,
+                   const Reservations &reservations);
+    [[nodiscard]] std::vector<std::string> workersToAskAbout(const StepView &view,
+                                                             const StepDemand &demand,
+                                                             const Reservations &reservations);
+    void advised(const TaskId &stepId, const std::vector<std::string> &asked,
+                 const Result<Advice> &advice);
+
+    // Runs (schedulerruns.cpp).
+    void startTask(const StepView &view, std::uint32_t index, Worker &worker, std::uint32_t number);
+    void startAnswered(const std::string &worker, std::int64_t born, const RunKey &key,
+                       const StartOutcome &outcome);
+    void startRejected(Worker &worker, const RunKey &key, const StartRejected &rejection);
+    void stopRun(Worker &worker, Run &run, const char *reason);
+    void takeInventory(Worker &worker, const Inventory &inventory, TimePoint asked);
+    void takeRunning(Worker &worker, const RunningTask &row);
+    void adopt(Worker &worker, const RunningTask &row);
+    void stopUnknown(Worker &worker, const RunningTask &row);
+    void dropMissing(Worker &worker, const Inventory &inventory, TimePoint asked);
+    void endAllRuns(Worker &worker, const char *reason, bool newLife);
+    void endRun(Worker &worker, const FinishedTask &end);
+    void releaseRun(Worker &worker, const RunKey &key, const std::string &checkpoint);
+
+    // Jobs (schedulerjobs.cpp).
+    void taskDone(const TaskId &task, std::uint32_t run);
+    void taskFailed(Worker &worker, const TaskId &task, std::uint32_t run);
+    void abortGang(const TaskId &member, std::uint32_t run, const char *reason);
+    void stopOthers(const TaskId &task, std::uint32_t run);
+    void stopAllRuns(const std::string &job, const char *reason);
+    void endJob(Job &job, JobStatus status);
+    void save(Job &job);
+    void beginDueOccurrences(Job &job);
+    void finishRecovery();
+    void checkRecovery();
+    void collectGarbage();
+    void cancel(Job &job);
+
+    [[nodiscard]] TimePoint now() const noexcept { return m_ports.timers.now(); }
+
+    Ports m_ports;
+    Settings m_settings;
+    FencedWriter &m_writer;
+    std::function<void()> m_fenced;
+    JobTable m_jobs;
+    WorkerTable m_workers;
+    std::set<std::string> m_activeJobs;
+    std::optional<CellConfiguration> m_configuration;
+    OrderSender m_sender;
+    WorkerLinks m_links;
+    bool m_passRequested = false;
+    bool m_laterPassRequested = false;
+    bool m_recovering = true;
+    bool m_loaded = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -0,0 +1,257 @@
+#include "keys.h"
+#include "scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// A task that failed is started again after this time, so that its end is noted first.
+constexpr std::chrono::milliseconds retryPause{ 20 };
+/// Longest sleep until a scheduled occurrence is looked at again, since the time of day may jump.
+constexpr std::chrono::milliseconds maxOccurrenceSleep{ 500 };
+
+} // namespace
+
+void Scheduler::jobStored(const JobRecord &record, std::uint64_t created,
+                          const std::optional<JobProgress> &progress)
+{
+    if (Job *known = m_jobs.find(record.id)) {
+        if (record.cancelled && known->active())
+            cancel(*known);
+        return;
+    }
+    Job &job = m_jobs.insert(makeJob(record, created, now(), progress));
+    if (m_configuration && m_configuration->version >= record.configurationVersion) {
+        if (const auto *queue = m_configuration->queueNamed(record.queue.name))
+            job.record.queue = *queue;
+    }
+    job.mayRunElsewhere = m_recovering && created < m_settings.ownershipRevision;
+    m_ports.log.write(now(), "job.known",
+                      { { "job", record.id },
+                        { "queue", record.queue.name },
+                        { "revision", created },
+                        { "status", toString(job.status) },
+                        { "steps", static_cast<std::uint64_t>(record.spec.steps.size()) } });
+    if (!job.active())
+        return;
+    m_activeJobs.insert(record.id);
+    beginDueOccurrences(job);
+    requestPass();
+}
+
+void Scheduler::jobRemoved(const std::string &id)
+{
+    Job *job = m_jobs.find(id);
+    if (job == nullptr)
+        return;
+    stopAllRuns(id, "the job was removed");
+    m_activeJobs.erase(id);
+    m_jobs.erase(id);
+    m_writer.remove(keys::jobsPrefix(m_settings.shard) + id);
+    m_writer.remove(keys::statesPrefix(m_settings.shard) + id);
+}
+
+void Scheduler::beginDueOccurrences(Job &job)
+{
+    if (job.record.spec.repeatCount == 0) {
+        if (job.occurrences.empty())
+            beginOccurrence(job, 0, now());
+        return;
+    }
+    const auto timeOfDay = std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_ports.timers.timeOfDay().time_since_epoch());
+    for (std::uint32_t number = 0; number < job.record.spec.repeatCount; ++number) {
+        if (job.occurrences.contains(number))
+            continue;
+        const auto due = job.record.spec.firstStart + number * job.record.spec.interval;
+        if (due > timeOfDay) {
+            const auto sleep =
+                std::clamp<std::chrono::milliseconds>(due - timeOfDay, std::chrono::milliseconds(1),
+                                                      maxOccurrenceSleep);
+            m_ports.timers.after(sleep, [this, alive = m_alive, id = job.record.id] {
+                if (!*alive)
+                    return;
+                if (Job *known = m_jobs.find(id); known != nullptr && known->active())
+                    beginDueOccurrences(*known);
+            });
+            return;
+        }
+        beginOccurrence(job, number, now());
+        requestPass();
+    }
+}
+
+void Scheduler::cancel(Job &job)
+{
+    job.record.cancelled = true;
+    endJob(job, JobStatus::Cancelled);
+}
+
+void Scheduler::save(Job &job)
+{
+    m_writer.write(keys::statesPrefix(m_settings.shard) + job.record.id, encode(progressOf(job)));
+}
+
+void Scheduler::taskDone(const TaskId &id, std::uint32_t run)
+{
+    Job *job = m_jobs.find(id.job);
+    Step *step = m_jobs.findStep(id);
+    Task *task = m_jobs.findTask(id);
+    if (task == nullptr || task->phase == TaskPhase::Done || !job->active())
+        return;
+    if (job->spec(id.step).gang) {
+        // One end stands for all members.
+        for (auto &member : step->tasks)
+            member.phase = TaskPhase::Done;
+        step->doneCount = static_cast<std::uint32_t>(step->tasks.size());
+    } else {
+        task->phase = TaskPhase::Done;
+        ++step->doneCount;
+        stopOthers(id, run);
+    }
+    auto &occurrence = job->occurrences.at(id.occurrence);
+    if (step->done()) {
+        updateReadiness(*job, occurrence);
+        const bool allBegun = job->occurrences.size() == job->occurrenceCount();
+        const bool allDone =
+            std::all_of(job->occurrences.begin(), job->occurrences.end(),
+                        [](const auto &entry) { return entry.second.done(); });
+        if (allBegun && allDone) {
+            endJob(*job, JobStatus::Completed);
+            return;
+        }
+    }
+    save(*job);
+    requestPass();
+}
+
+void Scheduler::taskFailed(Worker &worker, const TaskId &id, std::uint32_t run)
+{
+    Job *job = m_jobs.find(id.job);
+    Step *step = m_jobs.findStep(id);
+    Task *task = m_jobs.findTask(id);
+    if (task == nullptr || !job->active() || task->phase == TaskPhase::Done)
+        return;
+    const bool gang = job->spec(id.step).gang;
+    auto &failures = step->failuresOf(gang ? 0 : id.index);
+    task->failedOn.push_back(worker.entry.id);
+    task->notBefore = now() + retryPause;
+    if (run <= failures.lastRun)
+        return;
+    failures.lastRun = run;
+    ++failures.count;
+    m_ports.log.write(now(), "task.failed",
+                      { { "task", id.text() },
+                        { "run", run },
+                        { "worker", worker.entry.id },
+                        { "failures", failures.count },
+                        { "allowed", job->record.queue.maxAttempts } });
+    if (!job->spec(id.step).longRunning && failures.count >= job->record.queue.maxAttempts) {
+        endJob(*job, JobStatus::Failed);
+        return;
+    }
+    save(*job);
+    if (gang)
+        abortGang(id, run, "a member has failed");
+}
+
+void Scheduler::abortGang(const TaskId &member, std::uint32_t run, const char *reason)
+{
+    for (auto &[id, worker] : m_workers) {
+        for (auto &[key, candidate] : worker.runs) {
+            const TaskId &task = key.first;
+            if (key.second == run && task.step == member.step
+                && task.occurrence == member.occurrence && task.job == member.job) {
+                stopRun(worker, candidate, reason);
+            }
+        }
+    }
+}
+
+void Scheduler::stopOthers(const TaskId &task, std::uint32_t run)
+{
+    for (auto &[id, worker] : m_workers) {
+        for (auto &[key, candidate] : worker.runs) {
+            if (key.first == task && key.second != run)
+                stopRun(worker, candidate, "another copy is done");
+        }
+    }
+}
+
+void Scheduler::stopAllRuns(const std::string &job, const char *reason)
+{
+    for (auto &[id, worker] : m_workers) {
+        for (auto &[key, run] : worker.runs) {
+            if (key.first.job == job)
+                stopRun(worker, run, reason);
+        }
+    }
+}
+
+void Scheduler::endJob(Job &job, JobStatus status)
+{
+    job.status = status;
+    job.endedAt = now();
+    m_activeJobs.erase(job.record.id);
+    save(job);
+    m_ports.metrics.count(std::string("jobs.") + toString(status));
+    m_writer.whenDurable([this, id = job.record.id] {
+        if (Job *known = m_jobs.find(id)) {
+            known->durableStatus = known->status;
+            m_ports.log.write(now(), "job.ended",
+                              { { "job", id },
+                                { "status", toString(known->status) },
+                                { "ms",
+                                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                                      now() - known->seen)
+                                      .count() } });
+        }
+    });
+    // What is kept of an ended job is its state.
+    if (status != JobStatus::Completed)
+        stopAllRuns(job.record.id, toString(status));
+    job.occurrences.clear();
+    job.record.spec.steps.clear();
+    job.record.spec.steps.shrink_to_fit();
+    job.record.spec.spec.clear();
+    requestPass();
+}
+
+void Scheduler::finishRecovery()
+{
+    m_recovering = false;
+    m_ports.log.write(now(), "shard.recovered",
+                      { { "shard", m_settings.shard },
+                        { "jobs", static_cast<std::uint64_t>(m_activeJobs.size()) },
+                        { "workers", static_cast<std::uint64_t>(m_workers.size()) } });
+    std::vector<std::pair<TaskId, std::uint32_t>> partial;
+    for (const auto &id : m_activeJobs) {
+        Job &job = *m_jobs.find(id);
+        job.mayRunElsewhere = false;
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
+                const auto &tasks = occurrence.steps[index].tasks;
+                const auto placed = std::count_if(tasks.begin(), tasks.end(), [](const Task &task) {
+                    return task.phase == TaskPhase::Placed;
+                });
+                if (!job.spec(index).gang || placed == 0
+                    || static_cast<std::size_t>(placed) == tasks.size()) {
+                    continue;
+                }
+                const auto member =
+                    std::find_if(tasks.begin(), tasks.end(), [](const Task &task) {
+                        return task.phase == TaskPhase::Placed;
+                    });
+                partial.emplace_back(TaskId{ id, number, index, 0 }, member->lastRun);
+            }
+        }
+    }
+    for (const auto &[task, run] : partial)
+        abortGang(task, run, "members were lost with an earlier owner");
+    requestPass();
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/schedulerpass.cpp
@@ -0,0 +1,354 @@
+#include "scheduler.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// Events that come close together cause one pass.
+constexpr std::chrono::milliseconds passDelay{ 5 };
+/// Waiting work is looked at again after this time, also without an event.
+constexpr std::chrono::milliseconds laterPassDelay{ 150 };
+/// Steps without room that a pass looks at, so that its cost does not grow with the backlog.
+constexpr int maxFailuresPerPass = 80;
+/// Gangs for which room is kept at a time.
+constexpr int maxReservedGangs = 3;
+/// A ticket that expires sooner may be too old when the order arrives.
+constexpr std::chrono::milliseconds ticketMargin{ 250 };
+constexpr std::chrono::milliseconds adviceRetryPause{ 150 };
+constexpr std::chrono::milliseconds adviceOverhead{ 800 };
+constexpr std::size_t maxAdvisedWorkers = 100;
+/// Workers asked about beyond those that are needed, since many are not allowed.
+constexpr std::size_t spareAdvisedWorkers = 4;
+constexpr std::size_t advisedPerTask = 3;
+/// Run numbers that fit between the first runs of two owners.
+constexpr std::uint64_t runsPerOwner = 1000;
+
+constexpr int bandOnTime = 0;
+constexpr int bandLate = 1;
+constexpr int bandUseless = 2;
+
+std::uint32_t waitingTasks(const Step &step, TimePoint now)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(step.tasks.begin(), step.tasks.end(), [now](const Task &task) {
+            return task.phase == TaskPhase::Waiting && task.notBefore <= now;
+        }));
+}
+
+} // namespace
+
+void Scheduler::requestPass()
+{
+    if (std::exchange(m_passRequested, true))
+        return;
+    m_ports.timers.after(passDelay, [this, alive = m_alive] {
+        if (!*alive)
+            return;
+        m_passRequested = false;
+        pass();
+    });
+}
+
+void Scheduler::pass()
+{
+    if (!m_loaded || !m_configuration)
+        return;
+    Reservations reservations;
+    int failures = 0;
+    int reservedGangs = 0;
+    for (const auto &view : waitingSteps()) {
+        const StepDemand demand{ view.spec, view.task(0), view.job->record.queue.service,
+                                 view.job->record.queue.priority };
+        const bool placed = view.spec->gang ? placeGang(view, demand, reservations)
+                                            : placeTasks(view, demand, reservations);
+        if (placed)
+            continue;
+        askAdvice(view, demand, reservations);
+        if (view.spec->gang && view.band == bandOnTime && reservedGangs < maxReservedGangs) {
+            reserveFor(view, demand, reservations);
+            ++reservedGangs;
+        }
+        if (++failures >= maxFailuresPerPass)
+            break;
+    }
+    if (failures > 0)
+        requestLaterPass();
+}
+
+void Scheduler::requestLaterPass()
+{
+    if (std::exchange(m_laterPassRequested, true))
+        return;
+    m_ports.timers.after(laterPassDelay, [this, alive = m_alive] {
+        if (!*alive)
+            return;
+        m_laterPassRequested = false;
+        requestPass();
+    });
+}
+
+std::vector<Scheduler::StepView> Scheduler::waitingSteps()
+{
+    std::vector<StepView> views;
+    const auto current = now();
+    for (const auto &id : m_activeJobs) {
+        Job &job = *m_jobs.find(id);
+        if (job.mayRunElsewhere)
+            continue;
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
+                Step &step = occurrence.steps[index];
+                if (!step.ready || step.done() || waitingTasks(step, current) == 0)
+                    continue;
+                StepView view{ &job, &occurrence, &step, &job.spec(index), index, 0 };
+                view.band = bandOf(view, current);
+                views.push_back(view);
+            }
+        }
+    }
+    std::sort(views.begin(), views.end(), [](const StepView &left, const StepView &right) {
+        const auto key = [](const StepView &view) {
+            return std::tuple(view.band, view.job->record.queue.priority, view.job->created,
+                              view.occurrence->number, view.index);
+        };
+        return key(left) < key(right);
+    });
+    return views;
+}
+
+int Scheduler::bandOf(const StepView &view, TimePoint current) const
+{
+    if (view.spec->longRunning)
+        return bandOnTime;
+    const Duration rest =
+        view.job->chain - view.job->chainBefore.at(view.index) + view.spec->estimate;
+    if (current + rest <= view.job->objective(*view.occurrence))
+        return bandOnTime;
+    return current + rest <= view.job->lastUseful(*view.occurrence) ? bandLate : bandUseless;
+}
+
+std::vector<Worker *> Scheduler::candidates(const StepView &view, const StepDemand &demand,
+                                            const Reservations &reservations)
+{
+    const auto current = now();
+    const auto &allowed = view.step->advice.allowed;
+    const bool advised = view.job->record.queue.advice.has_value();
+    std::vector<Worker *> result;
+    for (auto &[id, worker] : m_workers) {
+        if (!usable(worker, current) || !suits(worker, demand)
+            || reservations.blocks(id, demand.priority)) {
+            continue;
+        }
+        if (advised) {
+            const auto ticket = allowed.find(id);
+            if (ticket == allowed.end() || ticket->second.value.empty()
+                || ticket->second.born != worker.born
+                || ticket->second.expires < current + ticketMargin) {
+                continue;
+            }
+        }
+        result.push_back(&worker);
+    }
+    return result;
+}
+
+bool Scheduler::placeTasks(const StepView &view, const StepDemand &demand,
+                           const Reservations &reservations)
+{
+    const auto current = now();
+    const auto workers = candidates(view, demand, reservations);
+    const std::uint64_t firstRun = m_settings.generation * runsPerOwner;
+    std::uint32_t started = 0;
+    bool all = true;
+    for (std::uint32_t index = 0; index < view.step->tasks.size(); ++index) {
+        Task &task = view.step->tasks[index];
+        if (task.phase != TaskPhase::Waiting || task.notBefore > current)
+            continue;
+        Worker *worker = chooseForTask(workers, demand, task);
+        if (worker == nullptr) {
+            all = false;
+            break;
+        }
+        const auto number = std::max<std::uint64_t>(task.lastRun, firstRun) + 1;
+        startTask(view, index, *worker, static_cast<std::uint32_t>(number));
+        ++started;
+    }
+    if (started > 0) {
+        m_ports.log.write(current, "step.started",
+                          { { "step", demand.step.stepText() },
+                            { "tasks", started },
+                            { "band", view.band },
+                            { "candidates", static_cast<std::uint64_t>(workers.size()) } });
+    }
+    return all;
+}
+
+bool Scheduler::placeGang(const StepView &view, const StepDemand &demand,
+                          const Reservations &reservations)
+{
+    const auto count = static_cast<std::uint32_t>(view.step->tasks.size());
+    // A gang whose last run has not ended everywhere waits for that.
+    if (waitingTasks(*view.step, now()) != count)
+        return true;
+    const auto workers = candidates(view, demand, reservations);
+    const auto chosen = chooseForGang(workers, demand, count);
+    if (chosen.empty())
+        return false;
+    std::uint64_t last = m_settings.generation * runsPerOwner;
+    for (const auto &task : view.step->tasks)
+        last = std::max<std::uint64_t>(last, task.lastRun);
+    for (std::uint32_t index = 0; index < count; ++index)
+        startTask(view, index, *chosen[index], static_cast<std::uint32_t>(last + 1));
+    m_ports.log.write(now(), "gang.started",
+                      { { "step", demand.step.stepText() },
+                        { "tasks", count },
+                        { "run", last + 1 },
+                        { "band", view.band },
+                        { "candidates", static_cast<std::uint64_t>(workers.size()) } });
+    return true;
+}
+
+void Scheduler::reserveFor(const StepView &view, const StepDemand &demand,
+                           Reservations &reservations)
+{
+    const auto current = now();
+    const bool advised = view.job->record.queue.advice.has_value();
+    std::vector<Worker *> workers;
+    for (auto &[id, worker] : m_workers) {
+        if (usable(worker, current) && suits(worker, demand)
+            && !reservations.blocks(id, demand.priority)
+            && (!advised || view.step->advice.allowed.contains(id))) {
+            workers.push_back(&worker);
+        }
+    }
+    const auto count = static_cast<std::uint32_t>(view.step->tasks.size());
+    for (const Worker *worker : chooseToReserve(workers, demand, count))
+        reservations.reserve(worker->entry.id, demand.priority);
+}
+
+std::vector<std::string> Scheduler::workersToAskAbout(const StepView &view,
+                                                      const StepDemand &demand,
+                                                      const Reservations &reservations)
+{
+    const auto current = now();
+    auto &advice = view.step->advice;
+    const auto count = waitingTasks(*view.step, current);
+    std::vector<Worker *> stale;
+    std::vector<Worker *> unknown;
+    std::uint32_t allowedRoom = 0;
+    for (auto &[id, worker] : m_workers) {
+        if (!usable(worker, current) || !suits(worker, demand))
+            continue;
+        const auto denied = advice.denied.find(id);
+        if (denied != advice.denied.end() && denied->second == worker.born)
+            continue;
+        const auto ticket = advice.allowed.find(id);
+        const bool known = ticket != advice.allowed.end() && ticket->second.born == worker.born;
+        if (!known) {
+            unknown.push_back(&worker);
+            continue;
+        }
+        const auto room =
+            reservations.blocks(id, demand.priority) ? 0U : roomFor(worker, demand);
+        allowedRoom += std::min(room, count);
+        if (room > 0 && ticket->second.expires < current + ticketMargin)
+            stale.push_back(&worker);
+    }
+    const auto byFreeRoom = [](const Worker *left, const Worker *right) {
+        return left->free().cpuMillis > right->free().cpuMillis;
+    };
+    std::vector<std::string> names;
+    const auto take = [&names](const std::vector<Worker *> &workers, std::size_t limit) {
+        for (const Worker *worker : workers) {
+            if (names.size() >= std::min(limit, maxAdvisedWorkers))
+                return;
+            names.push_back(worker->entry.id);
+        }
+    };
+    std::sort(stale.begin(), stale.end(), byFreeRoom);
+    std::sort(unknown.begin(), unknown.end(), byFreeRoom);
+    const std::size_t wanted = spareAdvisedWorkers + advisedPerTask * count;
+    if (advice.allowed.empty() && advice.denied.empty()) {
+        take(unknown, wanted);
+    } else if (!stale.empty() && (!view.spec->gang || allowedRoom >= count)) {
+        take(stale, count + spareAdvisedWorkers);
+    } else {
+        std::erase_if(unknown, [&](const Worker *worker) {
+            return !view.spec->gang && roomFor(*worker, demand) == 0;
+        });
+        take(unknown, wanted);
+    }
+    return names;
+}
+
+void Scheduler::askAdvice(const StepView &view, const StepDemand &demand,
+                          const Reservations &reservations)
+{
+    const auto &settings = view.job->record.queue.advice;
+    auto &advice = view.step->advice;
+    if (!settings || advice.asking || advice.nextAsk > now())
+        return;
+    const auto names = workersToAskAbout(view, demand, reservations);
+    if (names.empty())
+        return;
+    advice.asking = true;
+    const auto expected =
+        settings->decision + settings->perWorker * static_cast<std::int64_t>(names.size());
+    m_ports.metrics.count("advice.asked");
+    m_ports.advice.advise(demand.step.stepText(), names, expected + adviceOverhead,
+                          [this, alive = m_alive, step = demand.step,
+                           names](const Result<Advice> &answer) {
+                              if (*alive)
+                                  advised(step, names, answer);
+                          });
+}
+
+void Scheduler::advised(const TaskId &stepId, const std::vector<std::string> &asked,
+                        const Result<Advice> &answer)
+{
+    Step *step = m_jobs.findStep(stepId);
+    if (step == nullptr)
+        return;
+    const auto current = now();
+    step->advice.asking = false;
+    requestPass();
+    if (!answer.has_value()) {
+        step->advice.nextAsk = current + adviceRetryPause;
+        m_ports.log.write(
+            current, "advice.failed",
+            { { "step", stepId.stepText() }, { "error", answer.error().text() } });
+        m_ports.timers.after(adviceRetryPause, [this, alive = m_alive] {
+            if (*alive)
+                requestPass();
+        });
+        return;
+    }
+    const auto lifeOf = [this](const std::string &id) {
+        const auto worker = m_workers.find(id);
+        return worker == m_workers.end() ? std::int64_t{ 0 } : worker->second.born;
+    };
+    for (const auto &ticket : answer.value().allowed) {
+        step->advice.allowed[ticket.worker] = { ticket.value, current + answer.value().validity,
+                                                lifeOf(ticket.worker) };
+    }
+    for (const auto &id : asked) {
+        const auto &tickets = answer.value().allowed;
+        const bool allowed =
+            std::any_of(tickets.begin(), tickets.end(),
+                        [&id](const Ticket &ticket) { return ticket.worker == id; });
+        if (allowed)
+            continue;
+        step->advice.allowed.erase(id);
+        step->advice.denied[id] = lifeOf(id);
+    }
+    m_ports.log.write(current, "advice.received",
+                      { { "step", stepId.stepText() },
+                        { "asked", static_cast<std::uint64_t>(asked.size()) },
+                        { "allowed", static_cast<std::uint64_t>(answer.value().allowed.size()) } });
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/schedulerruns.cpp
@@ -0,0 +1,393 @@
+#include "scheduler.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// A worker that refuses orders gets no new ones for this long.
+constexpr std::chrono::milliseconds refusalPause{ 1000 };
+
+const char *toString(OrderRefusal reason) noexcept
+{
+    switch (reason) {
+    case OrderRefusal::Fenced:
+        return "fenced";
+    case OrderRefusal::OldRun:
+        return "oldRun";
+    case OrderRefusal::Late:
+        return "late";
+    case OrderRefusal::NoRoom:
+        return "noRoom";
+    case OrderRefusal::BadTicket:
+        return "badTicket";
+    case OrderRefusal::OtherLife:
+        return "otherLife";
+    case OrderRefusal::Unhealthy:
+        return "unhealthy";
+    case OrderRefusal::Malformed:
+        return "malformed";
+    }
+    return "unknown";
+}
+
+const char *toString(EndKind kind) noexcept
+{
+    switch (kind) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::Lapsed:
+        return "lapsed";
+    case EndKind::Broken:
+        return "broken";
+    case EndKind::Alone:
+        return "alone";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+void Scheduler::startTask(const StepView &view, std::uint32_t index, Worker &worker,
+                          std::uint32_t number)
+{
+    Task &task = view.step->tasks[index];
+    const auto current = now();
+    Run run;
+    run.task = view.task(index);
+    run.number = number;
+    run.held = heldBy(*view.spec);
+    run.priority = view.job->record.queue.priority;
+    run.gang = view.spec->gang;
+    run.checkpointing = view.spec->checkpointing;
+    run.speculative = view.spec->speculative;
+    run.ordered = current;
+    run.progressed = current;
+    const RunKey key(run.task, number);
+    addRun(worker, std::move(run));
+    task.phase = TaskPhase::Placed;
+    task.lastRun = number;
+    ++task.liveRuns;
+
+    StartOrder order;
+    order.task = key.first;
+    order.run = number;
+    order.spec = view.job->record.spec.spec;
+    order.leaseUntil = m_links.grantLease(worker);
+    order.fencingToken = worker.token;
+    order.checkpoint = view.spec->gang ? view.step->tasks.front().checkpoint : task.checkpoint;
+    if (const auto ticket = view.step->advice.allowed.find(worker.entry.id);
+        ticket != view.step->advice.allowed.end()) {
+        order.ticket = ticket->second.value;
+    }
+    m_ports.metrics.count("starts.sent");
+    m_sender.start({ worker.entry.id, worker.entry.address }, order,
+                   [this, id = worker.entry.id, born = worker.born,
+                    key](const StartOutcome &outcome) { startAnswered(id, born, key, outcome); });
+}
+
+void Scheduler::startAnswered(const std::string &id, std::int64_t born, const RunKey &key,
+                              const StartOutcome &outcome)
+{
+    const auto entry = m_workers.find(id);
+    if (entry == m_workers.end() || entry->second.born != born)
+        return;
+    Worker &worker = entry->second;
+    const auto found = worker.runs.find(key);
+    if (found == worker.runs.end())
+        return;
+    Run &run = found->second;
+    if (const auto *accepted = std::get_if<OrderAccepted>(&outcome)) {
+        WorkerLinks::readClock(worker, accepted->clock, now());
+        if (run.phase == RunPhase::Starting) {
+            run.phase = RunPhase::Running;
+            run.confirmed = now();
+        }
+        if (Job *job = m_jobs.find(key.first.job); job != nullptr && job->active()) {
+            job->everStarted = true;
+            job->status = JobStatus::Running;
+        }
+        m_links.poke(id);
+    } else if (const auto *rejection = std::get_if<StartRejected>(&outcome)) {
+        startRejected(worker, key, *rejection);
+    } else {
+        m_ports.log.write(
+            now(), "start.unanswered",
+            { { "task", key.first.text() }, { "run", key.second }, { "worker", id } });
+        m_ports.metrics.count("starts.unanswered");
+        quarantine(worker, now(), refusalPause);
+        run.outcomeUnknown = true;
+        stopRun(worker, run, "the start was not answered");
+        if (run.gang)
+            abortGang(key.first, key.second, "the start of a member was not answered");
+    }
+}
+
+void Scheduler::startRejected(Worker &worker, const RunKey &key, const StartRejected &rejection)
+{
+    m_ports.log.write(now(), "start.rejected",
+                      { { "task", key.first.text() },
+                        { "run", key.second },
+                        { "worker", worker.entry.id },
+                        { "reason", toString(rejection.reason) },
+                        { "connectionFailed", rejection.connectionFailed } });
+    m_ports.metrics.count(std::string("starts.rejected.") + toString(rejection.reason));
+    const bool gang = worker.runs.at(key).gang;
+    releaseRun(worker, key, "");
+    Step *step = m_jobs.findStep(key.first);
+    switch (rejection.reason) {
+    case OrderRefusal::Fenced:
+        m_fenced();
+        return;
+    case OrderRefusal::BadTicket:
+        if (step != nullptr)
+            step->advice.allowed[worker.entry.id].value.clear();
+        break;
+    case OrderRefusal::OldRun:
+    case OrderRefusal::Late:
+    case OrderRefusal::OtherLife:
+    case OrderRefusal::NoRoom:
+        // The next inventory brings the worker's clock, life and runs up to date.
+        worker.fenced = false;
+        m_links.poke(worker.entry.id);
+        break;
+    case OrderRefusal::Unhealthy:
+    case OrderRefusal::Malformed:
+        quarantine(worker, now(), refusalPause);
+        m_links.poke(worker.entry.id);
+        break;
+    }
+    if (gang)
+        abortGang(key.first, key.second, "a member was rejected");
+    requestPass();
+}
+
+void Scheduler::stopRun(Worker &worker, Run &run, const char *reason)
+{
+    if (run.phase == RunPhase::Stopping)
+        return;
+    run.phase = RunPhase::Stopping;
+    const RunKey key(run.task, run.number);
+    m_ports.log.write(now(), "run.stopping",
+                      { { "task", run.task.text() },
+                        { "run", run.number },
+                        { "worker", worker.entry.id },
+                        { "reason", reason } });
+    const auto current = [this, id = worker.entry.id, born = worker.born, key]() -> Run * {
+        const auto entry = m_workers.find(id);
+        if (entry == m_workers.end() || entry->second.born != born)
+            return nullptr;
+        const auto found = entry->second.runs.find(key);
+        return found == entry->second.runs.end() ? nullptr : &found->second;
+    };
+    m_sender.stop({ worker.entry.id, worker.entry.address }, key, worker.token,
+                  [current] { return current() != nullptr; },
+                  [this, current, id = worker.entry.id](bool accepted) {
+                      if (Run *stopped = current(); stopped != nullptr && accepted) {
+                          stopped->stopConfirmed = now();
+                          m_links.poke(id);
+                      }
+                  });
+}
+
+void Scheduler::takeInventory(Worker &worker, const Inventory &inventory, TimePoint asked)
+{
+    bool newEnds = false;
+    for (const auto &end : inventory.finished) {
+        if (end.number <= worker.handledEnds)
+            continue;
+        endRun(worker, end);
+        worker.handledEnds = end.number;
+        newEnds = true;
+    }
+    for (const auto &row : inventory.running)
+        takeRunning(worker, row);
+    dropMissing(worker, inventory, asked);
+    if (newEnds || worker.durableEnds != worker.handledEnds) {
+        m_writer.whenDurable(
+            [this, id = worker.entry.id, born = worker.born, number = worker.handledEnds] {
+                const auto entry = m_workers.find(id);
+                if (entry == m_workers.end() || entry->second.born != born)
+                    return;
+                entry->second.durableEnds = std::max(entry->second.durableEnds, number);
+                m_links.poke(id);
+            });
+    }
+    if (newEnds)
+        requestPass();
+}
+
+void Scheduler::takeRunning(Worker &worker, const RunningTask &row)
+{
+    const auto found = worker.runs.find({ row.task, row.run });
+    if (found == worker.runs.end()) {
+        adopt(worker, row);
+        return;
+    }
+    Run &run = found->second;
+    if (row.percent > run.percent)
+        run.progressed = now();
+    run.percent = row.percent;
+    run.checkpoint = row.checkpoint;
+    if (run.phase == RunPhase::Starting) {
+        run.phase = RunPhase::Running;
+        run.confirmed = now();
+    }
+}
+
+void Scheduler::adopt(Worker &worker, const RunningTask &row)
+{
+    Job *job = m_jobs.find(row.task.job);
+    Task *task = m_jobs.findTask(row.task);
+    const bool wanted = job != nullptr && job->active() && task != nullptr
+        && task->phase == TaskPhase::Waiting && row.run >= task->lastRun;
+    Run run;
+    run.task = row.task;
+    run.number = row.run;
+    run.ordered = now();
+    run.confirmed = now();
+    run.progressed = now();
+    run.percent = row.percent;
+    run.checkpoint = row.checkpoint;
+    run.phase = RunPhase::Running;
+    if (job != nullptr && row.task.step < job->record.spec.steps.size()) {
+        const auto &spec = job->spec(row.task.step);
+        run.held = heldBy(spec);
+        run.priority = job->record.queue.priority;
+        run.gang = spec.gang;
+        run.checkpointing = spec.checkpointing;
+        run.speculative = spec.speculative;
+    }
+    m_ports.log.write(now(), wanted ? "run.adopted" : "run.unexpected",
+                      { { "task", row.task.text() },
+                        { "run", row.run },
+                        { "worker", worker.entry.id } });
+    Run &added = addRun(worker, std::move(run));
+    if (!wanted) {
+        stopRun(worker, added, "nothing wants this run");
+        return;
+    }
+    task->phase = TaskPhase::Placed;
+    task->lastRun = row.run;
+    ++task->liveRuns;
+    job->everStarted = true;
+    job->status = JobStatus::Running;
+}
+
+void Scheduler::dropMissing(Worker &worker, const Inventory &inventory, TimePoint asked)
+{
+    std::set<RunKey> listed;
+    for (const auto &row : inventory.running)
+        listed.emplace(row.task, row.run);
+    std::vector<RunKey> missing;
+    for (const auto &[key, run] : worker.runs) {
+        if (listed.contains(key))
+            continue;
+        const bool running = run.phase == RunPhase::Running && run.confirmed < asked;
+        const bool stopped =
+            run.phase == RunPhase::Stopping && run.stopConfirmed && *run.stopConfirmed < asked;
+        if (running || stopped)
+            missing.push_back(key);
+    }
+    for (const auto &key : missing) {
+        m_ports.log.write(now(), "run.missing",
+                          { { "task", key.first.text() },
+                            { "run", key.second },
+                            { "worker", worker.entry.id } });
+        const bool gang = worker.runs.at(key).gang;
+        releaseRun(worker, key, "");
+        if (gang)
+            abortGang(key.first, key.second, "a member is missing");
+    }
+    if (!missing.empty())
+        requestPass();
+}
+
+void Scheduler::endAllRuns(Worker &worker, const char *reason, bool newLife)
+{
+    std::vector<RunKey> keys;
+    for (auto &[key, run] : worker.runs) {
+        // A start without an answer may still reach the new life, until that has seen the token.
+        const bool mayComeLate = run.phase == RunPhase::Starting || run.outcomeUnknown;
+        if (newLife && mayComeLate) {
+            run.phase = RunPhase::Stopping;
+            run.stopConfirmed = now();
+        } else {
+            keys.push_back(key);
+        }
+    }
+    for (const auto &key : keys) {
+        m_ports.log.write(now(), "run.lost",
+                          { { "task", key.first.text() },
+                            { "run", key.second },
+                            { "worker", worker.entry.id },
+                            { "reason", reason } });
+        const bool gang = worker.runs.at(key).gang;
+        releaseRun(worker, key, worker.runs.at(key).checkpoint);
+        if (gang)
+            abortGang(key.first, key.second, "a member was lost");
+    }
+    requestPass();
+}
+
+void Scheduler::endRun(Worker &worker, const FinishedTask &end)
+{
+    m_ports.log.write(now(), "run.ended",
+                      { { "task", end.task.text() },
+                        { "run", end.run },
+                        { "worker", worker.entry.id },
+                        { "end", end.number },
+                        { "how", toString(end.kind) } });
+    m_ports.metrics.count(std::string("runs.") + toString(end.kind));
+    const RunKey key(end.task, end.run);
+    const auto found = worker.runs.find(key);
+    const bool gang = found != worker.runs.end() && found->second.gang;
+    releaseRun(worker, key, end.checkpoint);
+    if (end.kind == EndKind::Done) {
+        noteSuccess(worker, now());
+        taskDone(end.task, end.run);
+        return;
+    }
+    if (end.kind == EndKind::Failed) {
+        if (noteFailure(worker, end.task.job, now())) {
+            m_ports.log.write(now(), "worker.quarantined",
+                              { { "worker", worker.entry.id },
+                                { "failures", worker.health.failuresInRow } });
+        }
+        taskFailed(worker, end.task, end.run);
+        return;
+    }
+    if (gang)
+        abortGang(end.task, end.run, "a member has ended");
+}
+
+void Scheduler::releaseRun(Worker &worker, const RunKey &key, const std::string &checkpoint)
+{
+    if (!removeRun(worker, key))
+        return;
+    Task *task = m_jobs.findTask(key.first);
+    if (task == nullptr)
+        return;
+    if (task->liveRuns > 0)
+        --task->liveRuns;
+    if (task->phase == TaskPhase::Done)
+        return;
+    if (!checkpoint.empty()) {
+        const Job &job = *m_jobs.find(key.first.job);
+        if (job.spec(key.first.step).gang)
+            m_jobs.findStep(key.first)->tasks.front().checkpoint = checkpoint;
+        else
+            task->checkpoint = checkpoint;
+    }
+    if (task->liveRuns == 0)
+        task->phase = TaskPhase::Waiting;
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/shard.cpp
@@ -0,0 +1,179 @@
+#include "shard.h"
+
+#include "keys.h"
+
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+constexpr PrefixWatch::Options jobsWatch{ std::chrono::milliseconds(1500),
+                                          std::chrono::milliseconds(15) };
+constexpr PrefixWatch::Options workersWatch{ std::chrono::milliseconds(1500),
+                                             std::chrono::milliseconds(25) };
+constexpr std::chrono::milliseconds retryDelay{ 150 };
+constexpr std::chrono::milliseconds rosterDelay{ 300 };
+
+std::string lastPart(const std::string &key)
+{
+    return key.substr(key.rfind('/') + 1);
+}
+
+} // namespace
+
+Shard::Shard(const Scheduler::Ports &ports, StorePort &store, const PlatformRecords &records,
+             const Scheduler::Settings &settings, StoreCondition fence, std::function<void()> lost)
+    : m_ports(ports)
+    , m_store(store)
+    , m_records(records)
+    , m_shard(settings.shard)
+    , m_lost(std::move(lost))
+    , m_writer(store, ports.timers, std::move(fence), [this] { loseOwnership(); })
+    , m_scheduler(ports, settings, m_writer, [this] { loseOwnership(); })
+    , m_jobs(store, ports.timers, keys::jobsPrefix(settings.shard), jobsWatch,
+             { [this](const StoreItem &item) { applyJob(item); },
+               [this](const std::string &key, std::uint64_t) {
+                   m_scheduler.jobRemoved(lastPart(key));
+               },
+               [this] { finishLoading(); },
+               {} })
+    , m_workers(store, ports.timers, records.workersPrefix, workersWatch,
+                { [this](const StoreItem &item) { applyWorker(item); },
+                  [this](const std::string &key, std::uint64_t) { removeWorker(key); },
+                  [this] { finishLoading(); },
+                  {} })
+{ }
+
+Shard::~Shard()
+{
+    *m_alive = false;
+}
+
+void Shard::start()
+{
+    readAllStates();
+}
+
+void Shard::retry(void (Shard::*step)())
+{
+    m_ports.timers.after(retryDelay, [this, step, alive = m_alive] {
+        if (*alive)
+            (this->*step)();
+    });
+}
+
+void Shard::readStates(const std::string &after)
+{
+    m_store.list(keys::statesPrefix(m_shard), after,
+                 [this, alive = m_alive](const Result<StorePage> &page) {
+                     if (!*alive)
+                         return;
+                     if (!page.has_value()) {
+                         retry(&Shard::readAllStates);
+                         return;
+                     }
+                     for (const auto &item : page.value().items) {
+                         if (auto progress = decodeProgress(item.value))
+                             m_progress[lastPart(item.key)] = std::move(*progress);
+                     }
+                     if (page.value().more && !page.value().items.empty())
+                         readStates(page.value().items.back().key);
+                     else
+                         readRoster();
+                 });
+}
+
+void Shard::readRoster()
+{
+    m_store.read(keys::roster(m_shard),
+                 [this, alive = m_alive](const Result<std::optional<StoreItem>> &item) {
+                     if (!*alive)
+                         return;
+                     if (!item.has_value()) {
+                         retry(&Shard::readRoster);
+                         return;
+                     }
+                     if (item.value()) {
+                         m_storedRoster = item.value()->value;
+                         const auto roster = decodeRoster(m_storedRoster);
+                         for (const auto &worker : roster.value_or(std::vector<WorkerEntry>()))
+                             m_scheduler.workerUsedBefore(worker);
+                     }
+                     startWatches();
+                 });
+}
+
+void Shard::startWatches()
+{
+    m_jobs.start();
+    m_workers.start();
+}
+
+void Shard::finishLoading()
+{
+    if (m_loaded || !m_jobs.synchronized() || !m_workers.synchronized())
+        return;
+    m_loaded = true;
+    m_progress.clear();
+    m_scheduler.loaded();
+    scheduleRoster();
+}
+
+void Shard::applyJob(const StoreItem &item)
+{
+    const auto record = decodeJob(item.value);
+    if (!record) {
+        m_ports.log.write(m_ports.timers.now(), "job.malformed", { { "key", item.key } });
+        return;
+    }
+    std::optional<JobProgress> progress;
+    if (const auto stored = m_progress.find(record->id); stored != m_progress.end())
+        progress = stored->second;
+    m_scheduler.jobStored(*record, item.created, progress);
+}
+
+void Shard::applyWorker(const StoreItem &item)
+{
+    const auto entry = m_records.decodeWorker(item.key, item.value);
+    if (!entry) {
+        m_ports.log.write(m_ports.timers.now(), "worker.malformed", { { "key", item.key } });
+        removeWorker(item.key);
+        return;
+    }
+    m_scheduler.workerListed(*entry);
+    scheduleRoster();
+}
+
+void Shard::removeWorker(const std::string &key)
+{
+    m_scheduler.workerUnlisted(m_records.workerOfKey(key));
+    scheduleRoster();
+}
+
+void Shard::scheduleRoster()
+{
+    if (!m_loaded || std::exchange(m_rosterScheduled, true))
+        return;
+    m_ports.timers.after(rosterDelay, [this, alive = m_alive] {
+        if (!*alive)
+            return;
+        m_rosterScheduled = false;
+        auto roster = encode(m_scheduler.roster());
+        if (roster == m_storedRoster)
+            return;
+        m_storedRoster = roster;
+        m_writer.write(keys::roster(m_shard), std::move(roster));
+    });
+}
+
+void Shard::loseOwnership()
+{
+    // The caller may be a member of this object, which the owner of the shard destroys.
+    m_ports.timers.after(Duration::zero(), [this, alive = m_alive] {
+        if (*alive && m_lost)
+            std::exchange(m_lost, {})();
+    });
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/shard.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "fencedwriter.h"
+#include "prefixwatch.h"
+#include "records.h"
+#include "scheduler.h"
+
+#include <cell/discovery.h>
+#include <cell/ports.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cowsliprock::cell {
+
+/// A shard while this daemon owns it: reads what is stored, then schedules.
+class Shard
+{
+public:
+    /// \p lost is called once when the store or a worker shows that there is a newer owner.
+    Shard(const Scheduler::Ports &ports, StorePort &store, const PlatformRecords &records,
+          const Scheduler::Settings &settings, StoreCondition fence, std::function<void()> lost);
+    ~Shard();
+    Shard(const Shard &) = delete;
+    Shard &operator=(const Shard &) = delete;
+
+    void start();
+    void configure(const CellConfiguration &configuration) { m_scheduler.configure(configuration); }
+
+    /// Calls \p action when all that was learned so far is durable.
+    void whenDurable(std::function<void()> action) { m_writer.whenDurable(std::move(action)); }
+
+    [[nodiscard]] const Scheduler &scheduler() const noexcept { return m_scheduler; }
+
+    /// True once the stored jobs have been read.
+    [[nodiscard]] bool loaded() const noexcept { return m_loaded; }
+
+private:
+    void readStates(const std::string &after);
+    void readRoster();
+    void startWatches();
+    void retry(void (Shard::*step)());
+    void readAllStates() { readStates(""); }
+    void applyJob(const StoreItem &item);
+    void applyWorker(const StoreItem &item);
+    void removeWorker(const std::string &key);
+    void finishLoading();
+    void scheduleRoster();
+    void loseOwnership();
+
+    Scheduler::Ports m_ports;
+    StorePort &m_store;
+    const PlatformRecords &m_records;
+    std::uint32_t m_shard;
+    std::function<void()> m_lost;
+    std::map<std::string, JobProgress> m_progress; ///< Read at the start, until the jobs are read.
+    bool m_loaded = false;
+    bool m_rosterScheduled = false;
+    std::string m_storedRoster;
+    FencedWriter m_writer;
+    Scheduler m_scheduler;
+    PrefixWatch m_jobs;
+    PrefixWatch m_workers;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/submissions.cpp
@@ -0,0 +1,135 @@
+#include "submissions.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// Each job takes a condition and a write of a transaction.
+constexpr std::size_t maxJobsPerTransaction = maxTransactionEntries / 2;
+constexpr std::size_t maxInFlight = 4;
+constexpr std::chrono::milliseconds retryDelay{ 100 };
+constexpr std::uint32_t failuresUntilFailing = 2;
+
+} // namespace
+
+Submissions::Submissions(StorePort &store, Timers &timers, EventLog &log, Metrics &metrics)
+    : m_store(store)
+    , m_timers(timers)
+    , m_log(log)
+    , m_metrics(metrics)
+{ }
+
+Submissions::~Submissions()
+{
+    *m_alive = false;
+}
+
+void Submissions::submit(const std::string &key, std::string value, TimePoint deadline,
+                         Done<SubmitResult> done)
+{
+    again({ key, std::move(value), deadline, false, std::move(done) });
+}
+
+bool Submissions::storeFailing() const noexcept
+{
+    return m_failures >= failuresUntilFailing;
+}
+
+void Submissions::again(Entry entry)
+{
+    m_waiting.push_back(std::move(entry));
+    if (std::exchange(m_scheduled, true))
+        return;
+    m_timers.after(Duration::zero(), [this, alive = m_alive] {
+        if (!*alive)
+            return;
+        m_scheduled = false;
+        flush();
+    });
+}
+
+void Submissions::flush()
+{
+    while (!m_waiting.empty() && m_inFlight < maxInFlight) {
+        std::vector<Entry> batch;
+        std::deque<Entry> rest;
+        for (auto &entry : m_waiting) {
+            const bool twice =
+                std::any_of(batch.begin(), batch.end(),
+                            [&entry](const Entry &other) { return other.key == entry.key; });
+            if (twice || batch.size() >= maxJobsPerTransaction)
+                rest.push_back(std::move(entry));
+            else
+                batch.push_back(std::move(entry));
+        }
+        m_waiting = std::move(rest);
+        send(std::move(batch));
+    }
+}
+
+void Submissions::send(std::vector<Entry> batch)
+{
+    Transaction transaction;
+    for (const auto &entry : batch) {
+        transaction.conditions.push_back({ entry.key, 0 });
+        transaction.writes.push_back({ entry.key, entry.value, 0 });
+    }
+    ++m_inFlight;
+    m_store.commit(transaction, [this, alive = m_alive, batch = std::move(batch)](
+                                    const Result<TransactionOutcome> &outcome) mutable {
+        if (!*alive)
+            return;
+        --m_inFlight;
+        finished(std::move(batch), outcome);
+        flush();
+    });
+}
+
+void Submissions::finished(std::vector<Entry> batch, const Result<TransactionOutcome> &outcome)
+{
+    if (!outcome.has_value()) {
+        ++m_failures;
+        const bool unknown = mayHaveTakenEffect(outcome.error());
+        for (auto &entry : batch) {
+            entry.uncertain = entry.uncertain || unknown;
+            if (m_timers.now() + retryDelay >= entry.deadline) {
+                finish(entry, entry.uncertain ? SubmitResult::Unknown : SubmitResult::NotStored);
+                continue;
+            }
+            m_timers.after(retryDelay, [this, alive = m_alive, entry = std::move(entry)] {
+                if (*alive)
+                    again(entry);
+            });
+        }
+        return;
+    }
+    m_failures = 0;
+    if (std::holds_alternative<Committed>(outcome.value())) {
+        for (auto &entry : batch)
+            finish(entry, SubmitResult::Accepted);
+        return;
+    }
+    const auto *failed = std::get_if<ConditionFailed>(&outcome.value());
+    for (auto &entry : batch) {
+        // The key exists: an earlier try or the same job through another daemon created it.
+        const bool exists = failed != nullptr
+            && std::any_of(failed->present.begin(), failed->present.end(),
+                           [&entry](const StoreItem &item) { return item.key == entry.key; });
+        if (exists)
+            finish(entry, SubmitResult::Accepted);
+        else
+            again(std::move(entry));
+    }
+}
+
+void Submissions::finish(Entry &entry, SubmitResult result)
+{
+    m_metrics.count(result == SubmitResult::Accepted ? "submissions.accepted"
+                                                     : "submissions.failed");
+    entry.done(result);
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/workerlinks.cpp
@@ -0,0 +1,243 @@
+#include "workerlinks.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// A worker with tasks answers when one of them ends, or after this time.
+constexpr std::chrono::milliseconds busyWait{ 900 };
+/// Pause between two questions to a worker without tasks.
+constexpr std::chrono::milliseconds idlePause{ 700 };
+/// Ends that come close together are gathered into one answer.
+constexpr std::chrono::milliseconds gatherPause{ 15 };
+constexpr std::chrono::milliseconds retryPause{ 250 };
+/// Failures in a row after which a worker gets no new tasks.
+constexpr std::uint32_t failuresUntilUnreachable = 2;
+/// A worker's clock may be this much slower than ours (its bound is 2%).
+constexpr double slowClockFactor = 1.03;
+constexpr std::chrono::milliseconds lapseMargin{ 300 };
+/// Lives of one worker that fit between the tokens of two owners.
+constexpr std::uint64_t livesPerOwner = 1024;
+
+} // namespace
+
+WorkerLinks::WorkerLinks(WorkerPort &port, Timers &timers, EventLog &log, WorkerTable &workers,
+                         const Settings &settings, Listener listener)
+    : m_port(port)
+    , m_timers(timers)
+    , m_log(log)
+    , m_workers(workers)
+    , m_settings(settings)
+    , m_listener(std::move(listener))
+{ }
+
+WorkerLinks::~WorkerLinks()
+{
+    *m_alive = false;
+}
+
+std::uint64_t WorkerLinks::tokenOf(const Link &link) const noexcept
+{
+    return m_settings.ownershipRevision * livesPerOwner
+        + std::min<std::uint64_t>(link.lives, livesPerOwner - 1);
+}
+
+void WorkerLinks::add(Worker &worker)
+{
+    const auto [entry, added] = m_links.try_emplace(worker.entry.id);
+    if (!added)
+        return;
+    worker.token = tokenOf(entry->second);
+    // An earlier owner may have granted a lease just before this one took over.
+    worker.leaseEnds = m_timers.now()
+        + std::chrono::duration_cast<Duration>(m_settings.lease * slowClockFactor) + lapseMargin;
+    schedule(worker.entry.id, Duration::zero());
+}
+
+void WorkerLinks::forget(const std::string &worker)
+{
+    m_links.erase(worker);
+}
+
+void WorkerLinks::poke(const std::string &worker)
+{
+    if (const auto link = m_links.find(worker); link != m_links.end() && !link->second.asking)
+        schedule(worker, gatherPause);
+}
+
+std::chrono::milliseconds WorkerLinks::grantLease(Worker &worker) const
+{
+    const auto now = m_timers.now();
+    const auto lapse = now
+        + std::chrono::duration_cast<Duration>((now - worker.clockReadAt + m_settings.lease)
+                                               * slowClockFactor)
+        - (now - worker.clockReadAt) + lapseMargin;
+    worker.leaseEnds = std::max(worker.leaseEnds, lapse);
+    return worker.clockAt(now)
+        + std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.lease);
+}
+
+void WorkerLinks::readClock(Worker &worker, std::chrono::milliseconds clock, TimePoint now)
+{
+    if (clock <= std::chrono::milliseconds::zero())
+        return;
+    worker.clock = clock;
+    worker.clockReadAt = now;
+}
+
+bool WorkerLinks::allAnswered() const
+{
+    return std::all_of(m_links.begin(), m_links.end(),
+                       [](const auto &entry) { return entry.second.answered; });
+}
+
+void WorkerLinks::schedule(const std::string &id, Duration delay)
+{
+    const auto number = ++m_links[id].timer;
+    m_timers.after(delay, [this, alive = m_alive, id, number] {
+        if (!*alive)
+            return;
+        const auto link = m_links.find(id);
+        if (link != m_links.end() && link->second.timer == number)
+            ask(id);
+    });
+}
+
+void WorkerLinks::ask(const std::string &id)
+{
+    const auto entry = m_workers.find(id);
+    auto &link = m_links[id];
+    if (entry == m_workers.end() || link.asking)
+        return;
+    Worker &worker = entry->second;
+    InventoryRequest request;
+    request.fencingToken = worker.token;
+    request.acknowledged = worker.durableEnds;
+    if (worker.fenced) {
+        request.leaseUntil = grantLease(worker);
+        if (!worker.runs.empty() && worker.reachable)
+            request.wait = busyWait;
+    }
+    link.asking = true;
+    const auto asked = m_timers.now();
+    m_port.inventory({ id, worker.entry.address }, request,
+                     [this, alive = m_alive, id, asked](const Result<InventoryOutcome> &outcome) {
+                         if (*alive)
+                             answered(id, asked, outcome);
+                     });
+}
+
+void WorkerLinks::answered(const std::string &id, TimePoint asked,
+                           const Result<InventoryOutcome> &outcome)
+{
+    const auto entry = m_workers.find(id);
+    const auto found = m_links.find(id);
+    if (entry == m_workers.end() || found == m_links.end())
+        return;
+    Worker &worker = entry->second;
+    Link &link = found->second;
+    link.asking = false;
+    if (!outcome.has_value()) {
+        failed(worker, link, outcome.error());
+        return;
+    }
+    if (const auto *refusal = std::get_if<OrderRefused>(&outcome.value())) {
+        refused(worker, link, *refusal);
+        return;
+    }
+    take(worker, link, std::get<Inventory>(outcome.value()), asked);
+}
+
+void WorkerLinks::take(Worker &worker, Link &link, const Inventory &inventory, TimePoint asked)
+{
+    const auto now = m_timers.now();
+    if (worker.born != 0 && inventory.born != worker.born) {
+        beginLife(worker, link, inventory.born);
+        return;
+    }
+    if (!worker.reachable) {
+        m_log.write(now, "worker.reachable",
+                    { { "worker", worker.entry.id },
+                      { "born", worker.born },
+                      { "token", worker.token } });
+    }
+    worker.born = inventory.born;
+    readClock(worker, inventory.clock, now);
+    worker.lastContact = now;
+    worker.reachable = true;
+    worker.fenced = true;
+    link.failures = 0;
+    link.answered = true;
+    m_listener.inventory(worker, inventory, asked);
+    // Ends that are not durable yet would be returned at once: poke() asks when they are.
+    if (worker.durableEnds == worker.handledEnds && !link.asking)
+        schedule(worker.entry.id, nextDelay(worker));
+}
+
+Duration WorkerLinks::nextDelay(const Worker &worker) const
+{
+    return worker.runs.empty() ? Duration(idlePause) : Duration(gatherPause);
+}
+
+void WorkerLinks::beginLife(Worker &worker, Link &link, std::int64_t born)
+{
+    m_log.write(m_timers.now(), "worker.newLife",
+                { { "worker", worker.entry.id }, { "born", born }, { "before", worker.born } });
+    ++link.lives;
+    link.answered = true;
+    worker.born = born;
+    worker.token = tokenOf(link);
+    worker.fenced = false;
+    worker.handledEnds = 0;
+    worker.durableEnds = 0;
+    worker.clock = {};
+    worker.leaseEnds = m_timers.now();
+    m_listener.newLife(worker);
+    schedule(worker.entry.id, Duration::zero());
+}
+
+void WorkerLinks::failed(Worker &worker, Link &link, const Error &error)
+{
+    const auto now = m_timers.now();
+    ++link.failures;
+    if (link.failures == failuresUntilUnreachable) {
+        worker.reachable = false;
+        m_log.write(now, "worker.unreachable",
+                    { { "worker", worker.entry.id },
+                      { "error", error.text() },
+                      { "runs", static_cast<std::uint64_t>(worker.runs.size()) } });
+    }
+    if (!worker.reachable && now >= worker.leaseEnds && !std::exchange(link.answered, true))
+        m_log.write(now, "worker.assumedEmpty", { { "worker", worker.entry.id } });
+    if (!worker.reachable && now >= worker.leaseEnds)
+        m_listener.lapsed(worker);
+    // The first failure may be that of a kept connection that has died: ask again at once.
+    schedule(worker.entry.id, link.failures == 1 ? Duration::zero() : Duration(retryPause));
+}
+
+void WorkerLinks::refused(Worker &worker, Link &link, const OrderRefused &refusal)
+{
+    switch (refusal.reason) {
+    case OrderRefusal::Fenced:
+        m_log.write(m_timers.now(), "worker.fenced",
+                    { { "worker", worker.entry.id }, { "token", worker.token } });
+        schedule(worker.entry.id, retryPause);
+        m_listener.fenced();
+        return;
+    case OrderRefusal::OtherLife:
+    case OrderRefusal::OldRun:
+    case OrderRefusal::Late:
+    case OrderRefusal::NoRoom:
+    case OrderRefusal::BadTicket:
+    case OrderRefusal::Unhealthy:
+    case OrderRefusal::Malformed:
+        break;
+    }
+    failed(worker, link,
+           Error{ ErrorKind::Refused, "worker.inventory", worker.entry.address, "refused" });
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/workerlinks.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "workertable.h"
+
+#include <cell/ports.h>
+
+#include <base/eventlog.h>
+#include <eventloop/timers.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cowsliprock::cell {
+
+/// Asks each worker for its inventory again and again, extends the leases of what runs there, and
+/// acknowledges ends that are durable.
+class WorkerLinks
+{
+public:
+    struct Listener
+    {
+        /// \p asked is when the request was sent.
+        std::function<void(Worker &, const Inventory &, TimePoint asked)> inventory;
+        /// The worker has begun a new life: nothing of the former one is left.
+        std::function<void(Worker &)> newLife;
+        /// The worker did not answer until all leases on it were over.
+        std::function<void(Worker &)> lapsed;
+        /// A worker has seen a token of a newer owner.
+        std::function<void()> fenced;
+    };
+
+    struct Settings
+    {
+        std::uint64_t ownershipRevision = 0;
+        Duration lease{}; ///< Granted to the tasks of a worker at each contact.
+    };
+
+    WorkerLinks(WorkerPort &port, Timers &timers, EventLog &log, WorkerTable &workers,
+                const Settings &settings, Listener listener);
+    ~WorkerLinks();
+    WorkerLinks(const WorkerLinks &) = delete;
+    WorkerLinks &operator=(const WorkerLinks &) = delete;
+
+    /// Begins to ask a worker that was added to the table.
+    void add(Worker &worker);
+    void forget(const std::string &worker);
+
+    /// Asks soon, for example since ends may be acknowledged now or a run was started.
+    void poke(const std::string &worker);
+
+    /// End of the lease for an order sent now, on the worker's clock; notes the grant.
+    [[nodiscard]] std::chrono::milliseconds grantLease(Worker &worker) const;
+
+    /// Takes over a reading of the worker's clock.
+    static void readClock(Worker &worker, std::chrono::milliseconds clock, TimePoint now);
+
+    /// True if all known workers have answered or are known to run nothing.
+    [[nodiscard]] bool allAnswered() const;
+
+    [[nodiscard]] Duration lease() const noexcept { return m_settings.lease; }
+
+private:
+    struct Link
+    {
+        bool asking = false;
+        bool answered = false; ///< At least once, or its leases are over.
+        std::uint32_t failures = 0;
+        std::uint32_t lives = 0;
+        std::uint64_t timer = 0; ///< Number of the newest timer; older ones are void.
+    };
+
+    void schedule(const std::string &id, Duration delay);
+    void ask(const std::string &id);
+    void answered(const std::string &id, TimePoint asked, const Result<InventoryOutcome> &outcome);
+    void take(Worker &worker, Link &link, const Inventory &inventory, TimePoint asked);
+    void beginLife(Worker &worker, Link &link, std::int64_t born);
+    void failed(Worker &worker, Link &link, const Error &error);
+    void refused(Worker &worker, Link &link, const OrderRefused &refusal);
+    [[nodiscard]] Duration nextDelay(const Worker &worker) const;
+    [[nodiscard]] std::uint64_t tokenOf(const Link &link) const noexcept;
+
+    WorkerPort &m_port;
+    Timers &m_timers;
+    EventLog &m_log;
+    WorkerTable &m_workers;
+    Settings m_settings;
+    Listener m_listener;
+    std::map<std::string, Link> m_links;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/workertable.cpp
@@ -0,0 +1,84 @@
+#include "workertable.h"
+
+#include <algorithm>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// Failed runs of different jobs in a row after which a worker gets no work for a while.
+constexpr std::uint32_t failuresBeforeQuarantine = 2;
+constexpr std::chrono::seconds firstQuarantine{ 4 };
+constexpr std::uint32_t maxQuarantineDoublings = 4;
+/// Discovery may lose an entry during an outage of the store; it is back within this time.
+constexpr std::chrono::milliseconds unlistedGrace{ 2200 };
+
+} // namespace
+
+std::chrono::milliseconds Worker::clockAt(TimePoint now) const
+{
+    return clock + std::chrono::duration_cast<std::chrono::milliseconds>(now - clockReadAt);
+}
+
+Resources heldBy(const StepSpec &step) noexcept
+{
+    Resources amount = step.amount;
+    if (step.fills)
+        amount.cpuMillis = 0;
+    return amount;
+}
+
+bool usable(const Worker &worker, TimePoint now)
+{
+    return worker.fenced && worker.reachable && !worker.entry.draining
+        && worker.health.quarantinedUntil <= now
+        && (!worker.unlistedSince || now - *worker.unlistedSince < unlistedGrace);
+}
+
+Run &addRun(Worker &worker, Run run)
+{
+    worker.held += run.held;
+    const RunKey key(run.task, run.number);
+    return worker.runs.insert_or_assign(key, std::move(run)).first->second;
+}
+
+bool removeRun(Worker &worker, const RunKey &key)
+{
+    const auto entry = worker.runs.find(key);
+    if (entry == worker.runs.end())
+        return false;
+    worker.held -= entry->second.held;
+    worker.runs.erase(entry);
+    return true;
+}
+
+bool noteSuccess(Worker &worker, TimePoint now)
+{
+    worker.health.failuresInRow = 0;
+    worker.health.lastFailedJob.clear();
+    worker.health.quarantines = 0;
+    worker.health.lastSuccess = now;
+    return false;
+}
+
+bool noteFailure(Worker &worker, const std::string &job, TimePoint now)
+{
+    auto &health = worker.health;
+    // Several tasks of one job that cannot be done say nothing about the worker.
+    if (health.lastFailedJob == job)
+        return false;
+    health.lastFailedJob = job;
+    if (++health.failuresInRow < failuresBeforeQuarantine)
+        return false;
+    const auto doublings = std::min(health.quarantines, maxQuarantineDoublings);
+    quarantine(worker, now, firstQuarantine * (1U << doublings));
+    ++health.quarantines;
+    return true;
+}
+
+void quarantine(Worker &worker, TimePoint now, Duration time)
+{
+    worker.health.quarantinedUntil = std::max(worker.health.quarantinedUntil, now + time);
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/workertable.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cell/model.h>
+
+#include <base/resources.h>
+#include <base/time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+enum class RunPhase {
+    Starting, ///< The order was sent; its outcome is not known.
+    Running,
+    Stopping, ///< To be stopped; may still be at work.
+};
+
+using RunKey = std::pair<TaskId, std::uint32_t>;
+
+/// One start of a task on one worker. It holds capacity until its end is certain.
+struct Run
+{
+    TaskId task;
+    std::uint32_t number = 0;
+    Resources held;
+    std::uint32_t priority = 0;
+    RunPhase phase = RunPhase::Starting;
+    bool gang = false;
+    bool checkpointing = false;
+    bool speculative = false;
+    TimePoint ordered{};
+    TimePoint confirmed{}; ///< Since when the worker is known to have it.
+    std::optional<TimePoint> stopConfirmed;
+    bool outcomeUnknown = false; ///< A start that was never answered.
+    std::uint32_t percent = 0;
+    TimePoint progressed{}; ///< When the percentage last rose.
+    std::string checkpoint;
+};
+
+/// Judgement of a worker by what became of its runs.
+struct WorkerHealth
+{
+    std::uint32_t failuresInRow = 0;
+    std::string lastFailedJob;
+    std::uint32_t quarantines = 0;
+    TimePoint quarantinedUntil{};
+    TimePoint lastSuccess{};
+    double slowness = 1.0; ///< Mean of run time against the run time of others.
+};
+
+struct Worker
+{
+    WorkerEntry entry;
+    std::optional<TimePoint> unlistedSince; ///< Discovery does not show it.
+    std::int64_t born = 0;                  ///< Life that the inventories speak of.
+    std::uint64_t token = 0;                ///< Fencing token of orders to this life.
+    bool fenced = false;                    ///< This life has accepted the token.
+    std::uint64_t handledEnds = 0;          ///< Number of the last end that was handled.
+    std::uint64_t durableEnds = 0;          ///< Number of the last end that the worker may forget.
+    std::chrono::milliseconds clock{};      ///< Its steady clock ...
+    TimePoint clockReadAt{};                ///< ... at this time.
+    TimePoint leaseEnds{};   ///< Latest time at which everything on it has ended by itself.
+    TimePoint lastContact{};
+    bool reachable = false;
+    Resources held;
+    std::map<RunKey, Run> runs;
+    WorkerHealth health;
+
+    [[nodiscard]] Resources free() const noexcept { return entry.capacity - held; }
+    [[nodiscard]] std::chrono::milliseconds clockAt(TimePoint now) const;
+};
+
+/// Capacity that a run of a task takes.
+[[nodiscard]] Resources heldBy(const StepSpec &step) noexcept;
+
+/// True if new tasks may be given to the worker now.
+[[nodiscard]] bool usable(const Worker &worker, TimePoint now);
+
+/// Adds a run to the ledger; returns it.
+Run &addRun(Worker &worker, Run run);
+
+/// Takes a run out of the ledger. False if it is not there.
+bool removeRun(Worker &worker, const RunKey &key);
+
+/// Notes how a run ended. Returns true if the worker gets quarantined by it.
+bool noteSuccess(Worker &worker, TimePoint now);
+bool noteFailure(Worker &worker, const std::string &job, TimePoint now);
+void quarantine(Worker &worker, TimePoint now, Duration time);
+
+using WorkerTable = std::map<std::string, Worker>;
+
+} // namespace cowsliprock::cell
