Ask workers only after the jobs of a shard are known

Cause: a new owner asked the workers while it still listed the jobs. Ruled out: lost progress records (state is written under the fence before an end is acknowledged; the record was there). Conclusion: order of a take-over is states, jobs, roster, workers.

--- a/libs/cell/src/shard.cpp
+++ b/libs/cell/src/shard.cpp
@@ -36,7 +36,7 @@
                [this](const std::string &key, std::uint64_t) {
                    m_scheduler.jobRemoved(lastPart(key));
                },
-               [this] { finishLoading(); },
+               [this] { jobsListed(); },
                {} })
     , m_workers(store, ports.timers, records.workersPrefix, workersWatch,
                 { [this](const StoreItem &item) { applyWorker(item); },
@@ -80,10 +80,19 @@
                      if (page.value().more && !page.value().items.empty())
                          readStates(page.value().items.back().key);
                      else
-                         readRoster();
+                         m_jobs.start();
                  });
 }
 
+void Shard::jobsListed()
+{
+    // Workers are asked once all jobs are known: what they say of an unknown job is dropped.
+    if (std::exchange(m_jobsKnown, true))
+        return;
+    m_progress.clear();
+    readRoster();
+}
+
 void Shard::readRoster()
 {
     m_store.read(keys::roster(m_shard),
@@ -100,22 +109,14 @@
                          for (const auto &worker : roster.value_or(std::vector<WorkerEntry>()))
                              m_scheduler.workerUsedBefore(worker);
                      }
-                     startWatches();
+                     m_workers.start();
                  });
 }
 
-void Shard::startWatches()
-{
-    m_jobs.start();
-    m_workers.start();
-}
-
 void Shard::finishLoading()
 {
-    if (m_loaded || !m_jobs.synchronized() || !m_workers.synchronized())
+    if (std::exchange(m_loaded, true))
         return;
-    m_loaded = true;
-    m_progress.clear();
     m_scheduler.loaded();
     scheduleRoster();
 }
--- a/libs/cell/src/shard.h
+++ b/libs/cell/src/shard.h
@@ -41,7 +41,7 @@
 private:
     void readStates(const std::string &after);
     void readRoster();
-    void startWatches();
+    void jobsListed();
     void retry(void (Shard::*step)());
     void readAllStates() { readStates(""); }
     void applyJob(const StoreItem &item);
@@ -57,6 +57,7 @@
     std::uint32_t m_shard;
     std::function<void()> m_lost;
     std::map<std::string, JobProgress> m_progress; ///< Read at the start, until the jobs are read.
+    bool m_jobsKnown = false;
     bool m_loaded = false;
     bool m_rosterScheduled = false;
     std::string m_storedRoster;
