Make writes of a shard's state conditional on their keys; keep the size of ended jobs

Each write now has its key's revision as a condition. Ruled out: orders of the former owner (fenced), progress not read. Conclusion: the fence alone does not order the writes of one owner.

--- a/libs/base/include/base/eventlog.h
+++ b/libs/base/include/base/eventlog.h
@@ -61,7 +61,7 @@
 public:
     struct Limits
     {
-        std::uint32_t linesPerSecond = 400;
+        std::uint32_t linesPerSecond = 2000;
         std::size_t bufferBytes = 256UL * 1024UL;
     };
 
--- a/libs/cell/src/fencedwriter.cpp
+++ b/libs/cell/src/fencedwriter.cpp
@@ -1,5 +1,6 @@
 #include "fencedwriter.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -12,7 +13,8 @@
 constexpr std::chrono::milliseconds retryDelay{ 120 };
 /// Transactions in flight; the store may be in another region.
 constexpr std::size_t maxInFlight = 4;
-constexpr std::size_t maxChanges = maxTransactionEntries - 1;
+/// Each change takes a condition and a write; the fence is one more condition.
+constexpr std::size_t maxChanges = (maxTransactionEntries - 1) / 2;
 
 } // namespace
 
@@ -38,6 +40,7 @@
     StoreCondition fence;
     std::function<void()> lost;
     std::map<std::string, Change> changes; ///< Not sent yet.
+    std::map<std::string, std::uint64_t> revisions; ///< Of the keys that exist.
     std::set<std::string> keysInFlight;
     std::set<std::uint64_t> unfinished; ///< Sequence numbers that are not durable.
     std::deque<std::pair<std::uint64_t, std::function<void()>>> waiters;
@@ -52,6 +55,7 @@
     Batch takeBatch();
     void send(Batch batch);
     void finished(const Batch &batch, const Result<TransactionOutcome> &outcome);
+    bool adoptRevisions(const Batch &batch, const ConditionFailed &failed);
     void putBack(const Batch &batch);
     void notifyWaiters();
 };
@@ -110,6 +114,9 @@
     Transaction transaction;
     transaction.conditions.push_back(fence);
     for (const auto &[key, change] : batch) {
+        const auto revision = revisions.find(key);
+        transaction.conditions.push_back(
+            { key, revision == revisions.end() ? 0 : revision->second });
         if (change.value)
             transaction.writes.push_back({ key, *change.value, 0 });
         else
@@ -134,18 +141,46 @@
         schedule(retryDelay);
         return;
     }
-    if (!std::holds_alternative<Committed>(outcome.value())) {
+    const auto *committed = std::get_if<Committed>(&outcome.value());
+    if (committed == nullptr) {
+        const auto *failed = std::get_if<ConditionFailed>(&outcome.value());
+        if (failed != nullptr && adoptRevisions(batch, *failed)) {
+            putBack(batch);
+            schedule(Duration::zero());
+            return;
+        }
         closed = true;
         timers.after(Duration::zero(), std::exchange(lost, {}));
         return;
     }
-    for (const auto &[key, change] : batch)
+    for (const auto &[key, change] : batch) {
         unfinished.erase(change.sequence);
+        if (change.value)
+            revisions[key] = committed->revision;
+        else
+            revisions.erase(key);
+    }
     notifyWaiters();
     if (!changes.empty())
         schedule(Duration::zero());
 }
 
+bool FencedWriter::State::adoptRevisions(const Batch &batch, const ConditionFailed &failed)
+{
+    const auto isFence = [this](const StoreItem &item) { return item.key == fence.key; };
+    const auto owner = std::find_if(failed.present.begin(), failed.present.end(), isFence);
+    if (owner == failed.present.end() || owner->revision != fence.revision)
+        return false;
+    // This daemon is the only writer: other revisions come from its own writes without an answer.
+    for (const auto &[key, change] : batch)
+        revisions.erase(key);
+    for (const auto &item : failed.present) {
+        if (!isFence(item))
+            revisions[item.key] = item.revision;
+    }
+    return true;
+}
+
 void FencedWriter::State::putBack(const Batch &batch)
 {
     for (const auto &[key, change] : batch) {
@@ -177,6 +212,11 @@
     m_state->closed = true;
 }
 
+void FencedWriter::known(const std::string &key, std::uint64_t revision)
+{
+    m_state->revisions[key] = revision;
+}
+
 void FencedWriter::write(const std::string &key, std::string value)
 {
     m_state->add(key, std::move(value));
--- a/libs/cell/src/fencedwriter.h
+++ b/libs/cell/src/fencedwriter.h
@@ -17,7 +17,9 @@
 namespace cowsliprock::cell {
 
 /// Writes the state of a shard in batches, each under the condition that the daemon still owns the
-/// shard. Later values of a key replace earlier ones that were not sent yet.
+/// shard. Later values of a key replace earlier ones that were not sent yet. Each write is also
+/// conditional on the revision of its key: a write without an answer may be carried out seconds
+/// later, and must not replace a newer value then.
 class FencedWriter
 {
 public:
@@ -28,6 +30,9 @@
     FencedWriter(const FencedWriter &) = delete;
     FencedWriter &operator=(const FencedWriter &) = delete;
 
+    /// Notes the revision of a key that was read; keys that were not are taken to be absent.
+    void known(const std::string &key, std::uint64_t revision);
+
     void write(const std::string &key, std::string value);
     void remove(const std::string &key);
 
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -210,12 +210,10 @@
                                       .count() } });
         }
     });
-    // What is kept of an ended job is its state.
     if (status != JobStatus::Completed)
         stopAllRuns(job.record.id, toString(status));
+    // The steps are kept: a worker may still have to tell of runs, and their size counts.
     job.occurrences.clear();
-    job.record.spec.steps.clear();
-    job.record.spec.steps.shrink_to_fit();
     job.record.spec.spec.clear();
     requestPass();
 }
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -264,6 +264,9 @@
         run.gang = spec.gang;
         run.checkpointing = spec.checkpointing;
         run.speculative = spec.speculative;
+    } else {
+        // Its size is not known: the worker takes nothing new until it has ended.
+        run.held = worker.free();
     }
     m_ports.log.write(now(), wanted ? "run.adopted" : "run.unexpected",
                       { { "task", row.task.text() },
--- a/libs/cell/src/shard.cpp
+++ b/libs/cell/src/shard.cpp
@@ -74,6 +74,7 @@
                          return;
                      }
                      for (const auto &item : page.value().items) {
+                         m_writer.known(item.key, item.revision);
                          if (auto progress = decodeProgress(item.value))
                              m_progress[lastPart(item.key)] = std::move(*progress);
                      }
@@ -105,6 +106,7 @@
                      }
                      if (item.value()) {
                          m_storedRoster = item.value()->value;
+                         m_writer.known(item.value()->key, item.value()->revision);
                          const auto roster = decodeRoster(m_storedRoster);
                          for (const auto &worker : roster.value_or(std::vector<WorkerEntry>()))
                              m_scheduler.workerUsedBefore(worker);
@@ -131,6 +133,7 @@
     std::optional<JobProgress> progress;
     if (const auto stored = m_progress.find(record->id); stored != m_progress.end())
         progress = stored->second;
+    m_writer.known(item.key, item.revision);
     m_scheduler.jobStored(*record, item.created, progress);
 }
 
