Let the leases of silent workers end; close connections before the process ends

A silent worker gets no lease from its first failure on. Idle connections are closed first. Runs are kept by number.

--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -36,8 +36,12 @@
     }
     step.failures = progress.failures;
     for (const auto &failure : progress.failures) {
-        if (failure.index < step.tasks.size())
-            step.tasks[failure.index].lastRun = failure.lastRun;
+        if (failure.index >= step.tasks.size())
+            continue;
+        for (const auto run : failure.runs) {
+            auto &lastRun = step.tasks[failure.index].lastRun;
+            lastRun = std::max(lastRun, run);
+        }
     }
 }
 
@@ -49,7 +53,7 @@
                                     [index](const auto &entry) { return entry.index == index; });
     if (found != failures.end())
         return *found;
-    return failures.emplace_back(TaskFailures{ index, 0, 0 });
+    return failures.emplace_back(TaskFailures{ index, {} });
 }
 
 bool Occurrence::done() const noexcept
--- a/libs/cell/src/records.cpp
+++ b/libs/cell/src/records.cpp
@@ -114,7 +114,7 @@
     if (!step.failures.empty()) {
         auto &list = json["failures"] = Json::array();
         for (const auto &failure : step.failures)
-            list.push_back(Json::array({ failure.index, failure.count, failure.lastRun }));
+            list.push_back(Json::array({ failure.index, failure.runs }));
     }
     return json;
 }
@@ -127,8 +127,7 @@
     if (const auto failures = json.find("failures"); failures != json.end()) {
         for (const auto &row : *failures) {
             step.failures.push_back({ row.at(0).get<std::uint32_t>(),
-                                      row.at(1).get<std::uint32_t>(),
-                                      row.at(2).get<std::uint32_t>() });
+                                      row.at(1).get<std::vector<std::uint32_t>>() });
         }
     }
     return step;
--- a/libs/cell/src/records.h
+++ b/libs/cell/src/records.h
@@ -28,13 +28,12 @@
     std::uint64_t generation = 0; ///< Rises by one with each owner.
 };
 
-/// Failed runs of one task. Ends are listed by workers until they are acknowledged, so a failure
-/// is counted only if its run is later than the last one counted.
+/// Failed runs of one task. Workers list an end until it is acknowledged, and in any order, so the
+/// runs are kept by number: each counts once.
 struct TaskFailures
 {
     std::uint32_t index = 0;
-    std::uint32_t count = 0;
-    std::uint32_t lastRun = 0;
+    std::vector<std::uint32_t> runs;
 };
 
 struct StepProgress
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -127,7 +127,7 @@
     void dropMissing(Worker &worker, const Inventory &inventory, TimePoint asked);
     void endAllRuns(Worker &worker, const char *reason, bool newLife);
     void endRun(Worker &worker, const FinishedTask &end);
-    void releaseRun(Worker &worker, const RunKey &key, const std::string &checkpoint);
+    void releaseRun(Worker &worker, const RunKey &key, std::string checkpoint);
 
     // Jobs (schedulerjobs.cpp).
     void taskDone(const TaskId &task, std::uint32_t run);
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -139,17 +139,17 @@
     auto &failures = step->failuresOf(gang ? 0 : id.index);
     task->failedOn.push_back(worker.entry.id);
     task->notBefore = now() + retryPause;
-    if (run <= failures.lastRun)
+    if (std::find(failures.runs.begin(), failures.runs.end(), run) != failures.runs.end())
         return;
-    failures.lastRun = run;
-    ++failures.count;
+    failures.runs.push_back(run);
+    const auto count = static_cast<std::uint32_t>(failures.runs.size());
     m_ports.log.write(now(), "task.failed",
                       { { "task", id.text() },
                         { "run", run },
                         { "worker", worker.entry.id },
-                        { "failures", failures.count },
+                        { "failures", count },
                         { "allowed", job->record.queue.maxAttempts } });
-    if (!job->spec(id.step).longRunning && failures.count >= job->record.queue.maxAttempts) {
+    if (!job->spec(id.step).longRunning && count >= job->record.queue.maxAttempts) {
         endJob(*job, JobStatus::Failed);
         return;
     }
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -371,7 +371,7 @@
         abortGang(end.task, end.run, "a member has ended");
 }
 
-void Scheduler::releaseRun(Worker &worker, const RunKey &key, const std::string &checkpoint)
+void Scheduler::releaseRun(Worker &worker, const RunKey &key, std::string checkpoint)
 {
     if (!removeRun(worker, key))
         return;
@@ -385,9 +385,9 @@
     if (!checkpoint.empty()) {
         const Job &job = *m_jobs.find(key.first.job);
         if (job.spec(key.first.step).gang)
-            m_jobs.findStep(key.first)->tasks.front().checkpoint = checkpoint;
+            m_jobs.findStep(key.first)->tasks.front().checkpoint = std::move(checkpoint);
         else
-            task->checkpoint = checkpoint;
+            task->checkpoint = std::move(checkpoint);
     }
     if (task->liveRuns == 0)
         task->phase = TaskPhase::Waiting;
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -116,7 +116,9 @@
     InventoryRequest request;
     request.fencingToken = worker.token;
     request.acknowledged = worker.durableEnds;
-    if (worker.fenced) {
+    // A worker that does not answer gets no further lease: it may have got the last one, and its
+    // tasks can be started elsewhere only when that is over.
+    if (worker.fenced && link.failures == 0) {
         request.leaseUntil = grantLease(worker);
         if (!worker.runs.empty() && worker.reachable)
             request.wait = busyWait;
--- a/libs/eventloop/include/eventloop/httpserver.h
+++ b/libs/eventloop/include/eventloop/httpserver.h
@@ -56,11 +56,14 @@
     /// Binds and listens. Port 0 takes any free port.
     [[nodiscard]] Result<SocketAddress> listen(const SocketAddress &address, const Limits &limits);
 
-    /// Accepts no more connections and closes each one after its next answer.
+    /// Closes each connection after its next answer.
     void drain();
 
-    /// Requests that were read and not answered yet.
-    [[nodiscard]] std::size_t pending() const noexcept;
+    /// Accepts no more connections and closes those on which no request has begun.
+    void closeIdle();
+
+    /// Open connections.
+    [[nodiscard]] std::size_t connections() const noexcept;
 
 private:
     struct State;
--- a/libs/eventloop/src/httpserver.cpp
+++ b/libs/eventloop/src/httpserver.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <map>
 #include <utility>
 
 namespace cowsliprock {
@@ -33,7 +34,9 @@
     Handler handler;
     asio::ip::tcp::acceptor acceptor;
     Limits limits;
-    std::size_t pending = 0;
+    std::size_t connections = 0;
+    /// Closes a connection that waits for a request, by session.
+    std::map<const void *, std::function<void()>> closeWhenIdle;
     bool draining = false;
     bool closed = false;
 };
@@ -54,7 +57,13 @@
     Session(std::shared_ptr<State> state, asio::ip::tcp::socket socket)
         : m_state(std::move(state))
         , m_stream(std::move(socket))
-    { }
+    {
+        ++m_state->connections;
+    }
+
+    ~Session() { --m_state->connections; }
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
 
     void read()
     {
@@ -62,9 +71,11 @@
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
         m_parser->body_limit(m_state->limits.bodyBytes);
         m_stream.expires_after(m_state->limits.idle);
+        m_state->closeWhenIdle[this] = [this] { closeIfIdle(); };
         http::async_read(m_stream, m_buffer, *m_parser,
                          [self = this->shared_from_this()](const boost::system::error_code &error,
                                                            std::size_t /*bytes*/) {
+                             self->m_state->closeWhenIdle.erase(self.get());
                              if (!error)
                                  self->handle();
                              else
@@ -73,6 +84,14 @@
     }
 
 private:
+    void closeIfIdle()
+    {
+        if (m_parser->got_some() || m_buffer.size() > 0)
+            return;
+        boost::system::error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
     void handle()
     {
         m_stream.expires_never();
@@ -86,9 +105,7 @@
                                          std::string(field.value()));
         request.host = request.header("Host").value_or("");
         request.body = std::move(message.body());
-        ++m_state->pending;
         m_state->handler(request, [self = this->shared_from_this()](HttpReply reply) {
-            --self->m_state->pending;
             self->write(std::move(reply));
         });
     }
@@ -205,9 +222,19 @@
     m_state->draining = true;
 }
 
-std::size_t HttpServer::pending() const noexcept
+void HttpServer::closeIdle()
+{
+    m_state->draining = true;
+    boost::system::error_code ignored;
+    m_state->acceptor.close(ignored);
+    // Closing ends the read later, from the loop, which changes the map.
+    for (const auto &[session, close] : m_state->closeWhenIdle)
+        close();
+}
+
+std::size_t HttpServer::connections() const noexcept
 {
-    return m_state->pending;
+    return m_state->connections;
 }
 
 } // namespace cowsliprock
