--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -268,6 +268,7 @@
         if (outcome.has_value() && std::holds_alternative<Committed>(outcome.value())) {
             m_ports.metrics.count("jobs.cancelRequests");
             m_ports.log.write(m_ports.timers.now(), "job.cancelStored", { { "job", id } });
+            tellOwner(id);
             done(CancelResult::Cancelled);
             return;
         }
@@ -276,6 +277,16 @@
     });
 }
 
+void FrontDesk::tellOwner(const std::string &id)
+{
+    // The owner reads the store; it is told as well, since it may be cut off from that.
+    const auto owner = m_membership.owner(shardOf(id));
+    if (!owner || owner->record.address.empty() || owner->record.name == m_membership.self().name)
+        return;
+    m_ports.peers.call({ owner->record.address, "POST", "/peer/cancelled/" + id, "", peerTimeout },
+                       [](const Result<PeerAnswer> &) {});
+}
+
 void FrontDesk::cancelAgain(const std::string &id, TimePoint deadline, bool relayed,
                             const Done<CancelResult> &done)
 {
--- a/libs/cell/src/frontdesk.h
+++ b/libs/cell/src/frontdesk.h
@@ -66,6 +66,7 @@
                     const Done<CancelResult> &done);
     void cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline, bool relayed,
                      const Done<CancelResult> &done);
+    void tellOwner(const std::string &id);
     void cancelAgain(const std::string &id, TimePoint deadline, bool relayed,
                      const Done<CancelResult> &done);
     void cancelThroughPeer(const std::string &id, TimePoint deadline,
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -251,6 +251,11 @@
         peerAdvise(body, done);
     } else if (path == "/peer/submit") {
         peerSubmit(body, done);
+    } else if (const auto cancelled = pathAfter(path, "/peer/cancelled/")) {
+        const auto number = desk.shardOf(*cancelled);
+        if (loadedShard(number) != nullptr)
+            slots[number].shard->jobCancelled(*cancelled);
+        done({ statusOk, "{}" });
     } else if (const auto id = pathAfter(path, "/peer/cancel/")) {
         desk.cancel(*id, ports.timers.now() + relayedCallTime, true, [done](CancelResult result) {
             done({ statusOk, encode(CancelReply{ result }) });
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -64,6 +64,7 @@
     /// A job was stored, or its record changed. \p progress is what an earlier owner noted.
     void jobStored(const JobRecord &record, std::uint64_t created,
                    const std::optional<JobProgress> &progress);
+    void jobCancelled(const std::string &id);
     void jobRemoved(const std::string &id);
 
     /// All jobs and workers that were there at the take-over are known.
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -85,6 +85,12 @@
     }
 }
 
+void Scheduler::jobCancelled(const std::string &id)
+{
+    if (Job *job = m_jobs.find(id); job != nullptr && job->active())
+        cancel(*job);
+}
+
 void Scheduler::cancel(Job &job)
 {
     job.record.cancelled = true;
--- a/libs/cell/src/shard.h
+++ b/libs/cell/src/shard.h
@@ -30,6 +30,9 @@
     void start();
     void configure(const CellConfiguration &configuration) { m_scheduler.configure(configuration); }
 
+    /// The cancellation of a job was stored by another daemon.
+    void jobCancelled(const std::string &id) { m_scheduler.jobCancelled(id); }
+
     /// Calls \p action when all that was learned so far is durable.
     void whenDurable(std::function<void()> action) { m_writer.whenDurable(std::move(action)); }
 
--- a/standins/cell/include/standincell/promises.h
+++ b/standins/cell/include/standincell/promises.h
@@ -21,6 +21,7 @@
     void submitted(const std::string &job, const cell::JobSpec &spec, std::uint32_t maxAttempts);
     void accepted(const std::string &job);
     void refused(const std::string &job);
+    void cancelRequested(const std::string &job);
     void cancelled(const std::string &job);
     void shown(const std::string &job, cell::JobStatus status);
     void workerCrashed(const std::string &worker);
@@ -51,6 +52,7 @@
         std::uint32_t maxAttempts = 1;
         bool accepted = false;
         bool refused = false;
+        bool cancelRequested = false;
         bool ended = false;
         TimePoint cancelledAt{};
         std::map<std::uint32_t, std::set<std::uint32_t>> finished; ///< Step to tasks, listed.
--- a/standins/cell/src/promises.cpp
+++ b/standins/cell/src/promises.cpp
@@ -34,6 +34,11 @@
     m_jobs[job].refused = true;
 }
 
+void Promises::cancelRequested(const std::string &job)
+{
+    m_jobs[job].cancelRequested = true;
+}
+
 void Promises::cancelled(const std::string &job)
 {
     m_jobs[job].cancelledAt = m_timers.now();
@@ -56,6 +61,11 @@
         if (!spent)
             m_broken.push_back("FAILED without cause: " + id);
         job.ended = true;
+    } else if (status == JobStatus::Cancelled) {
+        // A request without an answer may have taken effect.
+        if (!job.cancelRequested)
+            m_broken.push_back("CANCELLED without cause: " + id);
+        job.ended = true;
     }
 }
 
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -251,6 +251,7 @@
     auto &slot = *m_nodes.at(node);
     if (!slot.node)
         return;
+    m_promises.cancelRequested(id);
     slot.node->cancel(id, m_time.now() + std::chrono::milliseconds(2500),
                       [this, id](CancelResult answer) {
                           if (answer == CancelResult::Cancelled)
