Ask for advice by priority and keep room while tickets are renewed

Conclusion: questions are a resource: urgent ones first, a third of the daemons without slow ones, renewals only with room, which is kept.

--- /dev/null
+++ b/libs/cell/src/advicequeue.cpp
@@ -0,0 +1,188 @@
+#include "advicequeue.h"
+
+#include "peermessages.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+constexpr std::uint32_t maxTries = 3;
+/// Beyond the expected time of an answer, and the questions of the daemon before it.
+constexpr std::chrono::milliseconds timeoutReserve{ 450 };
+/// A daemon gets its next question this long before the last one is answered.
+constexpr std::chrono::milliseconds overlap{ 25 };
+/// A question that takes longer is a slow one.
+constexpr std::chrono::milliseconds slowQuestion{ 60 };
+/// One daemon in this many takes no slow questions.
+constexpr std::size_t quickShare = 3;
+/// A daemon that did not answer is not asked for this long, doubled with each failure in a row.
+constexpr std::chrono::seconds avoidTime{ 2 };
+constexpr std::uint32_t maxDoublings = 3;
+constexpr std::chrono::milliseconds idleDispatch{ 10 };
+constexpr unsigned statusOk = 200;
+
+} // namespace
+
+AdviceQueue::AdviceQueue(AdvicePort &local, PeerPort &peers, Timers &timers,
+                         Membership &membership)
+    : m_local(local)
+    , m_peers(peers)
+    , m_timers(timers)
+    , m_membership(membership)
+{ }
+
+AdviceQueue::~AdviceQueue()
+{
+    *m_alive = false;
+}
+
+void AdviceQueue::advise(const AdviceRequest &request, Done<Result<Advice>> done)
+{
+    enqueue({ request, 0, std::move(done) });
+    dispatch();
+}
+
+void AdviceQueue::enqueue(Entry entry)
+{
+    // A repeated question goes before those of its priority that were not tried yet.
+    const bool first = entry.tries > 0;
+    const auto place =
+        std::find_if(m_waiting.begin(), m_waiting.end(), [&entry, first](const Entry &other) {
+            return first ? other.request.priority >= entry.request.priority
+                         : other.request.priority > entry.request.priority;
+        });
+    m_waiting.insert(place, std::move(entry));
+}
+
+std::vector<std::string> AdviceQueue::askers() const
+{
+    std::vector<std::string> names{ m_membership.self().name };
+    for (const auto &[name, member] : m_membership.members()) {
+        if (name != names.front())
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::string AdviceQueue::freeAsker(bool slow)
+{
+    const auto now = m_timers.now();
+    const auto names = askers();
+    std::size_t usable = 0;
+    std::size_t slowNow = 0;
+    std::string best;
+    for (const auto &name : names) {
+        const auto &asker = m_askers[name];
+        if (asker.avoidUntil > now)
+            continue;
+        ++usable;
+        slowNow += asker.slowUntil > now ? 1 : 0;
+        if (asker.busyUntil <= now + overlap
+            && (best.empty() || asker.busyUntil < m_askers[best].busyUntil)) {
+            best = name;
+        }
+    }
+    const std::size_t quick = usable > 1 ? std::max<std::size_t>(1, usable / quickShare) : 0;
+    if (slow && slowNow + quick >= usable && usable > 1)
+        return {};
+    return best;
+}
+
+void AdviceQueue::dispatch()
+{
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        const bool slow = entry->request.expected > slowQuestion;
+        const auto asker = freeAsker(slow);
+        if (asker.empty()) {
+            if (!slow)
+                break;
+            ++entry;
+            continue;
+        }
+        Entry next = std::move(*entry);
+        entry = m_waiting.erase(entry);
+        send(std::move(next), asker);
+    }
+    if (!m_waiting.empty())
+        scheduleDispatch(idleDispatch);
+}
+
+void AdviceQueue::scheduleDispatch(Duration delay)
+{
+    const auto due = m_timers.now() + delay;
+    if (m_nextDispatch > m_timers.now() && m_nextDispatch <= due)
+        return;
+    m_nextDispatch = due;
+    m_timers.after(delay, [this, alive = m_alive] {
+        if (*alive)
+            dispatch();
+    });
+}
+
+void AdviceQueue::send(Entry entry, const std::string &name)
+{
+    const auto now = m_timers.now();
+    auto &asker = m_askers[name];
+    const Duration before = std::max(asker.busyUntil, now) - now;
+    asker.busyUntil = now + before + entry.request.expected;
+    if (entry.request.expected > slowQuestion)
+        asker.slowUntil = asker.busyUntil;
+    ++entry.tries;
+    const AdviceRequest request = entry.request;
+    const Duration timeout = before + request.expected + timeoutReserve;
+    auto done = [this, alive = m_alive, entry = std::move(entry),
+                 name](const Result<Advice> &answer) {
+        if (*alive)
+            answered(entry, name, answer);
+    };
+    const auto member = m_membership.members().find(name);
+    if (name == m_membership.self().name || member == m_membership.members().end())
+        m_local.advise(request.step, request.workers, timeout, std::move(done));
+    else
+        askPeer(member->second, request, timeout, std::move(done));
+}
+
+void AdviceQueue::answered(Entry entry, const std::string &name, const Result<Advice> &answer)
+{
+    const auto now = m_timers.now();
+    auto &asker = m_askers[name];
+    if (answer.has_value()) {
+        asker.failures = 0;
+    } else {
+        const auto doublings = std::min(asker.failures, maxDoublings);
+        asker.avoidUntil = now + avoidTime * (1U << doublings);
+        ++asker.failures;
+        if (entry.tries < maxTries) {
+            enqueue(std::move(entry));
+            dispatch();
+            return;
+        }
+    }
+    entry.done(answer);
+    dispatch();
+}
+
+void AdviceQueue::askPeer(const MemberRecord &member, const AdviceRequest &request,
+                          Duration timeout, Done<Result<Advice>> done)
+{
+    const AdviceQuestion question{ request.step, request.workers, timeout };
+    m_peers.call({ member.address, "POST", "/peer/advise", encode(question), timeout },
+                 [done = std::move(done),
+                  address = member.address](const Result<PeerAnswer> &answer) {
+                     if (!answer.has_value()) {
+                         done(answer.error());
+                         return;
+                     }
+                     auto advice = decodeAdvice(answer.value().body);
+                     if (answer.value().status == statusOk && advice)
+                         done(std::move(*advice));
+                     else
+                         done(Error{ ErrorKind::Unavailable, "peer.advise", address,
+                                     "status " + std::to_string(answer.value().status) });
+                 });
+}
+
+} // namespace cowsliprock::cell
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -40,6 +40,7 @@
     std::map<std::string, StepTicket> allowed;
     std::map<std::string, std::int64_t> denied; ///< Worker to its life.
     bool asking = false;
+    std::vector<std::string> asked; ///< The workers of the question that is open.
     TimePoint nextAsk{};
 };
 
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -1,6 +1,6 @@
 #include <cell/node.h>
 
-#include "advicespreader.h"
+#include "advicequeue.h"
 #include "configurationfollower.h"
 #include "election.h"
 #include "frontdesk.h"
@@ -74,7 +74,7 @@
     PlatformRecords records;
     Membership membership;
     ConfigurationFollower configuration;
-    AdviceSpreader advice;
+    AdviceQueue advice;
     FrontDesk desk;
     std::vector<Slot> slots;
     bool stopping = false;
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "advicequeue.h"
 #include "fencedwriter.h"
 #include "jobtable.h"
 #include "ordersender.h"
@@ -41,7 +42,7 @@
     struct Ports
     {
         WorkerPort &workers;
-        AdvicePort &advice;
+        Adviser &advice;
         Timers &timers;
         EventLog &log;
         Metrics &metrics;
@@ -108,11 +109,18 @@
     bool placeGang(const StepView &view, const StepDemand &demand,
                    const Reservations &reservations);
     void reserveFor(const StepView &view, const StepDemand &demand, Reservations &reservations);
-    void askAdvice(const StepView &view, const StepDemand &demand,
-                   const Reservations &reservations);
+    void askAdvice(const StepView &view, const StepDemand &demand, Reservations &reservations);
+    struct AdviceCandidates
+    {
+        std::vector<Worker *> unknown; ///< Never asked about in their present life.
+        std::vector<Worker *> stale;   ///< Allowed and with room, but their tickets are too old.
+        std::vector<Worker *> allowed; ///< With or without a ticket.
+    };
+    [[nodiscard]] AdviceCandidates adviceCandidates(const StepView &view, const StepDemand &demand,
+                                                    const Reservations &reservations);
     [[nodiscard]] std::vector<std::string> workersToAskAbout(const StepView &view,
                                                              const StepDemand &demand,
-                                                             const Reservations &reservations);
+                                                             const AdviceCandidates &candidates);
     void advised(const TaskId &stepId, const std::vector<std::string> &asked,
                  const Result<Advice> &advice);
 
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -19,7 +19,6 @@
 /// A ticket that expires sooner may be too old when the order arrives.
 constexpr std::chrono::milliseconds ticketMargin{ 250 };
 constexpr std::chrono::milliseconds adviceRetryPause{ 150 };
-constexpr std::chrono::milliseconds adviceOverhead{ 800 };
 constexpr std::size_t maxAdvisedWorkers = 100;
 /// Workers asked about beyond those that are needed, since many are not allowed.
 constexpr std::size_t spareAdvisedWorkers = 4;
@@ -234,16 +233,13 @@
         reservations.reserve(worker->entry.id, demand.priority);
 }
 
-std::vector<std::string> Scheduler::workersToAskAbout(const StepView &view,
-                                                      const StepDemand &demand,
-                                                      const Reservations &reservations)
+Scheduler::AdviceCandidates Scheduler::adviceCandidates(const StepView &view,
+                                                        const StepDemand &demand,
+                                                        const Reservations &reservations)
 {
     const auto current = now();
-    auto &advice = view.step->advice;
-    const auto count = waitingTasks(*view.step, current);
-    std::vector<Worker *> stale;
-    std::vector<Worker *> unknown;
-    std::uint32_t allowedRoom = 0;
+    const auto &advice = view.step->advice;
+    AdviceCandidates result;
     for (auto &[id, worker] : m_workers) {
         if (!usable(worker, current) || !suits(worker, demand))
             continue;
@@ -251,64 +247,92 @@
         if (denied != advice.denied.end() && denied->second == worker.born)
             continue;
         const auto ticket = advice.allowed.find(id);
-        const bool known = ticket != advice.allowed.end() && ticket->second.born == worker.born;
-        if (!known) {
-            unknown.push_back(&worker);
+        if (ticket == advice.allowed.end() || ticket->second.born != worker.born) {
+            result.unknown.push_back(&worker);
             continue;
         }
-        const auto room =
-            reservations.blocks(id, demand.priority) ? 0U : roomFor(worker, demand);
-        allowedRoom += std::min(room, count);
-        if (room > 0 && ticket->second.expires < current + ticketMargin)
-            stale.push_back(&worker);
+        if (reservations.blocks(id, demand.priority))
+            continue;
+        result.allowed.push_back(&worker);
+        if (roomFor(worker, demand) > 0 && ticket->second.expires < current + ticketMargin)
+            result.stale.push_back(&worker);
     }
+    return result;
+}
+
+std::vector<std::string> Scheduler::workersToAskAbout(const StepView &view,
+                                                      const StepDemand &demand,
+                                                      const AdviceCandidates &candidates)
+{
     const auto byFreeRoom = [](const Worker *left, const Worker *right) {
         return left->free().cpuMillis > right->free().cpuMillis;
     };
     std::vector<std::string> names;
-    const auto take = [&names](const std::vector<Worker *> &workers, std::size_t limit) {
+    const auto take = [&names, &byFreeRoom](std::vector<Worker *> workers, std::size_t limit) {
+        std::stable_sort(workers.begin(), workers.end(), byFreeRoom);
         for (const Worker *worker : workers) {
             if (names.size() >= std::min(limit, maxAdvisedWorkers))
                 return;
-            names.push_back(worker->entry.id);
+            if (std::find(names.begin(), names.end(), worker->entry.id) == names.end())
+                names.push_back(worker->entry.id);
         }
     };
-    std::sort(stale.begin(), stale.end(), byFreeRoom);
-    std::sort(unknown.begin(), unknown.end(), byFreeRoom);
+    const auto &advice = view.step->advice;
+    const auto count = waitingTasks(*view.step, now());
     const std::size_t wanted = spareAdvisedWorkers + advisedPerTask * count;
     if (advice.allowed.empty() && advice.denied.empty()) {
-        take(unknown, wanted);
-    } else if (!stale.empty() && (!view.spec->gang || allowedRoom >= count)) {
-        take(stale, count + spareAdvisedWorkers);
-    } else {
-        std::erase_if(unknown, [&](const Worker *worker) {
-            return !view.spec->gang && roomFor(*worker, demand) == 0;
-        });
-        take(unknown, wanted);
+        take(candidates.unknown, wanted);
+        return names;
+    }
+    if (view.spec->gang) {
+        // Tickets are renewed once the whole gang has room, which is then kept for it.
+        take(chooseForGang(candidates.allowed, demand, count), maxAdvisedWorkers);
+        if (names.empty())
+            take(candidates.unknown, wanted);
+        return names;
+    }
+    take(candidates.stale, count + spareAdvisedWorkers);
+    if (names.empty()) {
+        auto unknown = candidates.unknown;
+        std::erase_if(unknown,
+                      [&demand](const Worker *worker) { return roomFor(*worker, demand) == 0; });
+        take(std::move(unknown), wanted);
     }
     return names;
 }
 
 void Scheduler::askAdvice(const StepView &view, const StepDemand &demand,
-                          const Reservations &reservations)
+                          Reservations &reservations)
 {
     const auto &settings = view.job->record.queue.advice;
     auto &advice = view.step->advice;
-    if (!settings || advice.asking || advice.nextAsk > now())
+    if (!settings || advice.nextAsk > now())
         return;
-    const auto names = workersToAskAbout(view, demand, reservations);
-    if (names.empty())
+    if (!advice.asking) {
+        const bool known = !advice.allowed.empty();
+        const auto names =
+            workersToAskAbout(view, demand, adviceCandidates(view, demand, reservations));
+        if (names.empty())
+            return;
+        advice.asking = true;
+        advice.asked = known ? names : std::vector<std::string>();
+        m_ports.metrics.count("advice.asked");
+        AdviceRequest request;
+        request.step = demand.step.stepText();
+        request.workers = names;
+        request.expected =
+            settings->decision + settings->perWorker * static_cast<std::int64_t>(names.size());
+        request.priority = demand.priority;
+        m_ports.advice.advise(request, [this, alive = m_alive, step = demand.step,
+                                        names](const Result<Advice> &answer) {
+            if (*alive)
+                advised(step, names, answer);
+        });
+    }
+    if (!view.spec->gang)
         return;
-    advice.asking = true;
-    const auto expected =
-        settings->decision + settings->perWorker * static_cast<std::int64_t>(names.size());
-    m_ports.metrics.count("advice.asked");
-    m_ports.advice.advise(demand.step.stepText(), names, expected + adviceOverhead,
-                          [this, alive = m_alive, step = demand.step,
-                           names](const Result<Advice> &answer) {
-                              if (*alive)
-                                  advised(step, names, answer);
-                          });
+    for (const auto &id : advice.asked)
+        reservations.reserve(id, demand.priority);
 }
 
 void Scheduler::advised(const TaskId &stepId, const std::vector<std::string> &asked,
@@ -319,6 +343,7 @@
         return;
     const auto current = now();
     step->advice.asking = false;
+    step->advice.asked.clear();
     requestPass();
     if (!answer.has_value()) {
         step->advice.nextAsk = current + adviceRetryPause;
