--- a/libs/cell/src/election.cpp
+++ b/libs/cell/src/election.cpp
@@ -89,7 +89,9 @@
     Duration delay = rankDelay * rank;
     if (!view)
         return delay + firstStartDelay;
-    if (view->record.name.empty() || !m_membership.storeReachableSince())
+    // A daemon that was started again has ended; any other may only have lost its presence.
+    const bool startedAgain = members.contains(view->record.name);
+    if (view->record.name.empty() || startedAgain || !m_membership.storeReachableSince())
         return delay;
     const Duration reachableFor = m_timers.now() - *m_membership.storeReachableSince();
     return std::max<Duration>(delay, presenceReturnTime - reachableFor);
--- a/libs/cell/src/membership.cpp
+++ b/libs/cell/src/membership.cpp
@@ -171,8 +171,9 @@
 
 void Membership::listed()
 {
+    // The first answer is not the end of an outage.
     if (!m_reachableSince)
-        m_reachableSince = m_timers.now();
+        m_reachableSince = TimePoint();
     m_changed();
 }
 
--- a/libs/cell/src/membership.h
+++ b/libs/cell/src/membership.h
@@ -49,7 +49,8 @@
     /// True once the first list has been read.
     [[nodiscard]] bool synchronized() const noexcept { return m_watch.synchronized(); }
 
-    /// Since when the store has answered without a gap; nothing while it does not answer.
+    /// When the store answered again after an outage, or the beginning of time if there was none;
+    /// nothing while it does not answer.
     [[nodiscard]] std::optional<TimePoint> storeReachableSince() const noexcept
     {
         return m_reachableSince;
