Make a scheduling pass cheap under a long backlog

Cause: on the grown sites the owner's processor was spent in passes that looked at every worker for every waiting step, and in a search of all runs at each end of a task. Conclusion: candidates come from a step's tickets, a pass rests four times its own duration, and other copies are searched only if there are any.

--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -100,6 +100,7 @@
     void requestPass();
     void requestLaterPass();
     void pass();
+    void findUsableWorkers();
     [[nodiscard]] std::vector<StepView> waitingSteps();
     [[nodiscard]] int bandOf(const StepView &view, TimePoint now) const;
     [[nodiscard]] std::vector<Worker *> candidates(const StepView &view, const StepDemand &demand,
@@ -169,6 +170,9 @@
     std::optional<CellConfiguration> m_configuration;
     OrderSender m_sender;
     WorkerLinks m_links;
+    std::vector<Worker *> m_usable; ///< During a pass.
+    Resources m_mostFree;           ///< The most of each resource that a usable worker has free.
+    Duration m_lastPass{};          ///< How long the last pass took.
     bool m_passRequested = false;
     bool m_laterPassRequested = false;
     bool m_recovering = true;
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -133,7 +133,8 @@
     } else {
         task->phase = TaskPhase::Done;
         ++step->doneCount;
-        stopOthers(id, run);
+        if (task->liveRuns > 0)
+            stopOthers(id, run);
     }
     auto &occurrence = job->occurrences.at(id.occurrence);
     if (step->done()) {
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -10,6 +10,10 @@
 
 /// Events that come close together cause one pass.
 constexpr std::chrono::milliseconds passDelay{ 5 };
+/// Rest between two passes, in durations of the last one.
+constexpr int passRest = 4;
+/// A step for which nobody can be asked is not looked at again for this long.
+constexpr std::chrono::milliseconds adviceIdlePause{ 60 };
 /// Waiting work is looked at again after this time, also without an event.
 constexpr std::chrono::milliseconds laterPassDelay{ 150 };
 /// Steps without room that a pass looks at, so that its cost does not grow with the backlog.
@@ -44,7 +48,9 @@
 {
     if (std::exchange(m_passRequested, true))
         return;
-    m_ports.timers.after(passDelay, [this, alive = m_alive] {
+    // A pass over a long backlog must not take the whole processor.
+    const Duration delay = std::max<Duration>(passDelay, passRest * m_lastPass);
+    m_ports.timers.after(delay, [this, alive = m_alive] {
         if (!*alive)
             return;
         m_passRequested = false;
@@ -56,13 +62,17 @@
 {
     if (!m_loaded || !m_configuration)
         return;
+    const auto begun = now();
+    findUsableWorkers();
     Reservations reservations;
     int failures = 0;
     int reservedGangs = 0;
     for (const auto &view : waitingSteps()) {
         const StepDemand demand{ view.spec, view.task(0), view.job->record.queue.service,
                                  view.job->record.queue.priority };
-        const bool placed = view.spec->gang ? placeGang(view, demand, reservations)
+        // Nobody has room: only what is needed to ask for advice is looked at.
+        const bool anyRoom = heldBy(*view.spec).fitsIn(m_mostFree);
+        const bool placed = !anyRoom ? false : view.spec->gang ? placeGang(view, demand, reservations)
                                             : placeTasks(view, demand, reservations);
         if (placed)
             continue;
@@ -76,6 +86,7 @@
     }
     if (failures > 0)
         requestLaterPass();
+    m_lastPass = now() - begun;
 }
 
 void Scheduler::requestLaterPass()
@@ -133,28 +144,45 @@
 std::vector<Worker *> Scheduler::candidates(const StepView &view, const StepDemand &demand,
                                             const Reservations &reservations)
 {
-    const auto current = now();
-    const auto &allowed = view.step->advice.allowed;
-    const bool advised = view.job->record.queue.advice.has_value();
     std::vector<Worker *> result;
-    for (auto &[id, worker] : m_workers) {
-        if (!usable(worker, current) || !suits(worker, demand)
-            || reservations.blocks(id, demand.priority)) {
+    const auto consider = [&](Worker &worker) {
+        if (suits(worker, demand) && !reservations.blocks(worker.entry.id, demand.priority))
+            result.push_back(&worker);
+    };
+    if (!view.job->record.queue.advice) {
+        for (Worker *worker : m_usable)
+            consider(*worker);
+        return result;
+    }
+    const auto current = now();
+    for (const auto &[id, ticket] : view.step->advice.allowed) {
+        if (ticket.value.empty() || ticket.expires < current + ticketMargin)
             continue;
+        const auto worker = m_workers.find(id);
+        if (worker != m_workers.end() && ticket.born == worker->second.born
+            && usable(worker->second, current)) {
+            consider(worker->second);
         }
-        if (advised) {
-            const auto ticket = allowed.find(id);
-            if (ticket == allowed.end() || ticket->second.value.empty()
-                || ticket->second.born != worker.born
-                || ticket->second.expires < current + ticketMargin) {
-                continue;
-            }
-        }
-        result.push_back(&worker);
     }
     return result;
 }
 
+void Scheduler::findUsableWorkers()
+{
+    const auto current = now();
+    m_usable.clear();
+    m_mostFree = {};
+    for (auto &[id, worker] : m_workers) {
+        if (!usable(worker, current))
+            continue;
+        m_usable.push_back(&worker);
+        const auto free = worker.free();
+        m_mostFree.cpuMillis = std::max(m_mostFree.cpuMillis, free.cpuMillis);
+        m_mostFree.memoryMb = std::max(m_mostFree.memoryMb, free.memoryMb);
+        m_mostFree.accelerators = std::max(m_mostFree.accelerators, free.accelerators);
+    }
+}
+
 bool Scheduler::placeTasks(const StepView &view, const StepDemand &demand,
                            const Reservations &reservations)
 {
@@ -218,14 +246,13 @@
 void Scheduler::reserveFor(const StepView &view, const StepDemand &demand,
                            Reservations &reservations)
 {
-    const auto current = now();
     const bool advised = view.job->record.queue.advice.has_value();
     std::vector<Worker *> workers;
-    for (auto &[id, worker] : m_workers) {
-        if (usable(worker, current) && suits(worker, demand)
-            && !reservations.blocks(id, demand.priority)
+    for (Worker *worker : m_usable) {
+        const auto &id = worker->entry.id;
+        if (suits(*worker, demand) && !reservations.blocks(id, demand.priority)
             && (!advised || view.step->advice.allowed.contains(id))) {
-            workers.push_back(&worker);
+            workers.push_back(worker);
         }
     }
     const auto count = static_cast<std::uint32_t>(view.step->tasks.size());
@@ -240,22 +267,23 @@
     const auto current = now();
     const auto &advice = view.step->advice;
     AdviceCandidates result;
-    for (auto &[id, worker] : m_workers) {
-        if (!usable(worker, current) || !suits(worker, demand))
+    for (Worker *worker : m_usable) {
+        const auto &id = worker->entry.id;
+        if (!suits(*worker, demand))
             continue;
         const auto denied = advice.denied.find(id);
-        if (denied != advice.denied.end() && denied->second == worker.born)
+        if (denied != advice.denied.end() && denied->second == worker->born)
             continue;
         const auto ticket = advice.allowed.find(id);
-        if (ticket == advice.allowed.end() || ticket->second.born != worker.born) {
-            result.unknown.push_back(&worker);
+        if (ticket == advice.allowed.end() || ticket->second.born != worker->born) {
+            result.unknown.push_back(worker);
             continue;
         }
         if (reservations.blocks(id, demand.priority))
             continue;
-        result.allowed.push_back(&worker);
-        if (roomFor(worker, demand) > 0 && ticket->second.expires < current + ticketMargin)
-            result.stale.push_back(&worker);
+        result.allowed.push_back(worker);
+        if (roomFor(*worker, demand) > 0 && ticket->second.expires < current + ticketMargin)
+            result.stale.push_back(worker);
     }
     return result;
 }
@@ -312,8 +340,10 @@
         const bool known = !advice.allowed.empty();
         const auto names =
             workersToAskAbout(view, demand, adviceCandidates(view, demand, reservations));
-        if (names.empty())
+        if (names.empty()) {
+            advice.nextAsk = now() + adviceIdlePause;
             return;
+        }
         advice.asking = true;
         advice.asked = known ? names : std::vector<std::string>();
         m_ports.metrics.count("advice.asked");
