--- a/libs/cell/include/cell/model.h
+++ b/libs/cell/include/cell/model.h
@@ -85,7 +85,7 @@
 {
     std::string spec; ///< Opaque text that every start carries.
     std::vector<StepSpec> steps;
-    std::uint32_t repeatCount = 0; ///< 0: runs once, at once.
+    std::uint32_t repeatCount = 0;          ///< 0: runs once, at once.
     std::chrono::milliseconds firstStart{}; ///< Since 1970.
     std::chrono::milliseconds interval{};
 };
--- a/libs/cell/include/cell/node.h
+++ b/libs/cell/include/cell/node.h
@@ -43,7 +43,7 @@
         std::uint32_t shards = 1;
         Duration lease{ std::chrono::seconds(5) };         ///< Of tasks on a worker.
         Duration longestLease{ std::chrono::seconds(10) }; ///< That a worker grants at all.
-        Duration statusKept{ std::chrono::seconds(130) }; ///< State of an ended job.
+        Duration statusKept{ std::chrono::seconds(130) };  ///< State of an ended job.
     };
 
     Node(const Ports &ports, Settings settings, PlatformRecords records);
--- a/libs/cell/include/cell/ports.h
+++ b/libs/cell/include/cell/ports.h
@@ -130,7 +130,16 @@
     std::string ticket;
 };
 
-enum class OrderRefusal { Fenced, OldRun, Late, NoRoom, BadTicket, OtherLife, Unhealthy, Malformed };
+enum class OrderRefusal {
+    Fenced,
+    OldRun,
+    Late,
+    NoRoom,
+    BadTicket,
+    OtherLife,
+    Unhealthy,
+    Malformed
+};
 
 struct OrderAccepted
 {
--- a/libs/cell/src/advicequeue.cpp
+++ b/libs/cell/src/advicequeue.cpp
@@ -26,8 +26,7 @@
 
 } // namespace
 
-AdviceQueue::AdviceQueue(AdvicePort &local, PeerPort &peers, Timers &timers,
-                         Membership &membership)
+AdviceQueue::AdviceQueue(AdvicePort &local, PeerPort &peers, Timers &timers, Membership &membership)
     : m_local(local)
     , m_peers(peers)
     , m_timers(timers)
@@ -169,20 +168,20 @@
                           Duration timeout, Done<Result<Advice>> done)
 {
     const AdviceQuestion question{ request.step, request.workers, timeout };
-    m_peers.call({ member.address, "POST", "/peer/advise", encode(question), timeout },
-                 [done = std::move(done),
-                  address = member.address](const Result<PeerAnswer> &answer) {
-                     if (!answer.has_value()) {
-                         done(answer.error());
-                         return;
-                     }
-                     auto advice = decodeAdvice(answer.value().body);
-                     if (answer.value().status == statusOk && advice)
-                         done(std::move(*advice));
-                     else
-                         done(Error{ ErrorKind::Unavailable, "peer.advise", address,
-                                     "status " + std::to_string(answer.value().status) });
-                 });
+    m_peers.call(
+        { member.address, "POST", "/peer/advise", encode(question), timeout },
+        [done = std::move(done), address = member.address](const Result<PeerAnswer> &answer) {
+            if (!answer.has_value()) {
+                done(answer.error());
+                return;
+            }
+            auto advice = decodeAdvice(answer.value().body);
+            if (answer.value().status == statusOk && advice)
+                done(std::move(*advice));
+            else
+                done(Error{ ErrorKind::Unavailable, "peer.advise", address,
+                            "status " + std::to_string(answer.value().status) });
+        });
 }
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/configurationfollower.cpp
+++ b/libs/cell/src/configurationfollower.cpp
@@ -34,7 +34,9 @@
                        apply(item.value, "store");
                },
                 // The operator replaces the configuration and never removes it.
-                [](const std::string &, std::uint64_t) {}, {}, {} })
+                [](const std::string &, std::uint64_t) {},
+                {},
+                {} })
 { }
 
 ConfigurationFollower::~ConfigurationFollower()
@@ -95,8 +97,8 @@
     if (member->first == m_membership.self().name)
         return;
     const std::uint64_t version = m_current ? m_current->version : 0;
-    m_peers.call({ member->second.address, "GET",
-                   "/peer/configuration/" + std::to_string(version), "", peerTimeout },
+    m_peers.call({ member->second.address, "GET", "/peer/configuration/" + std::to_string(version),
+                   "", peerTimeout },
                  [this, alive = m_alive](const Result<PeerAnswer> &answer) {
                      if (*alive && answer.has_value() && answer.value().status == 200)
                          apply(answer.value().body, "peer");
--- a/libs/cell/src/election.cpp
+++ b/libs/cell/src/election.cpp
@@ -78,8 +78,7 @@
 {
     std::vector<std::pair<double, std::uint64_t>> stronger;
     const auto preference = [this](const MemberRecord &member) {
-        return std::pair(member.weight,
-                         stableHash(member.name + "/" + std::to_string(m_shard)));
+        return std::pair(member.weight, stableHash(member.name + "/" + std::to_string(m_shard)));
     };
     const auto own = preference(m_membership.self());
     const auto &members = m_membership.members();
@@ -132,11 +131,11 @@
                 { { "shard", m_shard },
                   { "previousOwner", view ? view->record.name : std::string() },
                   { "previousRevision", view ? view->revision : 0 } });
-    m_store.commit(transaction, [this, alive = m_alive, record](
-                                    const Result<TransactionOutcome> &outcome) {
-        if (*alive)
-            claimed(record, outcome);
-    });
+    m_store.commit(transaction,
+                   [this, alive = m_alive, record](const Result<TransactionOutcome> &outcome) {
+                       if (*alive)
+                           claimed(record, outcome);
+                   });
 }
 
 void Election::claimed(const OwnerRecord &record, const Result<TransactionOutcome> &outcome)
@@ -162,10 +161,9 @@
         return;
     m_vacantSince.reset();
     m_ownership = Ownership{ revision, record.generation };
-    m_log.write(m_timers.now(), "shard.owned",
-                { { "shard", m_shard },
-                  { "revision", revision },
-                  { "generation", record.generation } });
+    m_log.write(
+        m_timers.now(), "shard.owned",
+        { { "shard", m_shard }, { "revision", revision }, { "generation", record.generation } });
     m_listener.won(*m_ownership);
 }
 
--- a/libs/cell/src/election.h
+++ b/libs/cell/src/election.h
@@ -71,7 +71,7 @@
     std::uint32_t m_shard;
     Listener m_listener;
     std::optional<Ownership> m_ownership;
-    std::uint64_t m_lostRevision = 0; ///< Revision of the ownership that was lost last.
+    std::uint64_t m_lostRevision = 0;   ///< Revision of the ownership that was lost last.
     std::uint64_t m_vacantRevision = 0; ///< Revision of the owner record that was found vacant.
     std::optional<TimePoint> m_vacantSince;
     bool m_claiming = false;
--- a/libs/cell/src/fencedwriter.cpp
+++ b/libs/cell/src/fencedwriter.cpp
@@ -39,7 +39,7 @@
     Timers &timers;
     StoreCondition fence;
     std::function<void()> lost;
-    std::map<std::string, Change> changes; ///< Not sent yet.
+    std::map<std::string, Change> changes;          ///< Not sent yet.
     std::map<std::string, std::uint64_t> revisions; ///< Of the keys that exist.
     std::set<std::string> keysInFlight;
     std::set<std::uint64_t> unfinished; ///< Sequence numbers that are not durable.
@@ -123,12 +123,13 @@
             transaction.removals.push_back(key);
     }
     ++inFlight;
-    store.commit(transaction, [self = shared_from_this(), batch = std::move(batch)](
-                                  const Result<TransactionOutcome> &outcome) {
-        --self->inFlight;
-        if (!self->closed)
-            self->finished(batch, outcome);
-    });
+    store.commit(transaction,
+                 [self = shared_from_this(),
+                  batch = std::move(batch)](const Result<TransactionOutcome> &outcome) {
+                     --self->inFlight;
+                     if (!self->closed)
+                         self->finished(batch, outcome);
+                 });
 }
 
 void FencedWriter::State::finished(const Batch &batch, const Result<TransactionOutcome> &outcome)
--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -126,8 +126,7 @@
         return;
     }
     const auto owner = m_membership.owner(shard);
-    if (owner && !owner->record.address.empty()
-        && owner->record.name != m_membership.self().name) {
+    if (owner && !owner->record.address.empty() && owner->record.name != m_membership.self().name) {
         statusFromOwner(id, owner->record.address, relayed, done);
         return;
     }
@@ -137,28 +136,29 @@
 void FrontDesk::statusFromOwner(const std::string &id, const std::string &address, bool relayed,
                                 const Done<StatusAnswer> &done)
 {
-    m_ports.peers.call({ address, "GET", "/peer/job/" + id, "", ownerTimeout },
-                       [this, alive = m_alive, id, relayed, done](const Result<PeerAnswer> &answer) {
-                           if (!*alive)
-                               return;
-                           if (answer.has_value() && answer.value().status == statusOk) {
-                               const auto status = decodeStatus(answer.value().body);
-                               if (status && *status) {
-                                   done({ true, *status });
-                                   return;
-                               }
-                           }
-                           // A job that was just accepted may not have reached its owner.
-                           statusFromStore(id, relayed, done);
-                       });
+    m_ports.peers.call(
+        { address, "GET", "/peer/job/" + id, "", ownerTimeout },
+        [this, alive = m_alive, id, relayed, done](const Result<PeerAnswer> &answer) {
+            if (!*alive)
+                return;
+            if (answer.has_value() && answer.value().status == statusOk) {
+                const auto status = decodeStatus(answer.value().body);
+                if (status && *status) {
+                    done({ true, *status });
+                    return;
+                }
+            }
+            // A job that was just accepted may not have reached its owner.
+            statusFromStore(id, relayed, done);
+        });
 }
 
 void FrontDesk::statusFromStore(const std::string &id, bool relayed, const Done<StatusAnswer> &done)
 {
     const auto key = keys::statesPrefix(shardOf(id)) + id;
     m_ports.store.read(
-        key, [this, alive = m_alive, id, relayed,
-              done](const Result<std::optional<StoreItem>> &item) {
+        key,
+        [this, alive = m_alive, id, relayed, done](const Result<std::optional<StoreItem>> &item) {
             if (!*alive)
                 return;
             if (!item.has_value()) {
@@ -228,20 +228,21 @@
 void FrontDesk::cancelRead(const std::string &id, TimePoint deadline, bool relayed,
                            const Done<CancelResult> &done)
 {
-    m_ports.store.read(jobKey(id), [this, alive = m_alive, id, deadline, relayed,
-                                    done](const Result<std::optional<StoreItem>> &item) {
-        if (!*alive)
-            return;
-        if (!item.has_value()) {
-            cancelAgain(id, deadline, relayed, done);
-            return;
-        }
-        if (!item.value()) {
-            done(CancelResult::NoSuchJob);
-            return;
-        }
-        cancelWrite(id, *item.value(), deadline, relayed, done);
-    });
+    m_ports.store.read(jobKey(id),
+                       [this, alive = m_alive, id, deadline, relayed,
+                        done](const Result<std::optional<StoreItem>> &item) {
+                           if (!*alive)
+                               return;
+                           if (!item.has_value()) {
+                               cancelAgain(id, deadline, relayed, done);
+                               return;
+                           }
+                           if (!item.value()) {
+                               done(CancelResult::NoSuchJob);
+                               return;
+                           }
+                           cancelWrite(id, *item.value(), deadline, relayed, done);
+                       });
 }
 
 void FrontDesk::cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline,
@@ -261,20 +262,22 @@
     Transaction transaction;
     transaction.conditions.push_back({ item.key, item.revision });
     transaction.writes.push_back({ item.key, encode(*record), 0 });
-    m_ports.store.commit(transaction, [this, alive = m_alive, id, deadline, relayed,
-                                       done](const Result<TransactionOutcome> &outcome) {
-        if (!*alive)
-            return;
-        if (outcome.has_value() && std::holds_alternative<Committed>(outcome.value())) {
-            m_ports.metrics.count("jobs.cancelRequests");
-            m_ports.log.write(m_ports.timers.now(), "job.cancelStored", { { "job", id } });
-            tellOwner(id);
-            done(CancelResult::Cancelled);
-            return;
-        }
-        // Reading again also settles a write without an answer.
-        cancelAgain(id, deadline, relayed, done);
-    });
+    m_ports.store.commit(
+        transaction,
+        [this, alive = m_alive, id, deadline, relayed,
+         done](const Result<TransactionOutcome> &outcome) {
+            if (!*alive)
+                return;
+            if (outcome.has_value() && std::holds_alternative<Committed>(outcome.value())) {
+                m_ports.metrics.count("jobs.cancelRequests");
+                m_ports.log.write(m_ports.timers.now(), "job.cancelStored", { { "job", id } });
+                tellOwner(id);
+                done(CancelResult::Cancelled);
+                return;
+            }
+            // Reading again also settles a write without an answer.
+            cancelAgain(id, deadline, relayed, done);
+        });
 }
 
 void FrontDesk::tellOwner(const std::string &id)
@@ -312,19 +315,19 @@
         cancelRead(id, deadline, true, done);
         return;
     }
-    m_ports.peers.call({ peer->address, "POST", "/peer/cancel/" + id, "", peerTimeout },
-                       [this, alive = m_alive, id, deadline,
-                        done](const Result<PeerAnswer> &answer) {
-                           if (!*alive)
-                               return;
-                           std::optional<CancelReply> reply;
-                           if (answer.has_value())
-                               reply = decodeCancelReply(answer.value().body);
-                           if (reply && reply->result != CancelResult::Unavailable)
-                               done(reply->result);
-                           else
-                               cancelRead(id, deadline, true, done);
-                       });
+    m_ports.peers.call(
+        { peer->address, "POST", "/peer/cancel/" + id, "", peerTimeout },
+        [this, alive = m_alive, id, deadline, done](const Result<PeerAnswer> &answer) {
+            if (!*alive)
+                return;
+            std::optional<CancelReply> reply;
+            if (answer.has_value())
+                reply = decodeCancelReply(answer.value().body);
+            if (reply && reply->result != CancelResult::Unavailable)
+                done(reply->result);
+            else
+                cancelRead(id, deadline, true, done);
+        });
 }
 
 void FrontDesk::pending(const std::string &queue, Done<std::optional<std::uint64_t>> done)
@@ -353,14 +356,13 @@
             add(std::nullopt);
             continue;
         }
-        m_ports.peers.call({ owner->record.address, "GET",
-                             "/peer/pending/" + std::to_string(shard) + "/" + queue, "",
-                             peerTimeout },
-                           [add](const Result<PeerAnswer> &answer) {
-                               const bool answered =
-                                   answer.has_value() && answer.value().status == statusOk;
-                               add(answered ? decodeCount(answer.value().body) : std::nullopt);
-                           });
+        m_ports.peers.call(
+            { owner->record.address, "GET", "/peer/pending/" + std::to_string(shard) + "/" + queue,
+              "", peerTimeout },
+            [add](const Result<PeerAnswer> &answer) {
+                const bool answered = answer.has_value() && answer.value().status == statusOk;
+                add(answered ? decodeCount(answer.value().body) : std::nullopt);
+            });
     }
 }
 
--- a/libs/cell/src/membership.cpp
+++ b/libs/cell/src/membership.cpp
@@ -90,39 +90,36 @@
 {
     if (m_leaving)
         return;
-    m_store.grantLease(presenceTimeToLive, [this, alive = m_alive](
-                                               const Result<std::uint64_t> &lease) {
-        if (!*alive || m_leaving)
-            return;
-        if (!lease.has_value()) {
-            m_timers.after(retryDelay, [this, alive] {
-                if (*alive)
-                    obtainLease();
-            });
-            return;
-        }
-        m_lease = lease.value();
-        announce();
-        keepLease(m_lease);
-    });
+    m_store.grantLease(presenceTimeToLive,
+                       [this, alive = m_alive](const Result<std::uint64_t> &lease) {
+                           if (!*alive || m_leaving)
+                               return;
+                           if (!lease.has_value()) {
+                               m_timers.after(retryDelay, [this, alive] {
+                                   if (*alive)
+                                       obtainLease();
+                               });
+                               return;
+                           }
+                           m_lease = lease.value();
+                           announce();
+                           keepLease(m_lease);
+                       });
 }
 
 void Membership::announce()
 {
     Transaction transaction;
     transaction.writes.push_back({ keys::member(m_self.name), encode(m_self), m_lease });
-    m_store.commit(transaction,
-                   [this, alive = m_alive](const Result<TransactionOutcome> &outcome) {
-                       if (!*alive || m_leaving)
-                           return;
-                       if (outcome.has_value()
-                           && std::holds_alternative<Committed>(outcome.value())) {
-                           m_log.write(m_timers.now(), "presence.announced",
-                                       { { "lease", m_lease } });
-                           return;
-                       }
-                       leaseLost("presence was not written");
-                   });
+    m_store.commit(transaction, [this, alive = m_alive](const Result<TransactionOutcome> &outcome) {
+        if (!*alive || m_leaving)
+            return;
+        if (outcome.has_value() && std::holds_alternative<Committed>(outcome.value())) {
+            m_log.write(m_timers.now(), "presence.announced", { { "lease", m_lease } });
+            return;
+        }
+        leaseLost("presence was not written");
+    });
 }
 
 void Membership::keepLease(std::uint64_t lease)
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -90,21 +90,22 @@
                                settings.dataCentre, settings.weight })
     , configuration(ports.store, ports.peers, ports.timers, ports.log, membership, records)
     , advice(ports.advice, ports.peers, ports.timers, membership)
-    , desk({ ports.store, ports.peers, ports.timers, ports.log, ports.metrics }, membership,
-           settings.shards,
-           [this](std::uint32_t shard,
-                  const std::string &id) -> std::optional<std::optional<JobStatus>> {
-               const Shard *owned = loadedShard(shard);
-               if (owned == nullptr)
-                   return std::nullopt;
-               return std::optional(owned->scheduler().status(id));
-           },
-           [this](std::uint32_t shard, const std::string &queue) -> std::optional<std::uint64_t> {
-               const Shard *owned = loadedShard(shard);
-               if (owned == nullptr)
-                   return std::nullopt;
-               return owned->scheduler().pending(queue);
-           })
+    , desk(
+          { ports.store, ports.peers, ports.timers, ports.log, ports.metrics }, membership,
+          settings.shards,
+          [this](std::uint32_t shard,
+                 const std::string &id) -> std::optional<std::optional<JobStatus>> {
+              const Shard *owned = loadedShard(shard);
+              if (owned == nullptr)
+                  return std::nullopt;
+              return std::optional(owned->scheduler().status(id));
+          },
+          [this](std::uint32_t shard, const std::string &queue) -> std::optional<std::uint64_t> {
+              const Shard *owned = loadedShard(shard);
+              if (owned == nullptr)
+                  return std::nullopt;
+              return owned->scheduler().pending(queue);
+          })
     , slots(settings.shards)
 {
     for (std::uint32_t number = 0; number < settings.shards; ++number) {
@@ -122,8 +123,7 @@
         for (auto &slot : slots)
             slot.election->evaluate();
     });
-    configuration.start(
-        [this](const CellConfiguration &newest) { configurationChanged(newest); });
+    configuration.start([this](const CellConfiguration &newest) { configurationChanged(newest); });
 }
 
 void Node::State::won(std::uint32_t number, const Ownership &ownership)
--- a/libs/cell/src/peermessages.cpp
+++ b/libs/cell/src/peermessages.cpp
@@ -6,10 +6,11 @@
 
 std::string encode(const AdviceQuestion &question)
 {
-    return Json{ { "step", question.step },
-                 { "workers", question.workers },
-                 { "timeoutUs", question.timeout.count() } }
-        .dump();
+    return Json{
+        { "step", question.step },
+        { "workers", question.workers },
+        { "timeoutUs", question.timeout.count() }
+    }.dump();
 }
 
 std::string encode(const Advice &advice)
@@ -17,8 +18,9 @@
     Json allowed = Json::array();
     for (const auto &ticket : advice.allowed)
         allowed.push_back(Json::array({ ticket.worker, ticket.value }));
-    return Json{ { "allowed", std::move(allowed) }, { "validityUs", advice.validity.count() } }
-        .dump();
+    return Json{
+        { "allowed", std::move(allowed) }, { "validityUs", advice.validity.count() }
+    }.dump();
 }
 
 std::string encode(const SubmitReply &reply)
@@ -47,8 +49,7 @@
 std::optional<AdviceQuestion> decodeAdviceQuestion(const std::string &text)
 {
     return decodeWith(text, [](const Json &json) {
-        return AdviceQuestion{ json.at("step"),
-                               json.at("workers").get<std::vector<std::string>>(),
+        return AdviceQuestion{ json.at("step"), json.at("workers").get<std::vector<std::string>>(),
                                Duration(json.at("timeoutUs").get<std::int64_t>()) };
     });
 }
@@ -79,8 +80,7 @@
     return decodeWith(text, [](const Json &json) {
         const int number = json.at("result");
         const bool known = number >= 0 && number <= static_cast<int>(CancelResult::Unavailable);
-        return CancelReply{ known ? static_cast<CancelResult>(number)
-                                  : CancelResult::Unavailable };
+        return CancelReply{ known ? static_cast<CancelResult>(number) : CancelResult::Unavailable };
     });
 }
 
@@ -95,8 +95,7 @@
 
 std::optional<std::uint64_t> decodeCount(const std::string &text)
 {
-    return decodeWith(text,
-                      [](const Json &json) { return json.at("count").get<std::uint64_t>(); });
+    return decodeWith(text, [](const Json &json) { return json.at("count").get<std::uint64_t>(); });
 }
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/placement.cpp
+++ b/libs/cell/src/placement.cpp
@@ -21,9 +21,9 @@
 
 std::uint32_t howMany(const Resources &room, const Resources &each) noexcept
 {
-    const auto count = std::min({ quotient(room.cpuMillis, each.cpuMillis),
-                                  quotient(room.memoryMb, each.memoryMb),
-                                  quotient(room.accelerators, each.accelerators) });
+    const auto count =
+        std::min({ quotient(room.cpuMillis, each.cpuMillis), quotient(room.memoryMb, each.memoryMb),
+                   quotient(room.accelerators, each.accelerators) });
     return static_cast<std::uint32_t>(
         std::min<std::int64_t>(count, std::numeric_limits<std::int32_t>::max()));
 }
@@ -92,8 +92,8 @@
 {
     std::vector<Worker *> chosen;
     for (Worker *worker : workers) {
-        const std::uint32_t takes =
-            std::min<std::uint32_t>(room(*worker), count - static_cast<std::uint32_t>(chosen.size()));
+        const std::uint32_t takes = std::min<std::uint32_t>(
+            room(*worker), count - static_cast<std::uint32_t>(chosen.size()));
         chosen.insert(chosen.end(), takes, worker);
         if (chosen.size() == count)
             return chosen;
@@ -137,6 +137,17 @@
     return entry != m_priorities.end() && entry->second <= priority;
 }
 
+void Reservations::pledge(const std::string &worker, const Resources &amount)
+{
+    m_pledged[worker] += amount;
+}
+
+Resources Reservations::pledged(const std::string &worker) const
+{
+    const auto entry = m_pledged.find(worker);
+    return entry == m_pledged.end() ? Resources() : entry->second;
+}
+
 bool suits(const Worker &worker, const StepDemand &demand)
 {
     return worker.entry.service == demand.service
@@ -146,8 +157,10 @@
 
 std::uint32_t roomFor(const Worker &worker, const StepDemand &demand)
 {
-    const auto room = howMany(worker.free(), heldBy(*demand.spec));
-    return underSpreadLimit(worker, demand, room);
+    Resources free = worker.free();
+    if (demand.reservations != nullptr)
+        free -= demand.reservations->pledged(worker.entry.id);
+    return underSpreadLimit(worker, demand, howMany(free, heldBy(*demand.spec)));
 }
 
 std::uint32_t roomWithoutLesser(const Worker &worker, const StepDemand &demand)
--- a/libs/cell/src/placement.h
+++ b/libs/cell/src/placement.h
@@ -12,25 +12,32 @@
 
 namespace cowsliprock::cell {
 
-/// What is placed: tasks of one step.
-struct StepDemand
-{
-    const StepSpec *spec = nullptr;
-    TaskId step; ///< The index is not used.
-    std::string service;
-    std::uint32_t priority = 0;
-};
-
-/// Workers that are kept for gangs which wait for room. Only more urgent work may use them.
+/// Room that is spoken for by work which goes first: whole workers that are kept for gangs, and
+/// parts of workers for which tickets are being renewed.
 class Reservations
 {
 public:
+    /// Only work that is more urgent than \p priority may use the worker.
     void reserve(const std::string &worker, std::uint32_t priority);
     [[nodiscard]] bool blocks(const std::string &worker, std::uint32_t priority) const;
-    [[nodiscard]] std::size_t size() const noexcept { return m_priorities.size(); }
+
+    /// Takes a part of the worker's free room away from the work that comes after.
+    void pledge(const std::string &worker, const Resources &amount);
+    [[nodiscard]] Resources pledged(const std::string &worker) const;
 
 private:
     std::map<std::string, std::uint32_t> m_priorities;
+    std::map<std::string, Resources> m_pledged;
+};
+
+/// What is placed: tasks of one step.
+struct StepDemand
+{
+    const StepSpec *spec = nullptr;
+    TaskId step; ///< The index is not used.
+    std::string service;
+    std::uint32_t priority = 0;
+    const Reservations *reservations = nullptr; ///< Null: none are respected.
 };
 
 /// True if the worker's kind and service suit the step, whether it has room or not.
--- a/libs/cell/src/prefixwatch.cpp
+++ b/libs/cell/src/prefixwatch.cpp
@@ -184,8 +184,8 @@
 
 PrefixWatch::PrefixWatch(StorePort &store, Timers &timers, std::string prefix, Options options,
                          Listener listener)
-    : m_state(std::make_shared<State>(store, timers, std::move(prefix), options,
-                                      std::move(listener)))
+    : m_state(
+        std::make_shared<State>(store, timers, std::move(prefix), options, std::move(listener)))
 { }
 
 PrefixWatch::~PrefixWatch()
--- a/libs/cell/src/prefixwatch.h
+++ b/libs/cell/src/prefixwatch.h
@@ -22,8 +22,8 @@
     {
         std::function<void(const StoreItem &)> changed;
         std::function<void(const std::string &key, std::uint64_t revision)> removed;
-        std::function<void()> listed;          ///< After each complete list.
-        std::function<void(bool)> reachable;   ///< The store was lost (false) or regained (true).
+        std::function<void()> listed;        ///< After each complete list.
+        std::function<void(bool)> reachable; ///< The store was lost (false) or regained (true).
     };
 
     struct Options
--- a/libs/cell/src/records.cpp
+++ b/libs/cell/src/records.cpp
@@ -27,18 +27,16 @@
 
 Json queueToJson(const QueueSettings &queue)
 {
-    Json json{ { "name", queue.name },
-               { "host", queue.host },
-               { "prefix", queue.prefix },
-               { "service", queue.service },
-               { "priority", queue.priority },
-               { "maxAttempts", queue.maxAttempts },
-               { "extension", queue.extension },
-               { "targetRuntimeUs", queue.targetRuntime.count() } };
+    Json json{
+        { "name", queue.name },           { "host", queue.host },
+        { "prefix", queue.prefix },       { "service", queue.service },
+        { "priority", queue.priority },   { "maxAttempts", queue.maxAttempts },
+        { "extension", queue.extension }, { "targetRuntimeUs", queue.targetRuntime.count() }
+    };
     if (queue.advice) {
-        json["advice"] = Json::array({ queue.advice->decision.count(),
-                                       queue.advice->perWorker.count(),
-                                       queue.advice->validity.count() });
+        json["advice"] =
+            Json::array({ queue.advice->decision.count(), queue.advice->perWorker.count(),
+                          queue.advice->validity.count() });
     }
     return json;
 }
@@ -126,8 +124,8 @@
         step.done.push_back(digit == '1');
     if (const auto failures = json.find("failures"); failures != json.end()) {
         for (const auto &row : *failures) {
-            step.failures.push_back({ row.at(0).get<std::uint32_t>(),
-                                      row.at(1).get<std::vector<std::uint32_t>>() });
+            step.failures.push_back(
+                { row.at(0).get<std::uint32_t>(), row.at(1).get<std::vector<std::uint32_t>>() });
         }
     }
     return step;
@@ -137,21 +135,23 @@
 
 std::string encode(const MemberRecord &record)
 {
-    return Json{ { "name", record.name },
-                 { "incarnation", record.incarnation },
-                 { "address", record.address },
-                 { "dataCentre", record.dataCentre },
-                 { "weight", record.weight } }
-        .dump();
+    return Json{
+        { "name", record.name },
+        { "incarnation", record.incarnation },
+        { "address", record.address },
+        { "dataCentre", record.dataCentre },
+        { "weight", record.weight }
+    }.dump();
 }
 
 std::string encode(const OwnerRecord &record)
 {
-    return Json{ { "name", record.name },
-                 { "incarnation", record.incarnation },
-                 { "address", record.address },
-                 { "generation", record.generation } }
-        .dump();
+    return Json{
+        { "name", record.name },
+        { "incarnation", record.incarnation },
+        { "address", record.address },
+        { "generation", record.generation }
+    }.dump();
 }
 
 std::string encode(const JobRecord &record)
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -29,8 +29,7 @@
                 [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
                     takeNewLife(worker, inventory, asked);
                 },
-                [this](Worker &worker) { endAllRuns(worker); },
-                [this] { m_fenced(); } })
+                [this](Worker &worker) { endAllRuns(worker); }, [this] { m_fenced(); } })
 {
     collectGarbage();
 }
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -17,6 +17,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -36,7 +37,7 @@
         std::uint64_t generation = 0;
         Duration lease{};        ///< Of tasks on a worker, from each contact on.
         Duration longestLease{}; ///< That a worker grants at all.
-        Duration statusKept{}; ///< How long the state of an ended job can be asked for.
+        Duration statusKept{};   ///< How long the state of an ended job can be asked for.
     };
 
     struct Ports
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -69,9 +69,8 @@
             continue;
         const auto due = job.record.spec.firstStart + number * job.record.spec.interval;
         if (due > timeOfDay) {
-            const auto sleep =
-                std::clamp<std::chrono::milliseconds>(due - timeOfDay, std::chrono::milliseconds(1),
-                                                      maxOccurrenceSleep);
+            const auto sleep = std::clamp<std::chrono::milliseconds>(
+                due - timeOfDay, std::chrono::milliseconds(1), maxOccurrenceSleep);
             m_ports.timers.after(sleep, [this, alive = m_alive, id = job.record.id] {
                 if (!*alive)
                     return;
@@ -140,9 +139,8 @@
     if (step->done()) {
         updateReadiness(*job, occurrence);
         const bool allBegun = job->occurrences.size() == job->occurrenceCount();
-        const bool allDone =
-            std::all_of(job->occurrences.begin(), job->occurrences.end(),
-                        [](const auto &entry) { return entry.second.done(); });
+        const bool allDone = std::all_of(job->occurrences.begin(), job->occurrences.end(),
+                                         [](const auto &entry) { return entry.second.done(); });
         if (allBegun && allDone) {
             endJob(*job, JobStatus::Completed);
             return;
@@ -229,13 +227,13 @@
     m_writer.whenDurable([this, id = job.record.id] {
         if (Job *known = m_jobs.find(id)) {
             known->durableStatus = known->status;
-            m_ports.log.write(now(), "job.ended",
-                              { { "job", id },
-                                { "status", toString(known->status) },
-                                { "ms",
-                                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                                      now() - known->seen)
-                                      .count() } });
+            m_ports.log.write(
+                now(), "job.ended",
+                { { "job", id },
+                  { "status", toString(known->status) },
+                  { "ms",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now() - known->seen)
+                        .count() } });
         }
     });
     if (status != JobStatus::Completed)
@@ -267,10 +265,9 @@
                     || static_cast<std::size_t>(placed) == tasks.size()) {
                     continue;
                 }
-                const auto member =
-                    std::find_if(tasks.begin(), tasks.end(), [](const Task &task) {
-                        return task.phase == TaskPhase::Placed;
-                    });
+                const auto member = std::find_if(tasks.begin(), tasks.end(), [](const Task &task) {
+                    return task.phase == TaskPhase::Placed;
+                });
                 partial.emplace_back(TaskId{ id, number, index, 0 }, member->lastRun);
             }
         }
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -1,6 +1,7 @@
 #include "scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -69,14 +70,16 @@
     int reservedGangs = 0;
     for (const auto &view : waitingSteps()) {
         const StepDemand demand{ view.spec, view.task(0), view.job->record.queue.service,
-                                 view.job->record.queue.priority };
+                                 view.job->record.queue.priority, &reservations };
         // Nobody has room: only what is needed to ask for advice is looked at.
         const bool anyRoom = heldBy(*view.spec).fitsIn(m_mostFree);
-        const bool placed = !anyRoom ? false : view.spec->gang ? placeGang(view, demand, reservations)
-                                            : placeTasks(view, demand, reservations);
+        const bool placed = !anyRoom ? false
+            : view.spec->gang        ? placeGang(view, demand, reservations)
+                                     : placeTasks(view, demand, reservations);
         if (placed)
             continue;
-        askAdvice(view, demand, reservations);
+        if (anyRoom || view.spec->gang)
+            askAdvice(view, demand, reservations);
         if (view.spec->gang && view.band == bandOnTime && reservedGangs < maxReservedGangs) {
             reserveFor(view, demand, reservations);
             ++reservedGangs;
@@ -305,27 +308,37 @@
                 names.push_back(worker->entry.id);
         }
     };
+    const auto takeUnknown = [&](std::uint32_t count) {
+        auto unknown = candidates.unknown;
+        std::erase_if(unknown, [&](const Worker *worker) {
+            return !view.spec->gang && roomFor(*worker, demand) == 0;
+        });
+        take(std::move(unknown), spareAdvisedWorkers + advisedPerTask * count);
+    };
     const auto &advice = view.step->advice;
     const auto count = waitingTasks(*view.step, now());
-    const std::size_t wanted = spareAdvisedWorkers + advisedPerTask * count;
     if (advice.allowed.empty() && advice.denied.empty()) {
-        take(candidates.unknown, wanted);
+        takeUnknown(count);
         return names;
     }
     if (view.spec->gang) {
         // Tickets are renewed once the whole gang has room, which is then kept for it.
         take(chooseForGang(candidates.allowed, demand, count), maxAdvisedWorkers);
         if (names.empty())
-            take(candidates.unknown, wanted);
+            takeUnknown(count);
         return names;
     }
-    take(candidates.stale, count + spareAdvisedWorkers);
-    if (names.empty()) {
-        auto unknown = candidates.unknown;
-        std::erase_if(unknown,
-                      [&demand](const Worker *worker) { return roomFor(*worker, demand) == 0; });
-        take(std::move(unknown), wanted);
+    std::uint32_t staleRoom = 0;
+    auto stale = candidates.stale;
+    std::stable_sort(stale.begin(), stale.end(), byFreeRoom);
+    for (std::size_t index = 0; index < stale.size(); ++index) {
+        staleRoom += roomFor(*stale[index], demand);
+        if (staleRoom >= count)
+            stale.resize(index + 1);
     }
+    take(std::move(stale), maxAdvisedWorkers);
+    if (names.empty())
+        takeUnknown(count);
     return names;
 }
 
@@ -337,7 +350,6 @@
     if (!settings || advice.nextAsk > now())
         return;
     if (!advice.asking) {
-        const bool known = !advice.allowed.empty();
         const auto names =
             workersToAskAbout(view, demand, adviceCandidates(view, demand, reservations));
         if (names.empty()) {
@@ -345,7 +357,9 @@
             return;
         }
         advice.asking = true;
-        advice.asked = known ? names : std::vector<std::string>();
+        // Room is kept only on workers that are known to be allowed.
+        std::copy_if(names.begin(), names.end(), std::back_inserter(advice.asked),
+                     [&advice](const std::string &id) { return advice.allowed.contains(id); });
         m_ports.metrics.count("advice.asked");
         AdviceRequest request;
         request.step = demand.step.stepText();
@@ -353,16 +367,27 @@
         request.expected =
             settings->decision + settings->perWorker * static_cast<std::int64_t>(names.size());
         request.priority = demand.priority;
-        m_ports.advice.advise(request, [this, alive = m_alive, step = demand.step,
-                                        names](const Result<Advice> &answer) {
-            if (*alive)
-                advised(step, names, answer);
-        });
+        m_ports.advice.advise(
+            request,
+            [this, alive = m_alive, step = demand.step, names](const Result<Advice> &answer) {
+                if (*alive)
+                    advised(step, names, answer);
+            });
     }
-    if (!view.spec->gang)
+    if (view.spec->gang) {
+        for (const auto &id : advice.asked)
+            reservations.reserve(id, demand.priority);
         return;
-    for (const auto &id : advice.asked)
-        reservations.reserve(id, demand.priority);
+    }
+    auto open = waitingTasks(*view.step, now());
+    for (const auto &id : advice.asked) {
+        const auto worker = m_workers.find(id);
+        if (worker == m_workers.end())
+            continue;
+        const auto tasks = std::min(open, roomFor(worker->second, demand));
+        reservations.pledge(id, heldBy(*view.spec) * tasks);
+        open -= tasks;
+    }
 }
 
 void Scheduler::advised(const TaskId &stepId, const std::vector<std::string> &asked,
@@ -377,9 +402,8 @@
     requestPass();
     if (!answer.has_value()) {
         step->advice.nextAsk = current + adviceRetryPause;
-        m_ports.log.write(
-            current, "advice.failed",
-            { { "step", stepId.stepText() }, { "error", answer.error().text() } });
+        m_ports.log.write(current, "advice.failed",
+                          { { "step", stepId.stepText() }, { "error", answer.error().text() } });
         m_ports.timers.after(adviceRetryPause, [this, alive = m_alive] {
             if (*alive)
                 requestPass();
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -194,14 +194,15 @@
         const auto found = entry->second.runs.find(key);
         return found == entry->second.runs.end() ? nullptr : &found->second;
     };
-    m_sender.stop({ worker.entry.id, worker.entry.address }, key, worker.token,
-                  [current] { return current() != nullptr; },
-                  [this, current, id = worker.entry.id](bool accepted) {
-                      if (Run *stopped = current(); stopped != nullptr && accepted) {
-                          stopped->stopConfirmed = now();
-                          m_links.poke(id);
-                      }
-                  });
+    m_sender.stop(
+        { worker.entry.id, worker.entry.address }, key, worker.token,
+        [current] { return current() != nullptr; },
+        [this, current, id = worker.entry.id](bool accepted) {
+            if (Run *stopped = current(); stopped != nullptr && accepted) {
+                stopped->stopConfirmed = now();
+                m_links.poke(id);
+            }
+        });
 }
 
 void Scheduler::takeInventory(Worker &worker, const Inventory &inventory, TimePoint asked)
@@ -275,10 +276,9 @@
         // Its size is not known: the worker takes nothing new until it has ended.
         run.held = worker.free();
     }
-    m_ports.log.write(now(), wanted ? "run.adopted" : "run.unexpected",
-                      { { "task", row.task.text() },
-                        { "run", row.run },
-                        { "worker", worker.entry.id } });
+    m_ports.log.write(
+        now(), wanted ? "run.adopted" : "run.unexpected",
+        { { "task", row.task.text() }, { "run", row.run }, { "worker", worker.entry.id } });
     Run &added = addRun(worker, std::move(run));
     if (!wanted) {
         stopRun(worker, added, "nothing wants this run");
@@ -307,10 +307,9 @@
             missing.push_back(key);
     }
     for (const auto &key : missing) {
-        m_ports.log.write(now(), "run.missing",
-                          { { "task", key.first.text() },
-                            { "run", key.second },
-                            { "worker", worker.entry.id } });
+        m_ports.log.write(
+            now(), "run.missing",
+            { { "task", key.first.text() }, { "run", key.second }, { "worker", worker.entry.id } });
         const bool gang = worker.runs.at(key).gang;
         releaseRun(worker, key, "");
         if (gang)
@@ -391,9 +390,9 @@
     }
     if (end.kind == EndKind::Failed) {
         if (noteFailure(worker, end.task.job, now())) {
-            m_ports.log.write(now(), "worker.quarantined",
-                              { { "worker", worker.entry.id },
-                                { "failures", worker.health.failuresInRow } });
+            m_ports.log.write(
+                now(), "worker.quarantined",
+                { { "worker", worker.entry.id }, { "failures", worker.health.failuresInRow } });
         }
         taskFailed(worker, end.task, end.run);
         return;
--- a/libs/cell/src/submissions.cpp
+++ b/libs/cell/src/submissions.cpp
@@ -78,14 +78,15 @@
         transaction.writes.push_back({ entry.key, entry.value, 0 });
     }
     ++m_inFlight;
-    m_store.commit(transaction, [this, alive = m_alive, batch = std::move(batch)](
-                                    const Result<TransactionOutcome> &outcome) mutable {
-        if (!*alive)
-            return;
-        --m_inFlight;
-        finished(std::move(batch), outcome);
-        flush();
-    });
+    m_store.commit(transaction,
+                   [this, alive = m_alive,
+                    batch = std::move(batch)](const Result<TransactionOutcome> &outcome) mutable {
+                       if (!*alive)
+                           return;
+                       --m_inFlight;
+                       finished(std::move(batch), outcome);
+                       flush();
+                   });
 }
 
 void Submissions::finished(std::vector<Entry> batch, const Result<TransactionOutcome> &outcome)
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -182,10 +182,9 @@
         return;
     }
     if (!worker.reachable) {
-        m_log.write(now, "worker.reachable",
-                    { { "worker", worker.entry.id },
-                      { "born", worker.born },
-                      { "token", worker.token } });
+        m_log.write(
+            now, "worker.reachable",
+            { { "worker", worker.entry.id }, { "born", worker.born }, { "token", worker.token } });
     }
     worker.born = inventory.born;
     worker.clock = inventory.clock;
@@ -206,11 +205,11 @@
     return worker.runs.empty() ? Duration(idlePause) : Duration(gatherPause);
 }
 
-void WorkerLinks::beginLife(Worker &worker, Link &link, const Inventory &inventory,
-                            TimePoint asked)
+void WorkerLinks::beginLife(Worker &worker, Link &link, const Inventory &inventory, TimePoint asked)
 {
-    m_log.write(m_timers.now(), "worker.newLife",
-                { { "worker", worker.entry.id }, { "born", inventory.born }, { "before", worker.born } });
+    m_log.write(
+        m_timers.now(), "worker.newLife",
+        { { "worker", worker.entry.id }, { "born", inventory.born }, { "before", worker.born } });
     ++link.lives;
     link.answered = true;
     worker.born = inventory.born;
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -63,7 +63,7 @@
     std::uint64_t durableEnds = 0;          ///< Number of the last end that the worker may forget.
     std::chrono::milliseconds clock{};      ///< Its steady clock ...
     TimePoint clockReadAt{};                ///< ... at this time.
-    TimePoint leaseEnds{};   ///< Latest time at which everything on it has ended by itself.
+    TimePoint leaseEnds{}; ///< Latest time at which everything on it has ended by itself.
     TimePoint lastContact{};
     bool reachable = false;
     Resources held;
--- a/libs/eventloop/src/eventloop.cpp
+++ b/libs/eventloop/src/eventloop.cpp
@@ -53,8 +53,8 @@
     }
     auto timer = std::make_unique<asio::steady_timer>(m_state->context, delay);
     auto &reference = *timer;
-    reference.async_wait([timer = std::move(timer), action = std::move(action)](
-                             const boost::system::error_code &error) {
+    reference.async_wait([timer = std::move(timer),
+                          action = std::move(action)](const boost::system::error_code &error) {
         if (!error)
             action();
     });
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -55,10 +55,9 @@
         action();
         return;
     }
-    m_time.after(m_slot.frozenUntil - m_time.now(),
-                 [this, life, action = std::move(action)]() mutable {
-                     deliver(life, std::move(action));
-                 });
+    m_time.after(
+        m_slot.frozenUntil - m_time.now(),
+        [this, life, action = std::move(action)]() mutable { deliver(life, std::move(action)); });
 }
 
 template <typename T>
@@ -113,8 +112,9 @@
     if (m_slot.fault == StoreFault::Refuse || m_slot.fault == StoreFault::Silent) {
         const bool silent = m_slot.fault == StoreFault::Silent;
         m_time.after(silent ? wait : m_world.delay(), [this, life, done] {
-            m_slot.timers->deliver(
-                life, [done] { done(Error{ ErrorKind::Refused, "store.watch", "", "refused" }); });
+            m_slot.timers->deliver(life, [done] {
+                done(Error{ ErrorKind::Refused, "store.watch", "", "refused" });
+            });
         });
         return;
     }
@@ -262,11 +262,10 @@
         };
         m_time.after(call.timeout, [finish] { finish(timedOut("peer")); });
         peer->timers->deliver(peer->life, [this, peer, call, finish] {
-            peer->node->peerCall(call.method, call.path, call.body,
-                                 [this, finish](const PeerAnswer &answer) {
-                                     m_time.after(m_world.delay(),
-                                                  [finish, answer] { finish(answer); });
-                                 });
+            peer->node->peerCall(
+                call.method, call.path, call.body, [this, finish](const PeerAnswer &answer) {
+                    m_time.after(m_world.delay(), [finish, answer] { finish(answer); });
+                });
         });
     });
 }
--- a/standins/cell/src/promises.cpp
+++ b/standins/cell/src/promises.cpp
@@ -55,9 +55,10 @@
         }
         job.ended = true;
     } else if (status == JobStatus::Failed) {
-        const bool spent = std::any_of(
-            job.failedRuns.begin(), job.failedRuns.end(),
-            [&job](const auto &entry) { return entry.second.size() >= job.maxAttempts; });
+        const bool spent =
+            std::any_of(job.failedRuns.begin(), job.failedRuns.end(), [&job](const auto &entry) {
+                return entry.second.size() >= job.maxAttempts;
+            });
         if (!spent)
             m_broken.push_back("FAILED without cause: " + id);
         job.ended = true;
@@ -111,7 +112,8 @@
         fail("LIMIT", task, "on " + worker);
     auto &runs = m_running[task];
     if (!runs.empty())
-        fail("TWICE", task, worker + " run " + std::to_string(run) + " beside " + runs.begin()->first);
+        fail("TWICE", task,
+             worker + " run " + std::to_string(run) + " beside " + runs.begin()->first);
     runs.emplace(worker, run);
     checkStart(job, task);
 }
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -132,17 +132,15 @@
 
 World::WorkerSlot *World::findWorker(const std::string &id)
 {
-    const auto entry = std::find_if(m_workers.begin(), m_workers.end(), [&id](const auto &slot) {
-        return slot->model->id() == id;
-    });
+    const auto entry = std::find_if(m_workers.begin(), m_workers.end(),
+                                    [&id](const auto &slot) { return slot->model->id() == id; });
     return entry == m_workers.end() ? nullptr : entry->get();
 }
 
 World::NodeSlot *World::findNode(const std::string &address)
 {
-    const auto entry = std::find_if(m_nodes.begin(), m_nodes.end(), [&address](const auto &slot) {
-        return slot->name == address;
-    });
+    const auto entry = std::find_if(m_nodes.begin(), m_nodes.end(),
+                                    [&address](const auto &slot) { return slot->name == address; });
     return entry == m_nodes.end() ? nullptr : entry->get();
 }
 
@@ -158,10 +156,10 @@
     settings.incarnation = slot.life;
     settings.dataCentre = "z";
     settings.address = slot.name;
-    slot.node = std::make_unique<Node>(
-        Node::Ports{ *slot.store, *slot.workers, *slot.advice, *slot.peers, *slot.timers, slot.log,
-                     slot.metrics },
-        settings, platform::platformRecords());
+    slot.node =
+        std::make_unique<Node>(Node::Ports{ *slot.store, *slot.workers, *slot.advice, *slot.peers,
+                                            *slot.timers, slot.log, slot.metrics },
+                               settings, platform::platformRecords());
     slot.node->start();
 }
 
