--- a/libs/cell/include/cell/node.h
+++ b/libs/cell/include/cell/node.h
@@ -64,16 +64,16 @@
 
     /// Accepts a job of a queue. \p done is called by \p deadline.
     void submit(const std::string &id, const QueueSettings &queue, JobSpec spec, TimePoint deadline,
-                Done<SubmitResult> done);
-    void status(const std::string &id, Done<StatusAnswer> done);
-    void cancel(const std::string &id, TimePoint deadline, Done<CancelResult> done);
+                const Done<SubmitResult> &done);
+    void status(const std::string &id, const Done<StatusAnswer> &done);
+    void cancel(const std::string &id, TimePoint deadline, const Done<CancelResult> &done);
 
     /// Accepted jobs of a queue of which no task has started; nothing if nobody could be asked.
-    void pending(const std::string &queue, Done<std::optional<std::uint64_t>> done);
+    void pending(const std::string &queue, const Done<std::optional<std::uint64_t>> &done);
 
     /// Handles a call of another daemon.
     void peerCall(const std::string &method, const std::string &path, const std::string &body,
-                  Done<PeerAnswer> done);
+                  const Done<PeerAnswer> &done);
 
 private:
     struct State;
--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -31,7 +31,7 @@
     , m_shards(shards)
     , m_localStatus(std::move(localStatus))
     , m_localPending(std::move(localPending))
-    , m_submissions(ports.store, ports.timers, ports.log, ports.metrics)
+    , m_submissions(ports.store, ports.timers, ports.metrics)
     , m_random(static_cast<std::mt19937::result_type>(stableHash(membership.self().name)))
 { }
 
@@ -65,7 +65,7 @@
 }
 
 void FrontDesk::submit(const JobRecord &record, TimePoint deadline, bool relayed,
-                       Done<SubmitResult> done)
+                       const Done<SubmitResult> &done)
 {
     if (m_submissions.storeFailing() && !relayed) {
         submitThroughPeer(record, deadline, false, done);
@@ -115,7 +115,7 @@
                        });
 }
 
-void FrontDesk::status(const std::string &id, bool relayed, Done<StatusAnswer> done)
+void FrontDesk::status(const std::string &id, bool relayed, const Done<StatusAnswer> &done)
 {
     const auto shard = shardOf(id);
     if (const auto local = m_localStatus(shard, id)) {
@@ -220,7 +220,7 @@
 }
 
 void FrontDesk::cancel(const std::string &id, TimePoint deadline, bool relayed,
-                       Done<CancelResult> done)
+                       const Done<CancelResult> &done)
 {
     cancelRead(id, deadline, relayed, done);
 }
@@ -330,7 +330,7 @@
         });
 }
 
-void FrontDesk::pending(const std::string &queue, Done<std::optional<std::uint64_t>> done)
+void FrontDesk::pending(const std::string &queue, const Done<std::optional<std::uint64_t>> &done)
 {
     struct Sum
     {
--- a/libs/cell/src/frontdesk.h
+++ b/libs/cell/src/frontdesk.h
@@ -45,10 +45,12 @@
     FrontDesk &operator=(const FrontDesk &) = delete;
 
     /// \p relayed: the call comes from another daemon and is not passed on again.
-    void submit(const JobRecord &record, TimePoint deadline, bool relayed, Done<SubmitResult> done);
-    void status(const std::string &id, bool relayed, Done<StatusAnswer> done);
-    void cancel(const std::string &id, TimePoint deadline, bool relayed, Done<CancelResult> done);
-    void pending(const std::string &queue, Done<std::optional<std::uint64_t>> done);
+    void submit(const JobRecord &record, TimePoint deadline, bool relayed,
+                const Done<SubmitResult> &done);
+    void status(const std::string &id, bool relayed, const Done<StatusAnswer> &done);
+    void cancel(const std::string &id, TimePoint deadline, bool relayed,
+                const Done<CancelResult> &done);
+    void pending(const std::string &queue, const Done<std::optional<std::uint64_t>> &done);
 
     [[nodiscard]] std::uint32_t shardOf(const std::string &id) const noexcept;
 
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -321,33 +321,33 @@
 }
 
 void Node::submit(const std::string &id, const QueueSettings &queue, JobSpec spec,
-                  TimePoint deadline, Done<SubmitResult> done)
+                  TimePoint deadline, const Done<SubmitResult> &done)
 {
     JobRecord record;
     record.id = id;
     record.queue = queue;
     record.configurationVersion = configuration()->version;
     record.spec = std::move(spec);
-    m_state->desk.submit(record, deadline, false, std::move(done));
+    m_state->desk.submit(record, deadline, false, done);
 }
 
-void Node::status(const std::string &id, Done<StatusAnswer> done)
+void Node::status(const std::string &id, const Done<StatusAnswer> &done)
 {
-    m_state->desk.status(id, false, std::move(done));
+    m_state->desk.status(id, false, done);
 }
 
-void Node::cancel(const std::string &id, TimePoint deadline, Done<CancelResult> done)
+void Node::cancel(const std::string &id, TimePoint deadline, const Done<CancelResult> &done)
 {
-    m_state->desk.cancel(id, deadline, false, std::move(done));
+    m_state->desk.cancel(id, deadline, false, done);
 }
 
-void Node::pending(const std::string &queue, Done<std::optional<std::uint64_t>> done)
+void Node::pending(const std::string &queue, const Done<std::optional<std::uint64_t>> &done)
 {
-    m_state->desk.pending(queue, std::move(done));
+    m_state->desk.pending(queue, done);
 }
 
 void Node::peerCall(const std::string &method, const std::string &path, const std::string &body,
-                    Done<PeerAnswer> done)
+                    const Done<PeerAnswer> &done)
 {
     m_state->peerCall(method, path, body, done);
 }
--- a/libs/cell/src/ordersender.cpp
+++ b/libs/cell/src/ordersender.cpp
@@ -22,7 +22,7 @@
 }
 
 void OrderSender::start(const WorkerTarget &worker, const StartOrder &order,
-                        Done<StartOutcome> done)
+                        const Done<StartOutcome> &done)
 {
     tryStart(worker, order, 1, false, done);
 }
--- a/libs/cell/src/ordersender.h
+++ b/libs/cell/src/ordersender.h
@@ -34,7 +34,7 @@
     OrderSender(const OrderSender &) = delete;
     OrderSender &operator=(const OrderSender &) = delete;
 
-    void start(const WorkerTarget &worker, const StartOrder &order, Done<StartOutcome> done);
+    void start(const WorkerTarget &worker, const StartOrder &order, const Done<StartOutcome> &done);
 
     /// Repeats the stop until the worker accepts it or \p wanted returns false.
     /// \p done is called with true when the worker has accepted it.
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -227,6 +227,8 @@
     m_writer.whenDurable([this, id = job.record.id] {
         if (Job *known = m_jobs.find(id)) {
             known->durableStatus = known->status;
+            m_ports.metrics.observe("job.seconds." + known->record.queue.name,
+                                    std::chrono::duration<double>(now() - known->seen).count());
             m_ports.log.write(
                 now(), "job.ended",
                 { { "job", id },
--- a/libs/cell/src/submissions.cpp
+++ b/libs/cell/src/submissions.cpp
@@ -15,10 +15,9 @@
 
 } // namespace
 
-Submissions::Submissions(StorePort &store, Timers &timers, EventLog &log, Metrics &metrics)
+Submissions::Submissions(StorePort &store, Timers &timers, Metrics &metrics)
     : m_store(store)
     , m_timers(timers)
-    , m_log(log)
     , m_metrics(metrics)
 { }
 
--- a/libs/cell/src/submissions.h
+++ b/libs/cell/src/submissions.h
@@ -3,7 +3,6 @@
 #include <cell/clientresults.h>
 #include <cell/ports.h>
 
-#include <base/eventlog.h>
 #include <base/metrics.h>
 #include <eventloop/timers.h>
 
@@ -22,7 +21,7 @@
 class Submissions
 {
 public:
-    Submissions(StorePort &store, Timers &timers, EventLog &log, Metrics &metrics);
+    Submissions(StorePort &store, Timers &timers, Metrics &metrics);
     ~Submissions();
     Submissions(const Submissions &) = delete;
     Submissions &operator=(const Submissions &) = delete;
@@ -52,7 +51,6 @@
 
     StorePort &m_store;
     Timers &m_timers;
-    EventLog &m_log;
     Metrics &m_metrics;
     std::deque<Entry> m_waiting;
     std::size_t m_inFlight = 0;
--- a/libs/eventloop/include/eventloop/eventloop.h
+++ b/libs/eventloop/include/eventloop/eventloop.h
@@ -25,7 +25,7 @@
     void after(Duration delay, std::function<void()> action) override;
 
     /// Calls \p action each time the process receives \p signalNumber.
-    void onSignal(int signalNumber, std::function<void()> action);
+    void onSignal(int signalNumber, const std::function<void()> &action);
 
     /// Runs until stop(). Handles all events in the calling thread.
     void run();
--- a/libs/eventloop/include/eventloop/httpserver.h
+++ b/libs/eventloop/include/eventloop/httpserver.h
@@ -43,8 +43,8 @@
 
     struct Limits
     {
-        std::size_t headerBytes = 16 * 1024;
-        std::size_t bodyBytes = 512 * 1024;
+        std::size_t headerBytes = 16UL * 1024UL;
+        std::size_t bodyBytes = 512UL * 1024UL;
         Duration idle{ std::chrono::seconds(60) };
     };
 
--- a/libs/eventloop/src/eventloop.cpp
+++ b/libs/eventloop/src/eventloop.cpp
@@ -60,7 +60,7 @@
     });
 }
 
-void EventLoop::onSignal(int signalNumber, std::function<void()> action)
+void EventLoop::onSignal(int signalNumber, const std::function<void()> &action)
 {
     const auto [entry, added] =
         m_state->signals.try_emplace(signalNumber, m_state->context, signalNumber);
--- a/libs/eventloop/src/httpclient.cpp
+++ b/libs/eventloop/src/httpclient.cpp
@@ -25,7 +25,7 @@
 
 /// Idle connections kept for each peer.
 constexpr std::size_t maxIdlePerPeer = 16;
-constexpr std::size_t maxAnswerBytes = 64U * 1024U * 1024U;
+constexpr std::size_t maxAnswerBytes = 64UL * 1024UL * 1024UL;
 
 class Connection;
 
--- a/standins/cell/include/standincell/storemodel.h
+++ b/standins/cell/include/standincell/storemodel.h
@@ -75,7 +75,6 @@
     std::uint64_t m_oldest = 1; ///< History after this revision is complete.
     std::uint64_t m_lastLease = 0;
     bool m_leasesPaused = false;
-    bool m_notifying = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -66,6 +66,10 @@
     void storeFaultForAll(StoreFault fault);
     void cutWorker(std::uint32_t worker, bool cut);
     void crashWorker(std::uint32_t worker);
+    /// The worker says that it leaves.
+    void drainWorker(std::uint32_t worker);
+    /// The operator stores the next version of the configuration.
+    void changeConfiguration();
     void lateOrders(double share) { m_lateOrders = share; }
     void compactStore() { m_store.compact(); }
 
@@ -84,6 +88,8 @@
     /// The node that owns the shard, from the store.
     [[nodiscard]] std::optional<std::uint32_t> owner() const;
     [[nodiscard]] bool alive(std::uint32_t node) const;
+    /// Version of the configuration that a node has in force; 0 if it has none.
+    [[nodiscard]] std::uint64_t configurationOf(std::uint32_t node) const;
     [[nodiscard]] std::string logOf(std::uint32_t node) const;
 
     struct NodeSlot;
@@ -98,7 +104,6 @@
 
 private:
     void publishWorker(WorkerSlot &slot);
-    void publishConfiguration();
     TaskPlan plan(const cell::TaskId &task);
 
     Settings m_settings;
@@ -111,6 +116,7 @@
     std::vector<std::unique_ptr<WorkerSlot>> m_workers;
     std::map<std::string, JobPlan> m_jobs;
     std::map<cell::TaskId, std::uint32_t> m_startsOfTask;
+    std::uint64_t m_version = 0;
     double m_lateOrders = 0;
 };
 
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -151,8 +151,8 @@
 }
 
 void NodeWorkers::order(const WorkerTarget &worker,
-                        std::function<OrderOutcome(WorkerModel &)> action,
-                        Done<Result<OrderOutcome>> done)
+                        const std::function<OrderOutcome(WorkerModel &)> &action,
+                        const Done<Result<OrderOutcome>> &done)
 {
     const auto life = m_slot.life;
     const auto answer = [this, life, done](Duration delay, Result<OrderOutcome> result) {
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -65,6 +65,7 @@
 {
     std::unique_ptr<WorkerModel> model;
     bool cut = false;
+    bool draining = false;
     /// Life of the worker to which a node's connections lead; others have been reset.
     std::map<std::string, std::int64_t> connections;
 
@@ -124,8 +125,8 @@
 
 private:
     void order(const cell::WorkerTarget &worker,
-               std::function<cell::OrderOutcome(WorkerModel &)> action,
-               cell::Done<Result<cell::OrderOutcome>> done);
+               const std::function<cell::OrderOutcome(WorkerModel &)> &action,
+               const cell::Done<Result<cell::OrderOutcome>> &done);
 
     World &m_world;
     VirtualTime &m_time;
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -36,7 +36,7 @@
     , m_promises(m_time)
     , m_random(settings.seed)
 {
-    publishConfiguration();
+    changeConfiguration();
     for (std::uint32_t index = 0; index < settings.workers; ++index) {
         auto slot = std::make_unique<WorkerSlot>();
         WorkerModel::Settings workerSettings;
@@ -65,7 +65,7 @@
 
 World::~World() = default;
 
-void World::publishConfiguration()
+void World::changeConfiguration()
 {
     nlohmann::json route{ { "name", "batch" },   { "host", "h" },
                           { "prefix", "/q/" },   { "service", "s" },
@@ -77,7 +77,7 @@
                             { "period_ms", 1.0 },
                             { "validity_ms", 2000 } };
     }
-    const nlohmann::json document{ { "version", 1 },
+    const nlohmann::json document{ { "version", ++m_version },
                                    { "routes", nlohmann::json::array({ route }) },
                                    { "services", nlohmann::json::array() } };
     m_store.put("op/config", document.dump());
@@ -91,7 +91,7 @@
                                 { "zone", "z" },
                                 { "version", "v1" },
                                 { "slots", 8 },
-                                { "state", "ready" },
+                                { "state", slot.draining ? "draining" : "ready" },
                                 { "cold_remaining_ms", 0 },
                                 { "capacity",
                                   { { "cpu", capacity.cpuMillis },
@@ -272,6 +272,19 @@
     return *answer;
 }
 
+void World::drainWorker(std::uint32_t index)
+{
+    m_workers.at(index)->draining = true;
+    publishWorker(*m_workers.at(index));
+}
+
+std::uint64_t World::configurationOf(std::uint32_t node) const
+{
+    const auto &slot = *m_nodes.at(node);
+    const auto *configuration = slot.node ? slot.node->configuration() : nullptr;
+    return configuration == nullptr ? 0 : configuration->version;
+}
+
 std::optional<std::uint32_t> World::owner() const
 {
     const auto item = m_store.read("cowsliprock/node/owner/0");
--- a/standins/cell/tests/cell_test.cpp
+++ b/standins/cell/tests/cell_test.cpp
@@ -132,4 +132,54 @@
     checkPromises(world);
 }
 
+BOOST_AUTO_TEST_CASE(givesADrainingWorkerNoNewTask)
+{
+    World world({});
+    world.run(startTime);
+    world.drainWorker(0);
+    world.drainWorker(1);
+    world.run(milliseconds(100));
+    for (std::uint32_t job = 1; job <= 8; ++job)
+        world.submit(0, jobId(job), batch(4));
+    for (int step = 0; step < 40; ++step) {
+        world.run(milliseconds(100));
+        for (std::uint32_t job = 1; job <= 8; ++job) {
+            BOOST_TEST(world.worker(0).present({ jobId(job), 0, 0, 0 }, 1) == 0U);
+            BOOST_TEST(world.worker(1).present({ jobId(job), 0, 0, 0 }, 1) == 0U);
+        }
+    }
+    BOOST_TEST((world.status(1, jobId(8)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
+BOOST_AUTO_TEST_CASE(newConfigurationReachesANodeWithoutTheStore)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    world.storeFault(node, StoreFault::Refuse);
+    world.run(milliseconds(500));
+    world.changeConfiguration();
+    world.run(milliseconds(200));
+    for (std::uint32_t other = 0; other < 3; ++other) {
+        if (other != node)
+            BOOST_TEST(world.configurationOf(other) == 2U);
+    }
+    world.run(seconds(6));
+    BOOST_TEST(world.configurationOf(node) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(configurationOfTheStoreIsInForceWithinTwoSecondsAfterSilence)
+{
+    World world({});
+    world.run(startTime);
+    world.storeFaultForAll(StoreFault::Silent);
+    world.run(seconds(3));
+    world.changeConfiguration();
+    world.storeFaultForAll(StoreFault::None);
+    world.run(milliseconds(2500));
+    for (std::uint32_t node = 0; node < 3; ++node)
+        BOOST_TEST(world.configurationOf(node) == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
