Refuse at once while the store is known to fail; store the note while advice is asked

While the last calls have failed, one submission in 250 ms tries the store; the others are refused before anything is sent.

--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -67,10 +67,6 @@
 void FrontDesk::submit(const JobRecord &record, TimePoint deadline, bool relayed,
                        const Done<SubmitResult> &done)
 {
-    if (m_submissions.storeFailing() && !relayed) {
-        submitThroughPeer(record, deadline, false, done);
-        return;
-    }
     const auto ownDeadline =
         relayed ? deadline : std::min(deadline, m_ports.timers.now() + ownStoreTime);
     m_submissions.submit(
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -357,6 +357,9 @@
             return;
         }
         advice.asking = true;
+        // The note is stored while the policy service decides.
+        if (heldBy(*view.spec).fitsIn(m_mostFree))
+            static_cast<void>(mayStart(*view.job));
         // Room is kept only on workers that are known to be allowed.
         std::copy_if(names.begin(), names.end(), std::back_inserter(advice.asked),
                      [&advice](const std::string &id) { return advice.allowed.contains(id); });
--- a/libs/cell/src/submissions.cpp
+++ b/libs/cell/src/submissions.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t maxInFlight = 4;
 constexpr std::chrono::milliseconds retryDelay{ 100 };
 constexpr std::uint32_t failuresUntilFailing = 2;
+/// Pause between two submissions that try a failing store.
+constexpr std::chrono::milliseconds probeInterval{ 250 };
 
 } // namespace
 
@@ -29,6 +31,16 @@
 void Submissions::submit(const std::string &key, std::string value, TimePoint deadline,
                          Done<SubmitResult> done)
 {
+    if (storeFailing()) {
+        // One submission at a time finds out whether the store is back. The others are refused
+        // before anything is sent, so that "not stored" is certain and the client may return.
+        if (m_timers.now() < m_nextProbe) {
+            m_metrics.count("submissions.refusedAtOnce");
+            done(SubmitResult::NotStored);
+            return;
+        }
+        m_nextProbe = m_timers.now() + probeInterval;
+    }
     again({ key, std::move(value), deadline, false, std::move(done) });
 }
 
--- a/libs/cell/src/submissions.h
+++ b/libs/cell/src/submissions.h
@@ -55,6 +55,7 @@
     std::deque<Entry> m_waiting;
     std::size_t m_inFlight = 0;
     std::uint32_t m_failures = 0;
+    TimePoint m_nextProbe{};
     bool m_scheduled = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/standins/cell/tests/failures_test.cpp
+++ b/standins/cell/tests/failures_test.cpp
@@ -146,6 +146,29 @@
     BOOST_TEST(world.promises().starts() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(knownOutageRefusesAtOnceAndTruly)
+{
+    World world({});
+    world.run(startTime);
+    world.storeFaultForAll(StoreFault::Silent);
+    std::vector<std::optional<SubmitResult>> results(20);
+    for (std::uint32_t job = 0; job < 6; ++job)
+        world.submit(job % 3, jobId(job), batch(1), &results[job]);
+    world.run(seconds(3));
+    // By now every node knows that the store does not answer.
+    std::uint32_t refused = 0;
+    for (std::uint32_t job = 6; job < 20; ++job)
+        world.submit(job % 3, jobId(job), batch(1), &results[job]);
+    world.run(milliseconds(100));
+    for (std::uint32_t job = 6; job < 20; ++job)
+        refused += results[job] == SubmitResult::NotStored ? 1 : 0;
+    // One of each node tries the store.
+    BOOST_TEST(refused >= 11U);
+    world.storeFaultForAll(StoreFault::None);
+    world.run(seconds(10));
+    checkPromises(world);
+}
+
 BOOST_AUTO_TEST_CASE(nodeWithoutTheStoreTakesJobsThroughAnother)
 {
     World world({});
