Keep live jobs and ended ones apart in the store

Cause: a new owner on the grown sites read the records of all jobs of the last two minutes, 1.6 s before it asked the first worker (8,000 jobs over a slow link). A job that ends gets a small key of its own, then loses its record and its state; a take-over lists what is live. Ruled out: fewer bytes only (the pages of 500 items in turn cost as much).

--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -50,6 +50,11 @@
     return keys::jobsPrefix(shardOf(id)) + id;
 }
 
+std::string FrontDesk::endedKey(const std::string &id) const
+{
+    return keys::endedPrefix(shardOf(id)) + id;
+}
+
 std::optional<MemberRecord> FrontDesk::otherMember()
 {
     const auto &members = m_membership.members();
@@ -70,7 +75,7 @@
     const auto ownDeadline =
         relayed ? deadline : std::min(deadline, m_ports.timers.now() + ownStoreTime);
     m_submissions.submit(
-        jobKey(record.id), encode(record), ownDeadline,
+        jobKey(record.id), endedKey(record.id), encode(record), ownDeadline,
         [this, alive = m_alive, record, deadline, relayed, done](SubmitResult result) {
             if (!*alive)
                 return;
@@ -180,20 +185,38 @@
 
 void FrontDesk::statusFromJob(const std::string &id, bool begun, const Done<StatusAnswer> &done)
 {
-    m_ports.store.read(jobKey(id), [begun, done](const Result<std::optional<StoreItem>> &item) {
+    m_ports.store.read(
+        jobKey(id),
+        [this, alive = m_alive, id, begun, done](const Result<std::optional<StoreItem>> &item) {
+            if (!*alive)
+                return;
+            if (!item.has_value()) {
+                done({});
+                return;
+            }
+            if (!item.value()) {
+                statusFromEnd(id, done);
+                return;
+            }
+            const auto record = decodeJob(item.value()->value);
+            if (record && record->cancelled)
+                done({ true, JobStatus::Cancelled });
+            else
+                done({ true, begun ? JobStatus::Running : JobStatus::Queued });
+        });
+}
+
+void FrontDesk::statusFromEnd(const std::string &id, const Done<StatusAnswer> &done)
+{
+    m_ports.store.read(endedKey(id), [done](const Result<std::optional<StoreItem>> &item) {
         if (!item.has_value()) {
             done({});
             return;
         }
-        if (!item.value()) {
-            done({ true, std::nullopt });
-            return;
-        }
-        const auto record = decodeJob(item.value()->value);
-        if (record && record->cancelled)
-            done({ true, JobStatus::Cancelled });
-        else
-            done({ true, begun ? JobStatus::Running : JobStatus::Queued });
+        std::optional<JobStatus> status;
+        if (item.value())
+            status = parseJobStatus(item.value()->value);
+        done({ true, status });
     });
 }
 
@@ -234,13 +257,24 @@
                                return;
                            }
                            if (!item.value()) {
-                               done(CancelResult::NoSuchJob);
+                               cancelEnded(id, done);
                                return;
                            }
                            cancelWrite(id, *item.value(), deadline, relayed, done);
                        });
 }
 
+void FrontDesk::cancelEnded(const std::string &id, const Done<CancelResult> &done)
+{
+    // A job that has ended needs no cancellation.
+    statusFromEnd(id, [done](const StatusAnswer &answer) {
+        if (!answer.available)
+            done(CancelResult::Unavailable);
+        else
+            done(answer.status ? CancelResult::Cancelled : CancelResult::NoSuchJob);
+    });
+}
+
 void FrontDesk::cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline,
                             bool relayed, const Done<CancelResult> &done)
 {
--- a/libs/cell/src/frontdesk.h
+++ b/libs/cell/src/frontdesk.h
@@ -57,15 +57,18 @@
 private:
     [[nodiscard]] std::optional<MemberRecord> otherMember();
     [[nodiscard]] std::string jobKey(const std::string &id) const;
+    [[nodiscard]] std::string endedKey(const std::string &id) const;
     void submitThroughPeer(const JobRecord &record, TimePoint deadline, bool uncertain,
                            const Done<SubmitResult> &done);
     void statusFromOwner(const std::string &id, const std::string &address, bool relayed,
                          const Done<StatusAnswer> &done);
     void statusFromStore(const std::string &id, bool relayed, const Done<StatusAnswer> &done);
     void statusFromJob(const std::string &id, bool begun, const Done<StatusAnswer> &done);
+    void statusFromEnd(const std::string &id, const Done<StatusAnswer> &done);
     void statusThroughPeer(const std::string &id, const Done<StatusAnswer> &done);
     void cancelRead(const std::string &id, TimePoint deadline, bool relayed,
                     const Done<CancelResult> &done);
+    void cancelEnded(const std::string &id, const Done<CancelResult> &done);
     void cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline, bool relayed,
                      const Done<CancelResult> &done);
     void tellOwner(const std::string &id);
--- a/libs/cell/src/keys.h
+++ b/libs/cell/src/keys.h
@@ -30,6 +30,12 @@
     return "cowsliprock/state/" + std::to_string(shard) + "/";
 }
 
+/// How jobs ended that need no owner any more; a take-over does not read them.
+inline std::string endedPrefix(std::uint32_t shard)
+{
+    return "cowsliprock/ended/" + std::to_string(shard) + "/";
+}
+
 /// Workers that the owner of a shard uses, for its successor.
 inline std::string roster(std::uint32_t shard)
 {
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -1,5 +1,7 @@
 #include "scheduler.h"
 
+#include "keys.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -162,8 +164,10 @@
         if (!job->active() && current - job->endedAt > m_settings.statusKept)
             ended.push_back(id);
     }
-    for (const auto &id : ended)
-        jobRemoved(id);
+    for (const auto &id : ended) {
+        m_jobs.erase(id);
+        m_writer.remove(keys::endedPrefix(m_settings.shard) + id);
+    }
     m_ports.timers.after(garbageInterval, [this, alive = m_alive] {
         if (*alive)
             collectGarbage();
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -152,6 +152,7 @@
     void stopAllRuns(const std::string &job, const char *reason);
     void endJob(Job &job, JobStatus status);
     void save(Job &job);
+    void retire(Job &job);
     [[nodiscard]] bool mayStart(Job &job);
     void beginDueOccurrences(Job &job);
     void finishRecovery();
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -36,8 +36,11 @@
                         { "revision", created },
                         { "status", toString(job.status) },
                         { "steps", static_cast<std::uint64_t>(record.spec.steps.size()) } });
-    if (!job.active())
+    if (!job.active()) {
+        // The former owner noted the end, or the cancellation came before any owner.
+        retire(job);
         return;
+    }
     m_activeJobs.insert(record.id);
     beginDueOccurrences(job);
     requestPass();
@@ -46,15 +49,28 @@
 void Scheduler::jobRemoved(const std::string &id)
 {
     Job *job = m_jobs.find(id);
-    if (job == nullptr)
+    // The record of an ended job is removed by this owner itself.
+    if (job == nullptr || !job->active())
         return;
+    m_ports.log.write(now(), "job.removed", { { "job", id } });
     stopAllRuns(id, "the job was removed");
     m_activeJobs.erase(id);
     m_jobs.erase(id);
-    m_writer.remove(keys::jobsPrefix(m_settings.shard) + id);
     m_writer.remove(keys::statesPrefix(m_settings.shard) + id);
 }
 
+void Scheduler::retire(Job &job)
+{
+    const auto &id = job.record.id;
+    m_writer.write(keys::endedPrefix(m_settings.shard) + id, toString(job.status));
+    // In this order, a successor at any point finds the end of the job.
+    m_writer.whenDurable([this, id] {
+        m_writer.remove(keys::jobsPrefix(m_settings.shard) + id);
+        m_writer.whenDurable(
+            [this, id] { m_writer.remove(keys::statesPrefix(m_settings.shard) + id); });
+    });
+}
+
 void Scheduler::beginDueOccurrences(Job &job)
 {
     if (job.record.spec.repeatCount == 0) {
@@ -223,6 +239,7 @@
     job.endedAt = now();
     m_activeJobs.erase(job.record.id);
     save(job);
+    retire(job);
     m_ports.metrics.count(std::string("jobs.") + toString(status));
     m_writer.whenDurable([this, id = job.record.id] {
         if (Job *known = m_jobs.find(id)) {
--- a/libs/cell/src/shard.cpp
+++ b/libs/cell/src/shard.cpp
@@ -14,6 +14,9 @@
                                              std::chrono::milliseconds(25) };
 constexpr std::chrono::milliseconds retryDelay{ 150 };
 constexpr std::chrono::milliseconds rosterDelay{ 300 };
+/// Ends that former owners noted are looked at this often, to remove the old ones.
+constexpr Duration sweepInterval{ std::chrono::seconds(60) };
+constexpr Duration sweepPageInterval{ std::chrono::seconds(1) };
 
 std::string lastPart(const std::string &key)
 {
@@ -29,6 +32,7 @@
     , m_records(records)
     , m_shard(settings.shard)
     , m_lost(std::move(lost))
+    , m_statusKept(settings.statusKept)
     , m_writer(store, ports.timers, std::move(fence), [this] { loseOwnership(); })
     , m_scheduler(ports, settings, m_writer, [this] { loseOwnership(); })
     , m_jobs(store, ports.timers, keys::jobsPrefix(settings.shard), jobsWatch,
@@ -90,6 +94,9 @@
     // Workers are asked once all jobs are known: what they say of an unknown job is dropped.
     if (std::exchange(m_jobsKnown, true))
         return;
+    // What is left belongs to jobs whose records were removed after their end.
+    for (const auto &[id, progress] : m_progress)
+        m_writer.remove(keys::statesPrefix(m_shard) + id);
     m_progress.clear();
     readRoster();
 }
@@ -121,6 +128,43 @@
         return;
     m_scheduler.loaded();
     scheduleRoster();
+    scheduleSweep(sweepInterval, "");
+}
+
+void Shard::scheduleSweep(Duration delay, const std::string &after)
+{
+    m_ports.timers.after(delay, [this, alive = m_alive, after] {
+        if (*alive)
+            sweepEnded(after);
+    });
+}
+
+void Shard::sweepEnded(const std::string &after)
+{
+    m_store.list(keys::endedPrefix(m_shard), after,
+                 [this, alive = m_alive](const Result<StorePage> &page) {
+                     if (!*alive)
+                         return;
+                     if (!page.has_value()) {
+                         scheduleSweep(sweepInterval, "");
+                         return;
+                     }
+                     const auto now = m_ports.timers.now();
+                     for (const auto &item : page.value().items) {
+                         // This owner removes the ends that it noted itself.
+                         if (m_scheduler.status(lastPart(item.key)))
+                             continue;
+                         const auto seen = m_endedSeen.try_emplace(item.key, now).first->second;
+                         if (now - seen < m_statusKept)
+                             continue;
+                         m_endedSeen.erase(item.key);
+                         m_writer.known(item.key, item.revision);
+                         m_writer.remove(item.key);
+                     }
+                     const bool more = page.value().more && !page.value().items.empty();
+                     scheduleSweep(more ? sweepPageInterval : sweepInterval,
+                                   more ? page.value().items.back().key : std::string());
+                 });
 }
 
 void Shard::applyJob(const StoreItem &item)
@@ -131,8 +175,8 @@
         return;
     }
     std::optional<JobProgress> progress;
-    if (const auto stored = m_progress.find(record->id); stored != m_progress.end())
-        progress = stored->second;
+    if (auto stored = m_progress.extract(record->id); !stored.empty())
+        progress = std::move(stored.mapped());
     m_writer.known(item.key, item.revision);
     m_scheduler.jobStored(*record, item.created, progress);
 }
--- a/libs/cell/src/shard.h
+++ b/libs/cell/src/shard.h
@@ -51,6 +51,8 @@
     void applyWorker(const StoreItem &item);
     void removeWorker(const std::string &key);
     void finishLoading();
+    void sweepEnded(const std::string &after);
+    void scheduleSweep(Duration delay, const std::string &after);
     void scheduleRoster();
     void loseOwnership();
 
@@ -63,6 +65,8 @@
     bool m_jobsKnown = false;
     bool m_loaded = false;
     bool m_rosterScheduled = false;
+    std::map<std::string, TimePoint> m_endedSeen; ///< Ends that former owners noted.
+    Duration m_statusKept;
     std::string m_storedRoster;
     FencedWriter m_writer;
     Scheduler m_scheduler;
--- a/libs/cell/src/submissions.cpp
+++ b/libs/cell/src/submissions.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Each job takes a condition and a write of a transaction.
-constexpr std::size_t maxJobsPerTransaction = maxTransactionEntries / 2;
+/// Each job takes two conditions and a write of a transaction.
+constexpr std::size_t maxJobsPerTransaction = maxTransactionEntries / 3;
 constexpr std::size_t maxInFlight = 4;
 constexpr std::chrono::milliseconds retryDelay{ 100 };
 constexpr std::uint32_t failuresUntilFailing = 2;
@@ -28,8 +28,8 @@
     *m_alive = false;
 }
 
-void Submissions::submit(const std::string &key, std::string value, TimePoint deadline,
-                         Done<SubmitResult> done)
+void Submissions::submit(const std::string &key, const std::string &endedKey, std::string value,
+                         TimePoint deadline, Done<SubmitResult> done)
 {
     if (storeFailing()) {
         // One submission at a time finds out whether the store is back. The others are refused
@@ -41,7 +41,7 @@
         }
         m_nextProbe = m_timers.now() + probeInterval;
     }
-    again({ key, std::move(value), deadline, false, std::move(done) });
+    again({ key, endedKey, std::move(value), deadline, false, std::move(done) });
 }
 
 bool Submissions::storeFailing() const noexcept
@@ -86,6 +86,7 @@
     Transaction transaction;
     for (const auto &entry : batch) {
         transaction.conditions.push_back({ entry.key, 0 });
+        transaction.conditions.push_back({ entry.endedKey, 0 });
         transaction.writes.push_back({ entry.key, entry.value, 0 });
     }
     ++m_inFlight;
@@ -129,7 +130,9 @@
         // The key exists: an earlier try or the same job through another daemon created it.
         const bool exists = failed != nullptr
             && std::any_of(failed->present.begin(), failed->present.end(),
-                           [&entry](const StoreItem &item) { return item.key == entry.key; });
+                           [&entry](const StoreItem &item) {
+                               return item.key == entry.key || item.key == entry.endedKey;
+                           });
         if (exists)
             finish(entry, SubmitResult::Accepted);
         else
--- a/libs/cell/src/submissions.h
+++ b/libs/cell/src/submissions.h
@@ -27,8 +27,9 @@
     Submissions &operator=(const Submissions &) = delete;
 
     /// Tries until \p deadline. \p done is called exactly once.
-    void submit(const std::string &key, std::string value, TimePoint deadline,
-                Done<SubmitResult> done);
+    /// \p endedKey exists if the job was accepted before and has ended.
+    void submit(const std::string &key, const std::string &endedKey, std::string value,
+                TimePoint deadline, Done<SubmitResult> done);
 
     /// True if the last calls of the store failed and none has succeeded since.
     [[nodiscard]] bool storeFailing() const noexcept;
@@ -37,6 +38,7 @@
     struct Entry
     {
         std::string key;
+        std::string endedKey;
         std::string value;
         TimePoint deadline{};
         bool uncertain = false; ///< A try may have taken effect.
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -183,8 +183,7 @@
                         Done<Result<OrderOutcome>> done)
 {
     order(
-        worker, [startOrder](WorkerModel &model) { return model.start(startOrder); },
-        std::move(done));
+        worker, [startOrder](WorkerModel &model) { return model.start(startOrder); }, done);
 }
 
 void NodeWorkers::stop(const WorkerTarget &worker, const TaskId &task, std::uint32_t run,
@@ -195,7 +194,7 @@
         [task, run, fencingToken](WorkerModel &model) {
             return model.stop(task, run, fencingToken);
         },
-        std::move(done));
+        done);
 }
 
 void NodeWorkers::inventory(const WorkerTarget &worker, const InventoryRequest &request,
--- a/standins/cell/tests/cell_test.cpp
+++ b/standins/cell/tests/cell_test.cpp
@@ -114,6 +114,29 @@
     checkPromises(world);
 }
 
+BOOST_AUTO_TEST_CASE(tellsTheEndOfAJobAfterAChangeOfOwner)
+{
+    World world({});
+    world.run(startTime);
+    world.submit(0, jobId(1), batch(2));
+    world.run(seconds(3));
+    // The job's records are gone; what is left is how it ended.
+    BOOST_TEST(!world.store().read("cowsliprock/job/0/" + jobId(1)).has_value());
+    BOOST_TEST(!world.store().read("cowsliprock/state/0/" + jobId(1)).has_value());
+    world.kill(*world.owner());
+    world.run(seconds(4));
+    const auto node = *world.owner();
+    BOOST_TEST((world.status(node, jobId(1)) == JobStatus::Completed));
+    std::optional<SubmitResult> again;
+    world.submit(node, jobId(1), batch(2), &again);
+    world.cancel(node, jobId(1));
+    world.run(seconds(3));
+    BOOST_TEST((again == SubmitResult::Accepted));
+    BOOST_TEST(world.promises().starts() == 2U);
+    BOOST_TEST((world.status(node, jobId(1)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
 BOOST_AUTO_TEST_CASE(handsOverWithoutStoppingATask)
 {
     World world({});
