Give nothing new to a worker that runs something of unknown size

Cause: two cancelled jobs were being stopped on a worker when the owner changed; their records were gone, and the new owner booked the worker's free room for each in turn. Ruled out: orders of the former owner; stopping runs that are not listed. Conclusion: such a worker waits until the run has ended.

--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -273,8 +273,7 @@
         run.checkpointing = spec.checkpointing;
         run.speculative = spec.speculative;
     } else {
-        // Its size is not known: the worker takes nothing new until it has ended.
-        run.held = worker.free();
+        run.sizeUnknown = true;
     }
     m_ports.log.write(
         now(), wanted ? "run.adopted" : "run.unexpected",
--- a/libs/cell/src/workertable.cpp
+++ b/libs/cell/src/workertable.cpp
@@ -31,13 +31,14 @@
 bool usable(const Worker &worker, TimePoint now)
 {
     return worker.fenced && worker.reachable && !worker.entry.draining
-        && worker.health.quarantinedUntil <= now
+        && worker.runsOfUnknownSize == 0 && worker.health.quarantinedUntil <= now
         && (!worker.unlistedSince || now - *worker.unlistedSince < unlistedGrace);
 }
 
 Run &addRun(Worker &worker, Run run)
 {
     worker.held += run.held;
+    worker.runsOfUnknownSize += run.sizeUnknown ? 1 : 0;
     const RunKey key(run.task, run.number);
     return worker.runs.insert_or_assign(key, std::move(run)).first->second;
 }
@@ -48,6 +49,7 @@
     if (entry == worker.runs.end())
         return false;
     worker.held -= entry->second.held;
+    worker.runsOfUnknownSize -= entry->second.sizeUnknown ? 1 : 0;
     worker.runs.erase(entry);
     return true;
 }
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -27,6 +27,7 @@
     TaskId task;
     std::uint32_t number = 0;
     Resources held;
+    bool sizeUnknown = false; ///< Its job is not known any more.
     std::uint32_t priority = 0;
     RunPhase phase = RunPhase::Starting;
     bool gang = false;
@@ -67,6 +68,7 @@
     TimePoint lastContact{};
     bool reachable = false;
     Resources held;
+    std::uint32_t runsOfUnknownSize = 0; ///< While there are any, it takes nothing new.
     std::map<RunKey, Run> runs;
     WorkerHealth health;
 
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -39,6 +39,7 @@
         std::uint32_t workers = 6;
         Resources workerCapacity{ 16000, 65536, 0 };
         std::uint32_t seed = 1;
+        Duration stopTime{ std::chrono::milliseconds(50) }; ///< That a stop of a task takes.
         bool advice = false;
         double adviceAllows = 0.6; ///< Share of the workers that a step may use.
     };
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -42,6 +42,7 @@
         WorkerModel::Settings workerSettings;
         workerSettings.id = "worker-" + std::to_string(index);
         workerSettings.capacity = settings.workerCapacity;
+        workerSettings.stopTime = settings.stopTime;
         slot->model = std::make_unique<WorkerModel>(
             m_time, workerSettings, [this](const TaskId &task) { return plan(task); }, m_promises);
         slot->model->gangPresence = [this](const TaskId &task, std::uint32_t run) {
--- a/standins/cell/tests/failures_test.cpp
+++ b/standins/cell/tests/failures_test.cpp
@@ -146,6 +146,32 @@
     BOOST_TEST(world.promises().starts() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(runsOfForgottenJobsHoldTheirRoomUntilEachHasEnded)
+{
+    World::Settings settings;
+    settings.workers = 1;
+    settings.stopTime = milliseconds(900);
+    World world(settings);
+    world.run(startTime);
+    const auto owner = *world.owner();
+    const auto other = follower(world);
+    world.submit(other, jobId(1), batch(1, seconds(20)));
+    world.submit(other, jobId(2), batch(2, seconds(6)));
+    world.submit(other, jobId(3), batch(1, seconds(20)));
+    world.run(seconds(1));
+    // Two jobs are being stopped when the owner changes; their records are gone by then.
+    world.cancel(other, jobId(1));
+    world.run(milliseconds(400));
+    world.cancel(other, jobId(3));
+    world.run(milliseconds(200));
+    world.terminate(owner);
+    world.run(milliseconds(150));
+    world.submit(other, jobId(4), batch(4, seconds(1)));
+    world.run(seconds(10));
+    BOOST_TEST((world.status(other, jobId(4)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
 BOOST_AUTO_TEST_CASE(knownOutageRefusesAtOnceAndTruly)
 {
     World world({});
