Hand the log on in whole lines and only when there is something to say; bound bytes and repetitions

Moved into a library of its own. Tests: base_test (burst, bytes, an hour of outage, stalled reader, whole lines).

--- a/apps/cowsliprockd/main.cpp
+++ b/apps/cowsliprockd/main.cpp
@@ -1,4 +1,4 @@
-#include <base/logging.h>
+#include <logging/logging.h>
 #include <runtime/daemon.h>
 #include <settings/daemonsettings.h>
 
--- a/libs/base/include/base/eventlog.h
+++ b/libs/base/include/base/eventlog.h
@@ -2,8 +2,11 @@
 
 #include <base/time.h>
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -52,22 +55,27 @@
     Value value;
 };
 
-/// Structured log: one JSON object a line, buffered, with a bounded rate.
-/// Lines above the rate are counted and reported by a line of their own. Writing never blocks:
-/// what the reader does not take stays in the buffer, and lines that no longer fit are dropped.
+/// Structured log: one JSON object a line, buffered, with a bounded rate of lines and bytes.
+/// Lines above the rate are counted and reported by a line of their own, and so are lines that
+/// repeat the one before of their event. Writing never blocks: what the reader does not take stays
+/// in the buffer, and lines that no longer fit are dropped.
 /// Not thread-safe; belongs to the event loop's thread.
 class EventLog
 {
 public:
+    using TimeOfDay = std::function<std::chrono::system_clock::time_point()>;
+
     struct Limits
     {
         std::uint32_t linesPerSecond = 2000;
+        std::size_t bytesPerSecond = 512UL * 1024UL;
         std::size_t bufferBytes = 256UL * 1024UL;
     };
 
     /// \p descriptor is written to by flush(); it is set to non-blocking. -1 keeps all lines in
-    /// the buffer, for tests.
-    EventLog(int descriptor, std::string process, Limits limits);
+    /// the buffer, for tests. \p timeOfDay dates the lines, so that logs of several machines can
+    /// be merged; without it they have no date.
+    EventLog(int descriptor, std::string process, Limits limits, TimeOfDay timeOfDay = {});
     EventLog(int descriptor, std::string process)
         : EventLog(descriptor, std::move(process), Limits())
     { }
@@ -75,22 +83,38 @@
     /// Adds a line. \p now bounds the rate and is printed as "t" in milliseconds.
     void write(TimePoint now, std::string_view event, std::initializer_list<LogField> fields);
 
-    /// Writes as much of the buffer as the reader takes.
-    void flush();
+    /// \p action is called from write() when lines begin to wait for a flush.
+    void onWaiting(std::function<void()> action) { m_waiting = std::move(action); }
+
+    /// Writes as much of the buffer as the reader takes. Returns false if a part is left.
+    bool flush();
 
     [[nodiscard]] std::uint64_t dropped() const noexcept { return m_dropped; }
     [[nodiscard]] const std::string &buffered() const noexcept { return m_buffer; }
 
 private:
-    bool admit(TimePoint now);
-    void append(TimePoint now, std::string_view event, std::initializer_list<LogField> fields);
+    /// The last line of an event in the current window, for the count of its repetitions.
+    struct Last
+    {
+        std::string fields;
+        std::uint64_t repeats = 0;
+    };
+
+    void beginWindow(TimePoint now);
+    [[nodiscard]] bool admit(std::size_t bytes);
+    [[nodiscard]] bool repeats(std::string_view event, const std::string &fields);
+    void append(TimePoint now, std::string_view event, const std::string &fields);
 
     int m_descriptor;
     std::string m_process;
     Limits m_limits;
+    TimeOfDay m_timeOfDay;
+    std::function<void()> m_waiting;
     std::string m_buffer;
     TimePoint m_windowStart{};
     std::uint32_t m_linesInWindow = 0;
+    std::size_t m_bytesInWindow = 0;
+    std::map<std::string, Last, std::less<>> m_last;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_droppedInWindow = 0;
 };
--- a/libs/base/src/logging.cpp
+++ b/libs/logging/src/logging.cpp
@@ -1,4 +1,4 @@
-#include <base/logging.h>
+#include <logging/logging.h>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
--- a/libs/runtime/src/daemon.cpp
+++ b/libs/runtime/src/daemon.cpp
@@ -4,7 +4,7 @@
 #include "kernelloop.h"
 #include "peerinbox.h"
 
-#include <base/logging.h>
+#include <logging/logging.h>
 #include <platform/endpointclient.h>
 #include <platform/storeclient.h>
 #include <platform/vmlistclient.h>
--- a/libs/runtime/src/effectrouter.cpp
+++ b/libs/runtime/src/effectrouter.cpp
@@ -2,7 +2,7 @@
 
 #include "messagebody.h"
 
-#include <base/logging.h>
+#include <logging/logging.h>
 
 namespace cowsliprock {
 
--- a/libs/settings/include/settings/daemonsettings.h
+++ b/libs/settings/include/settings/daemonsettings.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <base/error.h>
-#include <base/logging.h>
 #include <kernel/settings.h>
+#include <logging/logging.h>
 
 #include <cstdint>
 #include <string>
