Add an HTTP stand-in of the users' platform and an experiment program around real daemons

standins/cellhttp: store, workers and policy service over HTTP on the models of standins/cell. apps/experiment: plays a checked plan (load, troubles) or one drawn from a seed against daemons in processes of their own, behind loopback proxies, and checks the promises while it runs.

--- /dev/null
+++ b/apps/experiment/include/experiment/experiment.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <experiment/cell.h>
+#include <experiment/plan.h>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <vector>
+
+namespace cowsliprock::experiment {
+
+struct Outcome
+{
+    std::vector<std::string> broken; ///< One line for each promise that was not kept.
+    std::string report;              ///< JSON: plan, counts by kind and second, costs.
+};
+
+/// Plays a plan against daemons in processes of their own; takes as long as the plan says.
+[[nodiscard]] Result<Outcome> play(const Plan &plan, const Cell::Paths &paths);
+
+} // namespace cowsliprock::experiment
--- /dev/null
+++ b/apps/experiment/include/experiment/measurements.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <experiment/plan.h>
+
+#include <standincell/promises.h>
+
+#include <cell/model.h>
+#include <eventloop/timers.h>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cowsliprock::experiment {
+
+/// What callers and workers saw, by kind of job and by second. Passes everything on to the
+/// promises.
+class Measurements : public standincell::WorkerObserver
+{
+public:
+    Measurements(const Plan &plan, Timers &timers, standincell::Promises &promises);
+
+    /// Begins the first second.
+    void begin();
+
+    void submitted(const std::string &job, std::size_t kind);
+    void accepted(const std::string &job);
+    void refused(const std::string &job);
+    void unknown(const std::string &job);
+    void ended(const std::string &job, cell::JobStatus status);
+    void storeCalls(std::uint64_t total);
+
+    void started(const std::string &worker, const cell::TaskId &task, std::uint32_t run,
+                 const Resources &heldBefore, const Resources &capacity) override;
+    void ended(const std::string &worker, const cell::FinishedTask &end) override;
+    void acknowledged(const std::string &worker, const cell::FinishedTask &end) override;
+    void crashed(const std::string &worker) override;
+
+    [[nodiscard]] std::uint64_t jobsAccepted() const noexcept { return m_accepted; }
+    [[nodiscard]] std::uint64_t tasksStarted() const noexcept { return m_started; }
+
+    [[nodiscard]] nlohmann::json kindsReport() const;
+    [[nodiscard]] nlohmann::json secondsReport() const;
+
+    /// Longest time without a start while accepted jobs waited for their first one.
+    [[nodiscard]] Duration longestGap() const noexcept { return m_longestGap; }
+
+private:
+    struct Job
+    {
+        std::size_t kind = 0;
+        TimePoint submitted{};
+        bool accepted = false;
+        bool started = false;
+    };
+    struct Kind
+    {
+        std::map<std::string, std::uint64_t> outcomes;
+        std::vector<double> waitMs;  ///< From the submission to the first start.
+        std::vector<double> totalMs; ///< From the submission to the end as a caller saw it.
+    };
+    struct Second
+    {
+        std::map<std::string, std::uint64_t> counts;
+    };
+
+    Second &second();
+    void count(const std::string &what);
+    void noteStart();
+
+    const Plan &m_plan;
+    Timers &m_timers;
+    standincell::Promises &m_promises;
+    TimePoint m_begin{};
+    std::map<std::string, Job> m_jobs;
+    std::vector<Kind> m_kinds;
+    std::vector<Second> m_seconds;
+    std::uint64_t m_accepted = 0;
+    std::uint64_t m_started = 0;
+    std::uint64_t m_waiting = 0; ///< Accepted jobs without a start.
+    std::uint64_t m_storeCalls = 0;
+    TimePoint m_lastStart{};
+    Duration m_longestGap{};
+};
+
+} // namespace cowsliprock::experiment
--- /dev/null
+++ b/apps/experiment/src/cell.cpp
@@ -0,0 +1,480 @@
+#include <experiment/cell.h>
+
+#include <standincell/documents.h>
+
+#include <base/id.h>
+#include <eventloop/eventloop.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <unistd.h>
+#include <utility>
+
+namespace cowsliprock::experiment {
+
+using namespace cell;
+using namespace standincell;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds restartDelay{ 400 };
+constexpr milliseconds probeInterval{ 1000 };
+constexpr milliseconds probeTimeout{ 500 };
+constexpr std::uint32_t missesUntilOut = 2;
+/// A worker that says nothing is taken out of discovery after three heartbeats.
+constexpr milliseconds entryTime{ 4500 };
+constexpr milliseconds ticketTime{ 2500 };
+constexpr std::uint64_t allowedPerMille = 700;
+constexpr std::uint16_t clientPort = 7001;
+constexpr std::uint16_t readyPort = 7002;
+constexpr std::uint16_t peerPort = 7003;
+constexpr int graceSeconds = 6;
+constexpr unsigned statusOk = 200;
+
+const SocketAddress anyPort{ "127.0.0.1", 0 };
+
+/// A loopback address for each daemon of each experiment that runs at a time.
+std::string loopbackAddress(std::uint32_t daemon)
+{
+    const auto process = static_cast<std::uint32_t>(getpid());
+    return "127." + std::to_string(64 + process / 250 % 128) + "." + std::to_string(process % 250)
+        + "." + std::to_string(daemon + 1);
+}
+
+std::uint64_t bytesOf(const FaultProxy &proxy)
+{
+    return proxy.bytes(Direction::ToServer) + proxy.bytes(Direction::ToClient);
+}
+
+} // namespace
+
+struct Cell::Worker
+{
+    std::unique_ptr<WorkerModel> model;
+    std::unique_ptr<WorkerServer> server;
+    std::unique_ptr<FaultProxy> proxy;
+    std::string address;
+    bool draining = false;
+    WorkerBehaviour behaviour = WorkerBehaviour::Healthy;
+};
+
+struct Cell::Daemon
+{
+    std::string name;
+    std::string ip;
+    std::unique_ptr<StoreServer> store;
+    std::unique_ptr<AdviceServer> advice;
+    std::unique_ptr<FaultProxy> storeProxy;
+    std::unique_ptr<FaultProxy> clientProxy;
+    std::unique_ptr<DaemonProcess> process;
+    SocketAddress front;
+    SocketAddress storeAddress;
+    SocketAddress adviceAddress;
+    std::uint32_t misses = 0;
+    bool told = false; ///< A signal that ends it was sent.
+};
+
+Cell::Cell(EventLoop &loop, const Plan &plan, Paths paths, const WorkerModel::Planner &planner,
+           WorkerObserver &observer)
+    : m_loop(loop)
+    , m_plan(plan)
+    , m_paths(std::move(paths))
+    , m_planner(planner)
+    , m_observer(observer)
+    , m_store(loop)
+    , m_client(loop)
+{ }
+
+Cell::~Cell() = default;
+
+Result<void> Cell::start()
+{
+    std::filesystem::create_directories(m_paths.folder);
+    changeConfiguration();
+    for (std::uint32_t number = 0; number < m_plan.workers; ++number) {
+        BOOST_OUTCOME_TRYV(startWorker(number));
+    }
+    std::vector<WorkerModel *> models;
+    for (const auto &worker : m_workers)
+        models.push_back(worker->model.get());
+    linkGangs(models);
+    for (std::uint32_t number = 0; number < m_plan.daemons; ++number) {
+        BOOST_OUTCOME_TRYV(startDaemon(number));
+    }
+    m_loop.onSignal(SIGCHLD, [this] { reapDaemons(); });
+    probe();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> Cell::startWorker(std::uint32_t number)
+{
+    auto worker = std::make_unique<Worker>();
+    WorkerModel::Settings settings;
+    settings.id = "worker-" + std::to_string(number);
+    settings.capacity = m_plan.workerCapacity;
+    worker->model = std::make_unique<WorkerModel>(m_loop, settings, m_planner, m_observer);
+    worker->server = std::make_unique<WorkerServer>(
+        m_loop, *worker->model, m_plan.seed + number,
+        [this, &slot = *worker](const std::string &step, const std::string &ticketValue) {
+            return ticketValid(slot, step, ticketValue);
+        });
+    BOOST_OUTCOME_TRY(address, worker->server->listen(anyPort));
+    worker->proxy = std::make_unique<FaultProxy>(m_loop, address);
+    BOOST_OUTCOME_TRY(published, worker->proxy->listen(anyPort));
+    worker->address = published.text();
+    publish(*worker);
+    m_workers.push_back(std::move(worker));
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> Cell::startDaemon(std::uint32_t number)
+{
+    auto daemon = std::make_unique<Daemon>();
+    daemon->name = "daemon-" + std::to_string(number);
+    daemon->ip = loopbackAddress(number);
+    daemon->store = std::make_unique<StoreServer>(m_loop, m_store, m_plan.seed * 1000 + number);
+    daemon->store->delay(m_plan.storeDelay);
+    BOOST_OUTCOME_TRY(store, daemon->store->listen(anyPort));
+    daemon->storeProxy = std::make_unique<FaultProxy>(m_loop, store);
+    BOOST_OUTCOME_TRY(storeProxy, daemon->storeProxy->listen(anyPort));
+    daemon->storeAddress = storeProxy;
+    daemon->advice = std::make_unique<AdviceServer>(m_loop, policy());
+    BOOST_OUTCOME_TRY(advice, daemon->advice->listen(anyPort));
+    daemon->adviceAddress = advice;
+    daemon->clientProxy =
+        std::make_unique<FaultProxy>(m_loop, SocketAddress{ daemon->ip, clientPort });
+    BOOST_OUTCOME_TRY(front, daemon->clientProxy->listen(anyPort));
+    daemon->front = front;
+    const auto file = [this, &daemon](const char *suffix) {
+        return (m_paths.folder / (daemon->name + suffix)).string();
+    };
+    daemon->process = std::make_unique<DaemonProcess>(
+        DaemonProcess::Settings{ m_paths.program, file(".json"), file(".log") });
+    writeSettings(*daemon);
+    BOOST_OUTCOME_TRYV(daemon->process->start());
+    m_daemons.push_back(std::move(daemon));
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void Cell::writeSettings(const Daemon &daemon) const
+{
+    const auto at = [&daemon](std::uint16_t port) {
+        return SocketAddress{ daemon.ip, port }.text();
+    };
+    const nlohmann::json settings{
+        { "node_name", daemon.name },
+        { "zone", "z" },
+        { "listen",
+          { { "front", at(clientPort) },
+            { "ready", at(readyPort) },
+            { "control", at(peerPort) } } },
+        { "platform", { { "address", daemon.storeAddress.text() } } },
+        { "advice", daemon.adviceAddress.text() },
+        { "limits", { { "cpu_share", 1.0 }, { "cores", 1 } } },
+        { "bounds", { { "hold_max_ms", 10000 }, { "grace_s", graceSeconds }, { "status_s", 120 } } }
+    };
+    std::ofstream(m_paths.folder / (daemon.name + ".json")) << settings.dump(2) << '\n';
+}
+
+void Cell::publish(Worker &worker)
+{
+    m_store.put(workerKey(worker.model->id()),
+                workerDocument(*worker.model, worker.address, worker.draining));
+}
+
+void Cell::changeConfiguration()
+{
+    std::vector<QueueSettings> queues;
+    for (const auto &kind : m_plan.kinds) {
+        QueueSettings queue;
+        queue.name = kind.name;
+        queue.host = "cell.example";
+        queue.prefix = "/" + kind.name + "/";
+        queue.service = "s";
+        queue.priority = kind.priority;
+        queue.maxAttempts = kind.maxAttempts;
+        queue.extension = 2.0;
+        queue.targetRuntime = std::chrono::seconds(1);
+        queue.timeout = std::chrono::seconds(3);
+        if (kind.adviceTime > Duration::zero())
+            queue.advice = AdviceSettings{ kind.adviceTime, {}, ticketTime };
+        queues.push_back(std::move(queue));
+    }
+    m_store.put(configurationKey, configurationDocument(++m_version, queues));
+}
+
+AdviceServer::Policy Cell::policy() const
+{
+    AdviceServer::Policy policy;
+    for (const auto &kind : m_plan.kinds)
+        policy.decision = std::max(policy.decision, kind.adviceTime);
+    policy.validity = ticketTime;
+    policy.allowed = [this](const std::string &step, const std::string &worker) {
+        return allowed(step, worker);
+    };
+    policy.ticket = [this](const std::string & /*step*/, const std::string &worker) {
+        return ticket(worker);
+    };
+    return policy;
+}
+
+bool Cell::allowed(const std::string &step, const std::string &worker) const
+{
+    return stableHash(step + worker) % 1000 < allowedPerMille;
+}
+
+std::string Cell::ticket(const std::string &worker) const
+{
+    const auto found = std::find_if(m_workers.begin(), m_workers.end(), [&worker](const auto &one) {
+        return one->model->id() == worker;
+    });
+    if (found == m_workers.end())
+        return {};
+    const auto expires = m_loop.now() + ticketTime;
+    return std::to_string((*found)->model->born()) + ":"
+        + std::to_string(expires.time_since_epoch().count());
+}
+
+bool Cell::ticketValid(const Worker &worker, const std::string &step,
+                       const std::string &ticketValue) const
+{
+    // Steps of queues without a policy carry no ticket.
+    if (ticketValue.empty())
+        return true;
+    const auto colon = ticketValue.find(':');
+    const Duration expires(std::strtoll(ticketValue.c_str() + colon + 1, nullptr, 10));
+    return allowed(step, worker.model->id())
+        && ticketValue.substr(0, colon) == std::to_string(worker.model->born())
+        && m_loop.now().time_since_epoch() <= expires;
+}
+
+const SocketAddress &Cell::front(std::uint32_t daemon) const
+{
+    return m_daemons.at(daemon)->front;
+}
+
+std::vector<std::uint32_t> Cell::rotation() const
+{
+    std::vector<std::uint32_t> ready;
+    std::vector<std::uint32_t> all;
+    for (std::uint32_t number = 0; number < m_daemons.size(); ++number) {
+        all.push_back(number);
+        if (m_daemons[number]->misses < missesUntilOut)
+            ready.push_back(number);
+    }
+    return ready.empty() ? all : ready;
+}
+
+void Cell::probe()
+{
+    for (const auto &daemon : m_daemons) {
+        HttpCall call;
+        call.peer = { daemon->ip, readyPort };
+        call.target = "/v1/readyz";
+        call.timeout = probeTimeout;
+        m_client.call(call, [&daemon = *daemon](const HttpOutcome &outcome) {
+            const auto *answer = std::get_if<HttpAnswer>(&outcome);
+            if (answer != nullptr && answer->status == statusOk)
+                daemon.misses = 0;
+            else
+                ++daemon.misses;
+        });
+    }
+    m_loop.after(probeInterval, [this] { probe(); });
+}
+
+std::optional<std::uint32_t> Cell::owner() const
+{
+    const auto item = m_store.read(ownerKey);
+    if (!item)
+        return std::nullopt;
+    const auto name = ownerName(item->value);
+    const auto found = std::find_if(m_daemons.begin(), m_daemons.end(),
+                                    [&name](const auto &daemon) { return daemon->name == name; });
+    if (found == m_daemons.end())
+        return std::nullopt;
+    return static_cast<std::uint32_t>(found - m_daemons.begin());
+}
+
+void Cell::signal(std::uint32_t daemon, int number)
+{
+    auto &slot = *m_daemons.at(daemon);
+    slot.told = slot.told || number == SIGKILL || number == SIGTERM;
+    slot.process->signal(number);
+    // As the platform does, a process that ignores the request is killed.
+    if (number == SIGTERM) {
+        m_loop.after(std::chrono::seconds(graceSeconds), [&slot] {
+            if (slot.told)
+                slot.process->signal(SIGKILL);
+        });
+    }
+}
+
+void Cell::reapDaemons()
+{
+    for (auto &daemon : m_daemons) {
+        if (!daemon->process->reap())
+            continue;
+        if (!std::exchange(daemon->told, false) && !m_stopping)
+            m_unexpectedEnds.push_back("EXIT " + daemon->name + " ended by itself");
+        if (m_stopping)
+            continue;
+        m_loop.after(restartDelay, [this, &daemon = *daemon] {
+            if (m_stopping || daemon.process->running())
+                return;
+            if (const auto started = daemon.process->start(); !started.has_value())
+                m_unexpectedEnds.push_back(started.error().text());
+        });
+    }
+}
+
+void Cell::stopAll()
+{
+    m_stopping = true;
+    for (std::uint32_t number = 0; number < m_daemons.size(); ++number)
+        signal(number, SIGTERM);
+}
+
+void Cell::storeBehaves(std::optional<std::uint32_t> daemon, StoreBehaviour behaviour)
+{
+    for (std::uint32_t number = 0; number < m_daemons.size(); ++number) {
+        if (!daemon || *daemon == number)
+            m_daemons[number]->store->behave(behaviour);
+    }
+}
+
+void Cell::storeDelay(Duration delay)
+{
+    for (const auto &daemon : m_daemons)
+        daemon->store->delay(delay);
+}
+
+void Cell::crash(std::uint32_t number)
+{
+    auto &worker = *m_workers.at(number);
+    m_observer.crashed(worker.model->id());
+    worker.model->crash();
+    worker.proxy->resetConnections();
+    publish(worker);
+}
+
+void Cell::workerBehaves(std::uint32_t number, WorkerBehaviour behaviour)
+{
+    auto &worker = *m_workers.at(number);
+    worker.behaviour = behaviour;
+    worker.server->behave(behaviour);
+    if (behaviour != WorkerBehaviour::Silent) {
+        publish(worker);
+        return;
+    }
+    m_loop.after(entryTime, [this, &worker] {
+        if (worker.behaviour == WorkerBehaviour::Silent)
+            m_store.remove(workerKey(worker.model->id()));
+    });
+}
+
+void Cell::drain(std::uint32_t number, bool draining)
+{
+    auto &worker = *m_workers.at(number);
+    worker.draining = draining;
+    publish(worker);
+}
+
+void Cell::resetLinks()
+{
+    for (const auto &daemon : m_daemons) {
+        daemon->storeProxy->resetConnections();
+        daemon->clientProxy->resetConnections();
+    }
+    for (const auto &worker : m_workers)
+        worker->proxy->resetConnections();
+}
+
+void Cell::silenceLinks()
+{
+    for (const auto &daemon : m_daemons) {
+        daemon->storeProxy->silenceConnections();
+        daemon->clientProxy->silenceConnections();
+    }
+    for (const auto &worker : m_workers)
+        worker->proxy->silenceConnections();
+}
+
+void Cell::delayLinks(Duration delay)
+{
+    for (const auto &daemon : m_daemons)
+        daemon->storeProxy->delay(delay);
+    for (const auto &worker : m_workers)
+        worker->proxy->delay(delay);
+}
+
+void Cell::cutStoreLink(std::uint32_t daemon, Direction direction, bool isCut)
+{
+    m_daemons.at(daemon)->storeProxy->cut(direction, isCut);
+}
+
+std::map<std::string, std::uint64_t> Cell::storeCalls() const
+{
+    std::map<std::string, std::uint64_t> result;
+    for (const auto &daemon : m_daemons) {
+        for (const auto &[kind, count] : daemon->store->calls())
+            result[kind] += count;
+    }
+    return result;
+}
+
+std::map<std::string, std::uint64_t> Cell::workerCalls() const
+{
+    std::map<std::string, std::uint64_t> result;
+    for (const auto &worker : m_workers) {
+        for (const auto &[kind, count] : worker->server->calls())
+            result[kind] += count;
+    }
+    return result;
+}
+
+std::uint64_t Cell::adviceCalls() const
+{
+    std::uint64_t result = 0;
+    for (const auto &daemon : m_daemons)
+        result += daemon->advice->calls();
+    return result;
+}
+
+std::uint64_t Cell::workerConnections() const
+{
+    std::uint64_t result = 0;
+    for (const auto &worker : m_workers)
+        result += worker->proxy->connections();
+    return result;
+}
+
+std::uint64_t Cell::storeBytes() const
+{
+    std::uint64_t result = 0;
+    for (const auto &daemon : m_daemons)
+        result += bytesOf(*daemon->storeProxy);
+    return result;
+}
+
+std::uint64_t Cell::workerBytes() const
+{
+    std::uint64_t result = 0;
+    for (const auto &worker : m_workers)
+        result += bytesOf(*worker->proxy);
+    return result;
+}
+
+ProcessUsage Cell::usage() const
+{
+    ProcessUsage result;
+    for (const auto &daemon : m_daemons)
+        result += daemon->process->usage();
+    return result;
+}
+
+} // namespace cowsliprock::experiment
--- a/libs/eventloop/include/eventloop/eventloop.h
+++ b/libs/eventloop/include/eventloop/eventloop.h
@@ -27,7 +27,7 @@
     /// Calls \p action each time the process receives \p signalNumber.
     void onSignal(int signalNumber, const std::function<void()> &action);
 
-    /// Runs until stop(). Handles all events in the calling thread.
+    /// Runs until stop(). Handles all events in the calling thread. May be called again.
     void run();
     void stop();
 
--- a/libs/eventloop/src/eventloop.cpp
+++ b/libs/eventloop/src/eventloop.cpp
@@ -71,6 +71,7 @@
 void EventLoop::run()
 {
     const auto work = asio::make_work_guard(m_state->context);
+    m_state->context.restart();
     m_state->context.run();
 }
 
--- a/standins/cell/include/standincell/promises.h
+++ b/standins/cell/include/standincell/promises.h
@@ -24,12 +24,14 @@
     void cancelRequested(const std::string &job);
     void cancelled(const std::string &job);
     void shown(const std::string &job, cell::JobStatus status);
-    void workerCrashed(const std::string &worker);
+    /// A caller was told that there is no such job.
+    void missing(const std::string &job);
 
     void started(const std::string &worker, const cell::TaskId &task, std::uint32_t run,
                  const Resources &heldBefore, const Resources &capacity) override;
     void ended(const std::string &worker, const cell::FinishedTask &end) override;
     void acknowledged(const std::string &worker, const cell::FinishedTask &end) override;
+    void crashed(const std::string &worker) override;
 
     /// One line for each broken promise.
     [[nodiscard]] const std::vector<std::string> &broken() const noexcept { return m_broken; }
--- a/standins/cell/include/standincell/workermodel.h
+++ b/standins/cell/include/standincell/workermodel.h
@@ -34,6 +34,8 @@
     virtual void ended(const std::string &worker, const cell::FinishedTask &end) = 0;
     /// The worker may forget this end: it was acknowledged while the lease was running.
     virtual void acknowledged(const std::string &worker, const cell::FinishedTask &end) = 0;
+    /// Everything on the worker is gone.
+    virtual void crashed(const std::string &worker) = 0;
 };
 
 /// A worker: runs tasks under a lease, keeps the highest fencing token and a list of ends.
@@ -121,4 +123,7 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
+/// Lets the members of gangs on any of \p workers see each other and end together.
+void linkGangs(const std::vector<WorkerModel *> &workers);
+
 } // namespace cowsliprock::standincell
--- /dev/null
+++ b/standins/cell/src/documents.cpp
@@ -0,0 +1,82 @@
+#include <standincell/documents.h>
+
+#include <nlohmann/json.hpp>
+
+namespace cowsliprock::standincell {
+
+using namespace cell;
+using Json = nlohmann::json;
+
+namespace {
+
+double inMilliseconds(Duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+Json toJson(const QueueSettings &queue)
+{
+    Json route{ { "name", queue.name },
+                { "host", queue.host },
+                { "prefix", queue.prefix },
+                { "service", queue.service },
+                { "priority", queue.priority },
+                { "max_attempts", queue.maxAttempts },
+                { "extension", queue.extension },
+                { "target_runtime_ms", inMilliseconds(queue.targetRuntime) },
+                { "timeout_ms", inMilliseconds(queue.timeout) } };
+    if (queue.advice) {
+        route["advice"] = { { "decision_ms", inMilliseconds(queue.advice->decision) },
+                            { "period_ms", inMilliseconds(queue.advice->perWorker) },
+                            { "validity_ms", inMilliseconds(queue.advice->validity) } };
+    }
+    return route;
+}
+
+} // namespace
+
+const char *const configurationKey = "op/config";
+const char *const ownerKey = "cowsliprock/node/owner/0";
+
+std::string workerKey(const std::string &worker)
+{
+    return "servers/" + worker;
+}
+
+std::string workerDocument(const WorkerModel &worker, const std::string &address, bool draining)
+{
+    const auto &capacity = worker.capacity();
+    return Json{
+        { "service", "s" },
+        { "address", address },
+        { "zone", "z" },
+        { "version", "v1" },
+        { "slots", 8 },
+        { "state", draining ? "draining" : "ready" },
+        { "cold_remaining_ms", 0 },
+        { "capacity",
+          { { "cpu", capacity.cpuMillis },
+            { "mem_mb", capacity.memoryMb },
+            { "gpu", capacity.accelerators } } },
+        { "labels", { "a", "r1" } },
+        { "born", worker.born() }
+    }.dump();
+}
+
+std::string configurationDocument(std::uint64_t version, const std::vector<QueueSettings> &queues)
+{
+    Json routes = Json::array();
+    for (const auto &queue : queues)
+        routes.push_back(toJson(queue));
+    return Json{
+        { "version", version }, { "routes", std::move(routes) }, { "services", Json::array() }
+    }.dump();
+}
+
+std::string ownerName(const std::string &value)
+{
+    const Json json = Json::parse(value, nullptr, false);
+    return json.is_object() ? json.value("name", "") : std::string();
+}
+
+} // namespace cowsliprock::standincell
--- a/standins/cell/src/promises.cpp
+++ b/standins/cell/src/promises.cpp
@@ -70,7 +70,13 @@
     }
 }
 
-void Promises::workerCrashed(const std::string &worker)
+void Promises::missing(const std::string &id)
+{
+    if (const auto &job = m_jobs[id]; job.accepted && !job.cancelRequested)
+        m_broken.push_back("LOST " + id);
+}
+
+void Promises::crashed(const std::string &worker)
 {
     for (auto &[task, runs] : m_running)
         std::erase_if(runs, [&worker](const auto &run) { return run.first == worker; });
--- a/standins/cell/src/workermodel.cpp
+++ b/standins/cell/src/workermodel.cpp
@@ -228,4 +228,20 @@
         done(listing());
 }
 
+void linkGangs(const std::vector<WorkerModel *> &workers)
+{
+    for (WorkerModel *worker : workers) {
+        worker->gangPresence = [workers](const TaskId &task, std::uint32_t run) {
+            std::uint32_t sum = 0;
+            for (const WorkerModel *other : workers)
+                sum += other->present(task, run);
+            return sum;
+        };
+        worker->gangEnded = [workers](const TaskId &task, std::uint32_t run, EndKind kind) {
+            for (WorkerModel *other : workers)
+                other->endMember(task, run, kind);
+        };
+    }
+}
+
 } // namespace cowsliprock::standincell
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -2,12 +2,12 @@
 
 #include "ports.h"
 
+#include <standincell/documents.h>
+
 #include <records.h>
 
 #include <base/id.h>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 
 namespace cowsliprock::standincell {
@@ -45,19 +45,13 @@
         workerSettings.stopTime = settings.stopTime;
         slot->model = std::make_unique<WorkerModel>(
             m_time, workerSettings, [this](const TaskId &task) { return plan(task); }, m_promises);
-        slot->model->gangPresence = [this](const TaskId &task, std::uint32_t run) {
-            std::uint32_t sum = 0;
-            for (const auto &worker : m_workers)
-                sum += worker->model->present(task, run);
-            return sum;
-        };
-        slot->model->gangEnded = [this](const TaskId &task, std::uint32_t run, EndKind kind) {
-            for (const auto &worker : m_workers)
-                worker->model->endMember(task, run, kind);
-        };
         publishWorker(*slot);
         m_workers.push_back(std::move(slot));
     }
+    std::vector<WorkerModel *> models;
+    for (const auto &slot : m_workers)
+        models.push_back(slot->model.get());
+    linkGangs(models);
     for (std::uint32_t index = 0; index < settings.nodes; ++index) {
         m_nodes.push_back(std::make_unique<NodeSlot>(*this, m_time, m_store, nodeName(index)));
         start(index);
@@ -68,39 +62,27 @@
 
 void World::changeConfiguration()
 {
-    nlohmann::json route{ { "name", "batch" },   { "host", "h" },
-                          { "prefix", "/q/" },   { "service", "s" },
-                          { "priority", 1 },     { "max_attempts", attempts },
-                          { "extension", 2.0 },  { "target_runtime_ms", 1000 },
-                          { "timeout_ms", 3000 } };
+    QueueSettings queue;
+    queue.name = "batch";
+    queue.host = "h";
+    queue.prefix = "/q/";
+    queue.service = "s";
+    queue.priority = 1;
+    queue.maxAttempts = attempts;
+    queue.extension = 2.0;
+    queue.targetRuntime = std::chrono::seconds(1);
+    queue.timeout = std::chrono::seconds(3);
     if (m_settings.advice) {
-        route["advice"] = { { "decision_ms", 40.0 },
-                            { "period_ms", 1.0 },
-                            { "validity_ms", 2000 } };
+        queue.advice = AdviceSettings{ std::chrono::milliseconds(40), std::chrono::milliseconds(1),
+                                       std::chrono::seconds(2) };
     }
-    const nlohmann::json document{ { "version", ++m_version },
-                                   { "routes", nlohmann::json::array({ route }) },
-                                   { "services", nlohmann::json::array() } };
-    m_store.put("op/config", document.dump());
+    m_store.put(configurationKey, configurationDocument(++m_version, { queue }));
 }
 
 void World::publishWorker(WorkerSlot &slot)
 {
-    const auto &capacity = slot.model->capacity();
-    const nlohmann::json entry{ { "service", "s" },
-                                { "address", slot.model->id() },
-                                { "zone", "z" },
-                                { "version", "v1" },
-                                { "slots", 8 },
-                                { "state", slot.draining ? "draining" : "ready" },
-                                { "cold_remaining_ms", 0 },
-                                { "capacity",
-                                  { { "cpu", capacity.cpuMillis },
-                                    { "mem_mb", capacity.memoryMb },
-                                    { "gpu", capacity.accelerators } } },
-                                { "labels", { "a", "r1" } },
-                                { "born", slot.model->born() } };
-    m_store.put("servers/" + slot.model->id(), entry.dump());
+    const auto &model = *slot.model;
+    m_store.put(workerKey(model.id()), workerDocument(model, model.id(), slot.draining));
 }
 
 TaskPlan World::plan(const TaskId &task)
@@ -213,14 +195,14 @@
     }
     m_time.after(entryTime, [this, &slot] {
         if (slot.cut)
-            m_store.remove("servers/" + slot.model->id());
+            m_store.remove(workerKey(slot.model->id()));
     });
 }
 
 void World::crashWorker(std::uint32_t index)
 {
     auto &slot = *m_workers.at(index);
-    m_promises.workerCrashed(slot.model->id());
+    m_promises.crashed(slot.model->id());
     slot.model->crash();
     publishWorker(slot);
 }
@@ -288,10 +270,10 @@
 
 std::optional<std::uint32_t> World::owner() const
 {
-    const auto item = m_store.read("cowsliprock/node/owner/0");
+    const auto item = m_store.read(ownerKey);
     if (!item)
         return std::nullopt;
-    const auto name = nlohmann::json::parse(item->value).at("name").get<std::string>();
+    const auto name = ownerName(item->value);
     for (std::uint32_t index = 0; index < m_nodes.size(); ++index) {
         if (m_nodes[index]->name == name)
             return index;
--- /dev/null
+++ b/standins/cellhttp/include/standincellhttp/storeserver.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <standincell/storemodel.h>
+
+#include <base/error.h>
+#include <eventloop/httpserver.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cowsliprock {
+class EventLoop;
+}
+
+namespace cowsliprock::standincell {
+
+/// How the store treats the calls of one daemon.
+enum class StoreBehaviour {
+    Healthy,
+    Refuse,  ///< Answers that it did nothing.
+    Silent,  ///< Neither acts nor answers.
+    Lose,    ///< Acts and does not answer.
+    LoseLate ///< Writes take effect seconds later and are not answered.
+};
+
+/// The store as one daemon reaches it over HTTP. All servers of a cell share one model.
+/// All members run in the loop's thread.
+class StoreServer
+{
+public:
+    StoreServer(EventLoop &loop, StoreModel &store, std::uint32_t seed);
+
+    [[nodiscard]] Result<SocketAddress> listen(const SocketAddress &address);
+
+    void behave(StoreBehaviour behaviour) noexcept { m_behaviour = behaviour; }
+    void delay(Duration delay) noexcept { m_delay = delay; }
+
+    /// Calls by kind, for example "commit".
+    [[nodiscard]] const std::map<std::string, std::uint64_t> &calls() const noexcept
+    {
+        return m_calls;
+    }
+
+private:
+    using Respond = HttpServer::Respond;
+
+    void handle(const HttpRequest &request, const Respond &respond);
+    void act(const HttpRequest &request, const Respond &respond);
+    void watch(const HttpRequest &request, const Respond &respond);
+    void commit(const HttpRequest &request, const Respond &respond);
+    void lease(const HttpRequest &request, const Respond &respond);
+
+    EventLoop &m_loop;
+    StoreModel &m_store;
+    std::mt19937 m_random;
+    HttpServer m_server;
+    StoreBehaviour m_behaviour = StoreBehaviour::Healthy;
+    Duration m_delay{};
+    std::map<std::string, std::uint64_t> m_calls;
+    /// Connections of calls that never get an answer.
+    std::vector<Respond> m_unanswered;
+};
+
+} // namespace cowsliprock::standincell
