Make a pass over the waiting work independent of what runs

Cause: profile of the owner at 800 starts a second with a backlog: 43% of its time went to building and sorting the list of waiting steps, since every pass walked all active jobs by name, counted the tasks of each and sorted. Ruled out: HTTP and JSON (flat, under 2% a function). Now jobs stand in the order of urgency, steps know how many of their tasks wait, and questions to the policy service stand in a line for each priority. New log lines: job.accepted, job.refused, job.unanswered.

--- a/apps/experiment/include/experiment/callers.h
+++ b/apps/experiment/include/experiment/callers.h
@@ -36,6 +36,7 @@
         std::uint32_t daemon = 0;
         std::uint32_t tries = 0;
         bool accepted = false;
+        bool unanswered = false; ///< A try had no answer, so that the job may be stored.
         bool ended = false;
     };
     using VisitPtr = std::shared_ptr<Visit>;
--- a/apps/experiment/include/experiment/jobbook.h
+++ b/apps/experiment/include/experiment/jobbook.h
@@ -35,6 +35,9 @@
     /// What a task does on a worker.
     [[nodiscard]] standincell::TaskPlan plan(const cell::TaskId &task) const;
 
+    /// Time that the policy service takes for a step, given as "JOB.OCCURRENCE.STEP".
+    [[nodiscard]] Duration adviceTime(const std::string &step) const;
+
     /// Body of the submission of a job.
     [[nodiscard]] static std::string body(const Entry &entry);
 
--- a/apps/experiment/src/callers.cpp
+++ b/apps/experiment/src/callers.cpp
@@ -125,10 +125,12 @@
     if (status == statusOk) {
         accept(visit);
     } else if (status == statusTooMany || status == statusUnavailable || status == statusNotFound) {
-        // Such an answer says that the job never runs.
-        m_promises.refused(visit->id);
+        // Such an answer speaks for its own try only.
+        if (!visit->unanswered)
+            m_promises.refused(visit->id);
         m_measurements.refused(visit->id);
     } else if (visit->tries < maxTries) {
+        visit->unanswered = true;
         visit->daemon = anyDaemon();
         m_loop.after(retryDelay, [this, visit] { submit(visit); });
     } else {
--- a/apps/experiment/src/jobbook.cpp
+++ b/apps/experiment/src/jobbook.cpp
@@ -73,6 +73,12 @@
     return result;
 }
 
+Duration JobBook::adviceTime(const std::string &step) const
+{
+    const auto *entry = find(step.substr(0, step.find('.')));
+    return entry == nullptr ? Duration() : m_plan.kinds.at(entry->kind).adviceTime;
+}
+
 std::string JobBook::body(const Entry &entry)
 {
     nlohmann::json steps = nlohmann::json::array();
--- a/libs/cell/src/advicequeue.cpp
+++ b/libs/cell/src/advicequeue.cpp
@@ -46,14 +46,12 @@
 
 void AdviceQueue::enqueue(Entry entry)
 {
+    auto &line = m_waiting[entry.request.priority];
     // A repeated question goes before those of its priority that were not tried yet.
-    const bool first = entry.tries > 0;
-    const auto place =
-        std::find_if(m_waiting.begin(), m_waiting.end(), [&entry, first](const Entry &other) {
-            return first ? other.request.priority >= entry.request.priority
-                         : other.request.priority > entry.request.priority;
-        });
-    m_waiting.insert(place, std::move(entry));
+    if (entry.tries > 0)
+        line.push_front(std::move(entry));
+    else
+        line.push_back(std::move(entry));
 }
 
 std::vector<std::string> AdviceQueue::askers() const
@@ -92,19 +90,29 @@
 
 void AdviceQueue::dispatch()
 {
-    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
-        const bool slow = entry->request.expected > slowQuestion;
-        const auto asker = freeAsker(slow);
-        if (asker.empty()) {
-            if (!slow)
-                break;
-            ++entry;
-            continue;
+    bool slowMayGo = true;
+    for (auto &[priority, line] : m_waiting) {
+        for (auto entry = line.begin(); entry != line.end();) {
+            const bool slow = entry->request.expected > slowQuestion;
+            if (slow && !slowMayGo) {
+                ++entry;
+                continue;
+            }
+            const auto asker = freeAsker(slow);
+            if (asker.empty() && !slow) {
+                scheduleDispatch(idleDispatch);
+                return;
+            }
+            if (asker.empty()) {
+                slowMayGo = false;
+                continue;
+            }
+            Entry next = std::move(*entry);
+            entry = line.erase(entry);
+            send(std::move(next), asker);
         }
-        Entry next = std::move(*entry);
-        entry = m_waiting.erase(entry);
-        send(std::move(next), asker);
     }
+    std::erase_if(m_waiting, [](const auto &line) { return line.second.empty(); });
     if (!m_waiting.empty())
         scheduleDispatch(idleDispatch);
 }
--- a/libs/cell/src/advicequeue.h
+++ b/libs/cell/src/advicequeue.h
@@ -43,8 +43,6 @@
 
     void advise(const AdviceRequest &request, Done<Result<Advice>> done) override;
 
-    [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
-
 private:
     /// What is known of a daemon as an asker.
     struct Asker
@@ -76,7 +74,7 @@
     Timers &m_timers;
     Membership &m_membership;
     std::map<std::string, Asker> m_askers;
-    std::list<Entry> m_waiting; ///< In the order of priority, then of arrival.
+    std::map<std::uint32_t, std::list<Entry>> m_waiting; ///< By priority, in the order of arrival.
     TimePoint m_nextDispatch{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -72,21 +72,52 @@
 void FrontDesk::submit(const JobRecord &record, TimePoint deadline, bool relayed,
                        const Done<SubmitResult> &done)
 {
-    const auto ownDeadline =
-        relayed ? deadline : std::min(deadline, m_ports.timers.now() + ownStoreTime);
+    const auto begun = m_ports.timers.now();
+    const auto ownDeadline = relayed ? deadline : std::min(deadline, begun + ownStoreTime);
     m_submissions.submit(
         jobKey(record.id), endedKey(record.id), encode(record), ownDeadline,
-        [this, alive = m_alive, record, deadline, relayed, done](SubmitResult result) {
+        [this, alive = m_alive, record, begun, deadline, relayed, done](SubmitResult result) {
             if (!*alive)
                 return;
             const bool timeLeft = m_ports.timers.now() + peerTimeout < deadline;
-            if (result == SubmitResult::Accepted || relayed || !timeLeft)
+            if (result == SubmitResult::Accepted || relayed || !timeLeft) {
+                logSubmission(record.id, begun, relayed ? "peer" : "client", result);
                 done(result);
-            else
-                submitThroughPeer(record, deadline, result == SubmitResult::Unknown, done);
+                return;
+            }
+            submitThroughPeer(record, deadline, result == SubmitResult::Unknown,
+                              [this, alive, id = record.id, begun, done](SubmitResult last) {
+                                  if (!*alive)
+                                      return;
+                                  logSubmission(id, begun, "client", last);
+                                  done(last);
+                              });
         });
 }
 
+void FrontDesk::logSubmission(const std::string &id, TimePoint begun, const char *asker,
+                              SubmitResult result)
+{
+    const auto now = m_ports.timers.now();
+    const auto event = [result] {
+        switch (result) {
+        case SubmitResult::Accepted:
+            return "job.accepted";
+        case SubmitResult::NotStored:
+            return "job.refused";
+        case SubmitResult::Unknown:
+            return "job.unanswered";
+        }
+        return "job.unanswered";
+    };
+    m_ports.log.write(
+        now, event(),
+        { { "job", id },
+          { "asker", asker },
+          { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - begun).count() },
+          { "storeFailing", m_submissions.storeFailing() } });
+}
+
 void FrontDesk::submitThroughPeer(const JobRecord &record, TimePoint deadline, bool uncertain,
                                   const Done<SubmitResult> &done)
 {
--- a/libs/cell/src/frontdesk.h
+++ b/libs/cell/src/frontdesk.h
@@ -58,6 +58,9 @@
     [[nodiscard]] std::optional<MemberRecord> otherMember();
     [[nodiscard]] std::string jobKey(const std::string &id) const;
     [[nodiscard]] std::string endedKey(const std::string &id) const;
+    /// \p asker says whether a client or another daemon gets the answer.
+    void logSubmission(const std::string &id, TimePoint begun, const char *asker,
+                       SubmitResult result);
     void submitThroughPeer(const JobRecord &record, TimePoint deadline, bool uncertain,
                            const Done<SubmitResult> &done);
     void statusFromOwner(const std::string &id, const std::string &address, bool relayed,
--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -30,8 +30,7 @@
     const auto count = std::min(step.tasks.size(), progress.done.size());
     for (std::size_t index = 0; index < count; ++index) {
         if (progress.done[index]) {
-            step.tasks[index].phase = TaskPhase::Done;
-            ++step.doneCount;
+            step.move(step.tasks[index], TaskPhase::Done);
         }
     }
     step.failures = progress.failures;
@@ -56,6 +55,20 @@
     return failures.emplace_back(TaskFailures{ index, {} });
 }
 
+void Step::move(Task &task, TaskPhase phase) noexcept
+{
+    const auto count = [this](TaskPhase of) {
+        return of == TaskPhase::Waiting ? &waitingCount
+            : of == TaskPhase::Done     ? &doneCount
+                                        : nullptr;
+    };
+    if (auto *before = count(task.phase))
+        --*before;
+    if (auto *after = count(phase))
+        ++*after;
+    task.phase = phase;
+}
+
 bool Occurrence::done() const noexcept
 {
     return std::all_of(steps.begin(), steps.end(), [](const Step &step) { return step.done(); });
@@ -78,8 +91,11 @@
     occurrence.number = number;
     occurrence.begun = now;
     occurrence.steps.resize(job.record.spec.steps.size());
-    for (std::size_t index = 0; index < occurrence.steps.size(); ++index)
-        occurrence.steps[index].tasks.resize(job.record.spec.steps[index].count);
+    for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+        const auto count = job.record.spec.steps[index].count;
+        occurrence.steps[index].tasks.resize(count);
+        occurrence.steps[index].waitingCount = count;
+    }
     updateReadiness(job, occurrence);
     return occurrence;
 }
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cowsliprock::cell {
@@ -48,12 +49,15 @@
 {
     std::vector<Task> tasks;
     std::vector<TaskFailures> failures;
-    std::uint32_t doneCount = 0;
-    bool ready = false; ///< All steps before it are done.
+    std::uint32_t waitingCount = 0; ///< Tasks in the phase Waiting.
+    std::uint32_t doneCount = 0;    ///< Tasks in the phase Done.
+    bool ready = false;             ///< All steps before it are done.
     StepAdvice advice;
 
     [[nodiscard]] bool done() const noexcept { return doneCount == tasks.size(); }
     TaskFailures &failuresOf(std::uint32_t index);
+    /// Changes the phase of one of the step's tasks, and the counts.
+    void move(Task &task, TaskPhase phase) noexcept;
 };
 
 struct Occurrence
@@ -120,6 +124,8 @@
 class JobTable
 {
 public:
+    using Jobs = std::unordered_map<std::string, std::unique_ptr<Job>>;
+
     Job *find(const std::string &id);
     [[nodiscard]] const Job *find(const std::string &id) const;
     Task *findTask(const TaskId &id);
@@ -127,14 +133,10 @@
     Job &insert(Job job);
     void erase(const std::string &id) { m_jobs.erase(id); }
 
-    [[nodiscard]] std::map<std::string, std::unique_ptr<Job>> &all() noexcept { return m_jobs; }
-    [[nodiscard]] const std::map<std::string, std::unique_ptr<Job>> &all() const noexcept
-    {
-        return m_jobs;
-    }
+    [[nodiscard]] const Jobs &all() const noexcept { return m_jobs; }
 
 private:
-    std::map<std::string, std::unique_ptr<Job>> m_jobs;
+    Jobs m_jobs;
 };
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "keys.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace cowsliprock::cell {
@@ -41,6 +42,14 @@
     *m_alive = false;
 }
 
+bool Scheduler::MoreUrgent::operator()(const Job *left, const Job *right) const
+{
+    const auto key = [](const Job *job) {
+        return std::tie(job->record.queue.priority, job->created, job->record.id);
+    };
+    return key(left) < key(right);
+}
+
 TaskId Scheduler::StepView::task(std::uint32_t taskIndex) const
 {
     return { job->record.id, occurrence->number, index, taskIndex };
@@ -49,10 +58,12 @@
 void Scheduler::configure(const CellConfiguration &configuration)
 {
     m_configuration = configuration;
-    for (const auto &id : m_activeJobs) {
-        Job &job = *m_jobs.find(id);
-        if (const auto *queue = configuration.queueNamed(job.record.queue.name))
-            job.record.queue = *queue;
+    // The priorities, and with them the order, may change.
+    const auto jobs = std::exchange(m_activeJobs, {});
+    for (Job *job : jobs) {
+        if (const auto *queue = configuration.queueNamed(job->record.queue.name))
+            job->record.queue = *queue;
+        m_activeJobs.insert(job);
     }
     requestPass();
 }
@@ -131,9 +142,8 @@
 std::uint64_t Scheduler::pending(const std::string &queue) const
 {
     return static_cast<std::uint64_t>(
-        std::count_if(m_activeJobs.begin(), m_activeJobs.end(), [&](const std::string &id) {
-            const Job *job = m_jobs.find(id);
-            return job != nullptr && !job->everStarted && job->record.queue.name == queue;
+        std::count_if(m_activeJobs.begin(), m_activeJobs.end(), [&queue](const Job *job) {
+            return !job->everStarted && job->record.queue.name == queue;
         }));
 }
 
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -84,6 +84,12 @@
     [[nodiscard]] bool recovering() const noexcept { return m_recovering; }
 
 private:
+    /// Order in which jobs are looked at.
+    struct MoreUrgent
+    {
+        bool operator()(const Job *left, const Job *right) const;
+    };
+
     /// A ready step of a job, while a pass lasts.
     struct StepView
     {
@@ -168,7 +174,7 @@
     std::function<void()> m_fenced;
     JobTable m_jobs;
     WorkerTable m_workers;
-    std::set<std::string> m_activeJobs;
+    std::set<Job *, MoreUrgent> m_activeJobs;
     std::optional<CellConfiguration> m_configuration;
     OrderSender m_sender;
     WorkerLinks m_links;
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -41,7 +41,7 @@
         retire(job);
         return;
     }
-    m_activeJobs.insert(record.id);
+    m_activeJobs.insert(&job);
     beginDueOccurrences(job);
     requestPass();
 }
@@ -54,7 +54,7 @@
         return;
     m_ports.log.write(now(), "job.removed", { { "job", id } });
     stopAllRuns(id, "the job was removed");
-    m_activeJobs.erase(id);
+    m_activeJobs.erase(job);
     m_jobs.erase(id);
     m_writer.remove(keys::statesPrefix(m_settings.shard) + id);
 }
@@ -143,11 +143,9 @@
     if (job->spec(id.step).gang) {
         // One end stands for all members.
         for (auto &member : step->tasks)
-            member.phase = TaskPhase::Done;
-        step->doneCount = static_cast<std::uint32_t>(step->tasks.size());
+            step->move(member, TaskPhase::Done);
     } else {
-        task->phase = TaskPhase::Done;
-        ++step->doneCount;
+        step->move(*task, TaskPhase::Done);
         if (task->liveRuns > 0)
             stopOthers(id, run);
     }
@@ -237,7 +235,7 @@
 {
     job.status = status;
     job.endedAt = now();
-    m_activeJobs.erase(job.record.id);
+    m_activeJobs.erase(&job);
     save(job);
     retire(job);
     m_ports.metrics.count(std::string("jobs.") + toString(status));
@@ -271,8 +269,8 @@
                         { "jobs", static_cast<std::uint64_t>(m_activeJobs.size()) },
                         { "workers", static_cast<std::uint64_t>(m_workers.size()) } });
     std::vector<std::pair<TaskId, std::uint32_t>> partial;
-    for (const auto &id : m_activeJobs) {
-        Job &job = *m_jobs.find(id);
+    for (Job *active : m_activeJobs) {
+        Job &job = *active;
         job.mayRunElsewhere = false;
         for (auto &[number, occurrence] : job.occurrences) {
             for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
@@ -287,7 +285,7 @@
                 const auto member = std::find_if(tasks.begin(), tasks.end(), [](const Task &task) {
                     return task.phase == TaskPhase::Placed;
                 });
-                partial.emplace_back(TaskId{ id, number, index, 0 }, member->lastRun);
+                partial.emplace_back(TaskId{ job.record.id, number, index, 0 }, member->lastRun);
             }
         }
     }
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -1,8 +1,8 @@
 #include "scheduler.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
-#include <tuple>
 #include <utility>
 
 namespace cowsliprock::cell {
@@ -34,6 +34,7 @@
 constexpr int bandOnTime = 0;
 constexpr int bandLate = 1;
 constexpr int bandUseless = 2;
+constexpr std::size_t bandCount = 3;
 
 std::uint32_t waitingTasks(const Step &step, TimePoint now)
 {
@@ -106,30 +107,27 @@
 
 std::vector<Scheduler::StepView> Scheduler::waitingSteps()
 {
-    std::vector<StepView> views;
+    std::array<std::vector<StepView>, bandCount> bands;
     const auto current = now();
-    for (const auto &id : m_activeJobs) {
-        Job &job = *m_jobs.find(id);
-        if (job.mayRunElsewhere)
+    for (Job *job : m_activeJobs) {
+        if (job->mayRunElsewhere)
             continue;
-        for (auto &[number, occurrence] : job.occurrences) {
+        for (auto &[number, occurrence] : job->occurrences) {
             for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
                 Step &step = occurrence.steps[index];
-                if (!step.ready || step.done() || waitingTasks(step, current) == 0)
+                if (!step.ready || step.waitingCount == 0 || waitingTasks(step, current) == 0)
                     continue;
-                StepView view{ &job, &occurrence, &step, &job.spec(index), index, 0 };
+                StepView view{ job, &occurrence, &step, &job->spec(index), index, 0 };
                 view.band = bandOf(view, current);
-                views.push_back(view);
+                bands.at(static_cast<std::size_t>(view.band)).push_back(view);
             }
         }
     }
-    std::sort(views.begin(), views.end(), [](const StepView &left, const StepView &right) {
-        const auto key = [](const StepView &view) {
-            return std::tuple(view.band, view.job->record.queue.priority, view.job->created,
-                              view.occurrence->number, view.index);
-        };
-        return key(left) < key(right);
-    });
+    // The jobs are in the order of their urgency already.
+    auto views = std::move(bands[bandOnTime]);
+    for (const int band : { bandLate, bandUseless })
+        views.insert(views.end(), bands.at(static_cast<std::size_t>(band)).begin(),
+                     bands.at(static_cast<std::size_t>(band)).end());
     return views;
 }
 
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -72,7 +72,7 @@
     run.progressed = current;
     const RunKey key(run.task, number);
     addRun(worker, std::move(run));
-    task.phase = TaskPhase::Placed;
+    view.step->move(task, TaskPhase::Placed);
     task.lastRun = number;
     ++task.liveRuns;
 
@@ -283,7 +283,7 @@
         stopRun(worker, added, "nothing wants this run");
         return;
     }
-    task->phase = TaskPhase::Placed;
+    m_jobs.findStep(row.task)->move(*task, TaskPhase::Placed);
     task->lastRun = row.run;
     ++task->liveRuns;
     job->everStarted = true;
@@ -419,7 +419,7 @@
             task->checkpoint = std::move(checkpoint);
     }
     if (task->liveRuns == 0)
-        task->phase = TaskPhase::Waiting;
+        m_jobs.findStep(key.first)->move(*task, TaskPhase::Waiting);
 }
 
 } // namespace cowsliprock::cell
--- a/standins/cellhttp/include/standincellhttp/adviceserver.h
+++ b/standins/cellhttp/include/standincellhttp/adviceserver.h
@@ -22,8 +22,8 @@
 public:
     struct Policy
     {
-        Duration decision{};
-        Duration perWorker{};
+        /// Time that the decision on a step takes.
+        std::function<Duration(const std::string &step)> decision;
         Duration validity{};
         /// True if the worker may run the step.
         std::function<bool(const std::string &step, const std::string &worker)> allowed;
