--- a/libs/cell/src/fencedwriter.cpp
+++ b/libs/cell/src/fencedwriter.cpp
@@ -1,7 +1,13 @@
 #include "fencedwriter.h"
 
 #include <algorithm>
+#include <deque>
+#include <iterator>
+#include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace cowsliprock::cell {
@@ -9,23 +15,56 @@
 namespace {
 
 /// Changes are gathered this long, so that one transaction carries many of them.
+constexpr std::chrono::milliseconds urgentGatherTime{ 5 };
 constexpr std::chrono::milliseconds gatherTime{ 15 };
+constexpr std::chrono::milliseconds laterGatherTime{ 500 };
 constexpr std::chrono::milliseconds retryDelay{ 120 };
 /// Transactions in flight; the store may be in another region.
-constexpr std::size_t maxInFlight = 4;
-/// Each change takes a condition and a write; the fence is one more condition.
-constexpr std::size_t maxChanges = (maxTransactionEntries - 1) / 2;
+constexpr std::size_t maxInFlight = 8;
+/// Changes that are looked at to fill one transaction.
+constexpr std::size_t maxExamined = 200;
+
+Duration gatherTimeOf(Urgency urgency) noexcept
+{
+    switch (urgency) {
+    case Urgency::Now:
+        return urgentGatherTime;
+    case Urgency::Soon:
+        return gatherTime;
+    case Urgency::Later:
+        return laterGatherTime;
+    }
+    return gatherTime;
+}
+
+/// New value of a key; nothing if it is removed.
+struct Part
+{
+    std::string key;
+    std::optional<std::string> value;
+};
+
+/// Parts that are written in one transaction.
+struct Change
+{
+    std::uint64_t sequence = 0;
+    Urgency urgency = Urgency::Soon;
+    bool conditional = true; ///< On the revisions of its keys.
+    std::vector<Part> parts;
+    std::vector<FencedWriter::Action> actions; ///< Called when it is durable.
+
+    [[nodiscard]] std::size_t entries() const noexcept
+    {
+        return parts.size() * (conditional ? 2 : 1);
+    }
+};
 
 } // namespace
 
 struct FencedWriter::State : std::enable_shared_from_this<FencedWriter::State>
 {
-    struct Change
-    {
-        std::optional<std::string> value; ///< Nothing: the key is removed.
-        std::uint64_t sequence = 0;
-    };
-    using Batch = std::vector<std::pair<std::string, Change>>;
+    using Order = std::pair<Urgency, std::uint64_t>;
+    using Batch = std::vector<Change>;
 
     State(StorePort &storePort, Timers &timerPort, StoreCondition condition,
           std::function<void()> onLost)
@@ -39,47 +78,85 @@
     Timers &timers;
     StoreCondition fence;
     std::function<void()> lost;
-    std::map<std::string, Change> changes;          ///< Not sent yet.
-    std::map<std::string, std::uint64_t> revisions; ///< Of the keys that exist.
-    std::set<std::string> keysInFlight;
+    std::map<Order, Change> pending;                          ///< Not sent yet.
+    std::unordered_map<std::string, Order> pendingOfKey;      ///< First pending change of a key.
+    std::unordered_map<std::string, std::uint64_t> revisions; ///< Of the keys that exist.
+    std::unordered_set<std::string> keysInFlight;
     std::set<std::uint64_t> unfinished; ///< Sequence numbers that are not durable.
-    std::deque<std::pair<std::uint64_t, std::function<void()>>> waiters;
+    std::deque<std::pair<std::uint64_t, Action>> waiters;
     std::uint64_t lastSequence = 0;
     std::size_t inFlight = 0;
-    bool scheduled = false;
+    TimePoint nextFlush = TimePoint::max();
     bool closed = false;
 
-    void add(const std::string &key, std::optional<std::string> value);
+    void add(Change change);
+    void absorb(Change &change, const std::string &key);
+    void insert(Change change);
     void schedule(Duration delay);
     void flush();
     Batch takeBatch();
+    [[nodiscard]] bool blocked(const Change &change) const;
     void send(Batch batch);
-    void finished(const Batch &batch, const Result<TransactionOutcome> &outcome);
+    [[nodiscard]] Transaction transactionOf(const Batch &batch) const;
+    void finished(Batch batch, const Result<TransactionOutcome> &outcome);
+    void committed(const Batch &batch, std::uint64_t revision);
     bool adoptRevisions(const Batch &batch, const ConditionFailed &failed);
-    void putBack(const Batch &batch);
+    void putBack(Batch batch);
     void notifyWaiters();
 };
 
-void FencedWriter::State::add(const std::string &key, std::optional<std::string> value)
+void FencedWriter::State::add(Change change)
 {
-    auto [entry, added] = changes.try_emplace(key);
-    if (added) {
-        entry->second.sequence = ++lastSequence;
-        unfinished.insert(lastSequence);
-    }
-    // A replaced value keeps its place: who waits for it waits for the newer value.
-    entry->second.value = std::move(value);
-    schedule(gatherTime);
+    change.sequence = ++lastSequence;
+    for (const auto &part : change.parts)
+        absorb(change, part.key);
+    if (change.urgency != Urgency::Later)
+        unfinished.insert(change.sequence);
+    const auto delay = gatherTimeOf(change.urgency);
+    insert(std::move(change));
+    schedule(delay);
+}
+
+void FencedWriter::State::absorb(Change &change, const std::string &key)
+{
+    const auto found = pendingOfKey.find(key);
+    if (found == pendingOfKey.end())
+        return;
+    const auto entry = pending.find(found->second);
+    Change &older = entry->second;
+    // A change of several keys goes as it is; what follows it waits.
+    if (older.parts.size() > 1)
+        return;
+    // The newer value takes the place of the older one, and who waited for that waits for it.
+    unfinished.erase(older.sequence);
+    change.sequence = std::min(change.sequence, older.sequence);
+    change.urgency = std::min(change.urgency, older.urgency);
+    change.actions.insert(change.actions.begin(), std::make_move_iterator(older.actions.begin()),
+                          std::make_move_iterator(older.actions.end()));
+    pending.erase(entry);
+    pendingOfKey.erase(found);
+}
+
+void FencedWriter::State::insert(Change change)
+{
+    const Order order(change.urgency, change.sequence);
+    for (const auto &part : change.parts)
+        pendingOfKey.try_emplace(part.key, order);
+    pending.emplace(order, std::move(change));
 }
 
 void FencedWriter::State::schedule(Duration delay)
 {
-    if (std::exchange(scheduled, true))
+    const auto due = timers.now() + delay;
+    if (due >= nextFlush)
         return;
-    timers.after(delay, [self = shared_from_this()] {
-        self->scheduled = false;
-        if (!self->closed)
-            self->flush();
+    nextFlush = due;
+    timers.after(delay, [self = shared_from_this(), due] {
+        // A timer that was set for an earlier time has taken its place.
+        if (self->closed || self->nextFlush != due)
+            return;
+        self->nextFlush = TimePoint::max();
+        self->flush();
     });
 }
 
@@ -93,77 +170,119 @@
     }
 }
 
+bool FencedWriter::State::blocked(const Change &change) const
+{
+    const Order order(change.urgency, change.sequence);
+    return std::any_of(change.parts.begin(), change.parts.end(), [&](const Part &part) {
+        // Two transactions in flight may overtake each other, so they never share a key.
+        if (keysInFlight.contains(part.key))
+            return true;
+        const auto first = pendingOfKey.find(part.key);
+        return first != pendingOfKey.end() && first->second != order;
+    });
+}
+
 FencedWriter::State::Batch FencedWriter::State::takeBatch()
 {
     Batch batch;
-    for (auto entry = changes.begin(); entry != changes.end() && batch.size() < maxChanges;) {
-        // Two transactions in flight may overtake each other, so they never share a key.
-        if (keysInFlight.contains(entry->first)) {
+    std::size_t entries = 1; // The fence.
+    std::size_t examined = 0;
+    for (auto entry = pending.begin(); entry != pending.end() && ++examined <= maxExamined;) {
+        Change &change = entry->second;
+        if (entries + change.entries() > maxTransactionEntries || blocked(change)) {
             ++entry;
             continue;
         }
-        keysInFlight.insert(entry->first);
-        batch.emplace_back(entry->first, std::move(entry->second));
-        entry = changes.erase(entry);
+        entries += change.entries();
+        for (const auto &part : change.parts) {
+            keysInFlight.insert(part.key);
+            pendingOfKey.erase(part.key);
+        }
+        batch.push_back(std::move(change));
+        entry = pending.erase(entry);
     }
     return batch;
 }
 
-void FencedWriter::State::send(Batch batch)
+Transaction FencedWriter::State::transactionOf(const Batch &batch) const
 {
     Transaction transaction;
     transaction.conditions.push_back(fence);
-    for (const auto &[key, change] : batch) {
-        const auto revision = revisions.find(key);
-        transaction.conditions.push_back(
-            { key, revision == revisions.end() ? 0 : revision->second });
-        if (change.value)
-            transaction.writes.push_back({ key, *change.value, 0 });
-        else
-            transaction.removals.push_back(key);
+    for (const auto &change : batch) {
+        for (const auto &part : change.parts) {
+            if (change.conditional) {
+                const auto revision = revisions.find(part.key);
+                transaction.conditions.push_back(
+                    { part.key, revision == revisions.end() ? 0 : revision->second });
+            }
+            if (part.value)
+                transaction.writes.push_back({ part.key, *part.value, 0 });
+            else
+                transaction.removals.push_back(part.key);
+        }
     }
+    return transaction;
+}
+
+void FencedWriter::State::send(Batch batch)
+{
     ++inFlight;
+    const auto transaction = transactionOf(batch);
     store.commit(transaction,
                  [self = shared_from_this(),
-                  batch = std::move(batch)](const Result<TransactionOutcome> &outcome) {
+                  batch = std::move(batch)](const Result<TransactionOutcome> &outcome) mutable {
                      --self->inFlight;
                      if (!self->closed)
-                         self->finished(batch, outcome);
+                         self->finished(std::move(batch), outcome);
                  });
 }
 
-void FencedWriter::State::finished(const Batch &batch, const Result<TransactionOutcome> &outcome)
+void FencedWriter::State::finished(Batch batch, const Result<TransactionOutcome> &outcome)
 {
-    for (const auto &[key, change] : batch)
-        keysInFlight.erase(key);
+    for (const auto &change : batch) {
+        for (const auto &part : change.parts)
+            keysInFlight.erase(part.key);
+    }
     if (!outcome.has_value()) {
         // Sent again, also if the outcome is unknown: the same values under the same fence.
-        putBack(batch);
+        putBack(std::move(batch));
         schedule(retryDelay);
         return;
     }
-    const auto *committed = std::get_if<Committed>(&outcome.value());
-    if (committed == nullptr) {
-        const auto *failed = std::get_if<ConditionFailed>(&outcome.value());
-        if (failed != nullptr && adoptRevisions(batch, *failed)) {
-            putBack(batch);
-            schedule(Duration::zero());
-            return;
-        }
-        closed = true;
-        timers.after(Duration::zero(), std::exchange(lost, {}));
+    if (const auto *stored = std::get_if<Committed>(&outcome.value())) {
+        committed(batch, stored->revision);
         return;
     }
-    for (const auto &[key, change] : batch) {
+    const auto *failed = std::get_if<ConditionFailed>(&outcome.value());
+    if (failed != nullptr && adoptRevisions(batch, *failed)) {
+        putBack(std::move(batch));
+        schedule(Duration::zero());
+        return;
+    }
+    closed = true;
+    timers.after(Duration::zero(), std::exchange(lost, {}));
+}
+
+void FencedWriter::State::committed(const Batch &batch, std::uint64_t revision)
+{
+    for (const auto &change : batch) {
         unfinished.erase(change.sequence);
-        if (change.value)
-            revisions[key] = committed->revision;
-        else
-            revisions.erase(key);
+        for (const auto &part : change.parts) {
+            if (part.value)
+                revisions[part.key] = revision;
+            else
+                revisions.erase(part.key);
+        }
     }
-    notifyWaiters();
-    if (!changes.empty())
+    if (!pending.empty())
         schedule(Duration::zero());
+    for (const auto &change : batch) {
+        for (const auto &action : change.actions) {
+            if (!closed && action)
+                action();
+        }
+    }
+    notifyWaiters();
 }
 
 bool FencedWriter::State::adoptRevisions(const Batch &batch, const ConditionFailed &failed)
@@ -173,8 +292,10 @@
     if (owner == failed.present.end() || owner->revision != fence.revision)
         return false;
     // This daemon is the only writer: other revisions come from its own writes without an answer.
-    for (const auto &[key, change] : batch)
-        revisions.erase(key);
+    for (const auto &change : batch) {
+        for (const auto &part : change.parts)
+            revisions.erase(part.key);
+    }
     for (const auto &item : failed.present) {
         if (!isFence(item))
             revisions[item.key] = item.revision;
@@ -182,14 +303,29 @@
     return true;
 }
 
-void FencedWriter::State::putBack(const Batch &batch)
+void FencedWriter::State::putBack(Batch batch)
 {
-    for (const auto &[key, change] : batch) {
-        // A newer value that arrived meanwhile replaces this one and takes its place.
-        if (const auto [entry, added] = changes.try_emplace(key, change); !added) {
-            unfinished.erase(entry->second.sequence);
-            entry->second.sequence = change.sequence;
+    for (auto &change : batch) {
+        const auto newer = change.parts.size() > 1 ? pendingOfKey.end()
+                                                   : pendingOfKey.find(change.parts.front().key);
+        if (newer == pendingOfKey.end()) {
+            for (const auto &part : change.parts)
+                pendingOfKey.erase(part.key);
+            insert(std::move(change));
+            continue;
         }
+        // The newer value that arrived meanwhile replaces this one and takes its place.
+        auto replacement = pending.extract(newer->second);
+        Change &kept = replacement.mapped();
+        for (const auto &part : kept.parts)
+            pendingOfKey.erase(part.key);
+        unfinished.erase(kept.sequence);
+        kept.sequence = change.sequence;
+        kept.urgency = std::min(kept.urgency, change.urgency);
+        kept.actions.insert(kept.actions.begin(), change.actions.begin(), change.actions.end());
+        if (kept.urgency != Urgency::Later)
+            unfinished.insert(kept.sequence);
+        insert(std::move(kept));
     }
 }
 
@@ -218,17 +354,39 @@
     m_state->revisions[key] = revision;
 }
 
-void FencedWriter::write(const std::string &key, std::string value)
+void FencedWriter::write(const std::string &key, std::string value, Urgency urgency, Action durable)
 {
-    m_state->add(key, std::move(value));
+    Change change;
+    change.urgency = urgency;
+    change.parts.push_back({ key, std::move(value) });
+    if (durable)
+        change.actions.push_back(std::move(durable));
+    m_state->add(std::move(change));
 }
 
 void FencedWriter::remove(const std::string &key)
 {
-    m_state->add(key, std::nullopt);
+    Change change;
+    change.urgency = Urgency::Later;
+    change.parts.push_back({ key, std::nullopt });
+    m_state->add(std::move(change));
 }
 
-void FencedWriter::whenDurable(std::function<void()> action)
+void FencedWriter::conclude(const std::string &key, std::string value,
+                            const std::vector<std::string> &removed, Action durable)
+{
+    Change change;
+    change.urgency = Urgency::Now;
+    change.conditional = false;
+    change.parts.push_back({ key, std::move(value) });
+    for (const auto &other : removed)
+        change.parts.push_back({ other, std::nullopt });
+    if (durable)
+        change.actions.push_back(std::move(durable));
+    m_state->add(std::move(change));
+}
+
+void FencedWriter::whenDurable(Action action)
 {
     if (m_state->unfinished.empty()) {
         m_state->timers.after(Duration::zero(), [state = m_state, action = std::move(action)] {
@@ -240,14 +398,4 @@
     m_state->waiters.emplace_back(m_state->lastSequence, std::move(action));
 }
 
-bool FencedWriter::idle() const noexcept
-{
-    return m_state->unfinished.empty();
-}
-
-std::size_t FencedWriter::waiting() const noexcept
-{
-    return m_state->unfinished.size();
-}
-
 } // namespace cowsliprock::cell
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -159,6 +159,7 @@
     void endJob(Job &job, JobStatus status);
     void save(Job &job);
     void retire(Job &job);
+    void endDurable(const std::string &id);
     [[nodiscard]] bool mayStart(Job &job);
     void beginDueOccurrences(Job &job);
     void finishRecovery();
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -62,13 +62,26 @@
 void Scheduler::retire(Job &job)
 {
     const auto &id = job.record.id;
-    m_writer.write(keys::endedPrefix(m_settings.shard) + id, toString(job.status));
-    // In this order, a successor at any point finds the end of the job.
-    m_writer.whenDurable([this, id] {
-        m_writer.remove(keys::jobsPrefix(m_settings.shard) + id);
-        m_writer.whenDurable(
-            [this, id] { m_writer.remove(keys::statesPrefix(m_settings.shard) + id); });
-    });
+    m_writer.conclude(
+        keys::endedPrefix(m_settings.shard) + id, toString(job.status),
+        { keys::jobsPrefix(m_settings.shard) + id, keys::statesPrefix(m_settings.shard) + id },
+        [this, id] { endDurable(id); });
+}
+
+void Scheduler::endDurable(const std::string &id)
+{
+    Job *job = m_jobs.find(id);
+    if (job == nullptr)
+        return;
+    job->durableStatus = job->status;
+    const auto time = now() - job->seen;
+    m_ports.metrics.observe("job.seconds." + job->record.queue.name,
+                            std::chrono::duration<double>(time).count());
+    m_ports.log.write(
+        now(), "job.ended",
+        { { "job", id },
+          { "status", toString(job->status) },
+          { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(time).count() } });
 }
 
 void Scheduler::beginDueOccurrences(Job &job)
@@ -114,7 +127,8 @@
 
 void Scheduler::save(Job &job)
 {
-    m_writer.write(keys::statesPrefix(m_settings.shard) + job.record.id, encode(progressOf(job)));
+    m_writer.write(keys::statesPrefix(m_settings.shard) + job.record.id, encode(progressOf(job)),
+                   Urgency::Soon);
 }
 
 bool Scheduler::mayStart(Job &job)
@@ -123,13 +137,13 @@
         return job.noted;
     // A successor has to know which jobs may run on workers that it does not reach.
     job.noting = true;
-    save(job);
-    m_writer.whenDurable([this, id = job.record.id] {
-        if (Job *known = m_jobs.find(id)) {
-            known->noted = true;
-            requestPass();
-        }
-    });
+    m_writer.write(keys::statesPrefix(m_settings.shard) + job.record.id, encode(progressOf(job)),
+                   Urgency::Now, [this, id = job.record.id] {
+                       if (Job *known = m_jobs.find(id)) {
+                           known->noted = true;
+                           requestPass();
+                       }
+                   });
     return false;
 }
 
@@ -236,23 +250,8 @@
     job.status = status;
     job.endedAt = now();
     m_activeJobs.erase(&job);
-    save(job);
     retire(job);
     m_ports.metrics.count(std::string("jobs.") + toString(status));
-    m_writer.whenDurable([this, id = job.record.id] {
-        if (Job *known = m_jobs.find(id)) {
-            known->durableStatus = known->status;
-            m_ports.metrics.observe("job.seconds." + known->record.queue.name,
-                                    std::chrono::duration<double>(now() - known->seen).count());
-            m_ports.log.write(
-                now(), "job.ended",
-                { { "job", id },
-                  { "status", toString(known->status) },
-                  { "ms",
-                    std::chrono::duration_cast<std::chrono::milliseconds>(now() - known->seen)
-                        .count() } });
-        }
-    });
     if (status != JobStatus::Completed)
         stopAllRuns(job.record.id, toString(status));
     // The steps are kept: a worker may still have to tell of runs, and their size counts.
--- a/libs/cell/src/shard.cpp
+++ b/libs/cell/src/shard.cpp
@@ -211,7 +211,7 @@
         if (roster == m_storedRoster)
             return;
         m_storedRoster = roster;
-        m_writer.write(keys::roster(m_shard), std::move(roster));
+        m_writer.write(keys::roster(m_shard), std::move(roster), Urgency::Soon);
     });
 }
 
