--- a/libs/cell/src/placement.cpp
+++ b/libs/cell/src/placement.cpp
@@ -9,6 +9,9 @@
 
 /// Room left over that counts as much as running one time longer than on other workers.
 constexpr double slownessWeight = 40.0;
+/// A worker that is kept for a gang is taken by more urgent work only if no other has room: one
+/// task there would make the whole gang wait.
+constexpr double keptWeight = 500.0;
 /// A worker away from the data is taken only if none near it has room.
 constexpr double distanceWeight = 1000.0;
 
@@ -69,6 +72,8 @@
         leftOver(worker, demand) + slownessWeight * std::max(0.0, worker.health.slowness - 1.0);
     if (!demand.spec->preferredRack.empty() && !hasLabel(worker.entry, demand.spec->preferredRack))
         result += distanceWeight;
+    if (demand.reservations != nullptr && demand.reservations->holds(worker.entry.id))
+        result += keptWeight;
     return result;
 }
 
--- a/libs/cell/src/placement.h
+++ b/libs/cell/src/placement.h
@@ -20,6 +20,11 @@
     /// Only work that is more urgent than \p priority may use the worker.
     void reserve(const std::string &worker, std::uint32_t priority);
     [[nodiscard]] bool blocks(const std::string &worker, std::uint32_t priority) const;
+    /// True if the worker is kept for anyone.
+    [[nodiscard]] bool holds(const std::string &worker) const
+    {
+        return m_priorities.contains(worker);
+    }
 
     /// Takes a part of the worker's free room away from the work that comes after.
     void pledge(const std::string &worker, const Resources &amount);
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -311,7 +311,16 @@
         std::erase_if(unknown, [&](const Worker *worker) {
             return !view.spec->gang && roomFor(*worker, demand) == 0;
         });
-        take(std::move(unknown), spareAdvisedWorkers + advisedPerTask * count);
+        // Workers that are kept for gangs come last.
+        const auto kept =
+            std::stable_partition(unknown.begin(), unknown.end(), [&demand](const Worker *worker) {
+                return !demand.reservations->holds(worker->entry.id);
+            });
+        const std::vector<Worker *> last(kept, unknown.end());
+        unknown.erase(kept, unknown.end());
+        const auto limit = spareAdvisedWorkers + advisedPerTask * count;
+        take(std::move(unknown), limit);
+        take(last, limit);
     };
     const auto &advice = view.step->advice;
     const auto count = waitingTasks(*view.step, now());
