--- /dev/null
+++ b/libs/cell/src/advicechoice.cpp
@@ -0,0 +1,137 @@
+#include "advicechoice.h"
+
+#include <algorithm>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// The policy service takes no more at a time.
+constexpr std::size_t maxAsked = 100;
+/// Workers asked about beyond those that are needed, since many are not allowed.
+constexpr std::size_t spareWorkers = 4;
+constexpr std::size_t cheapWorkersPerTask = 3;
+/// Expected room for each task that waits, since some of it is gone before the answer.
+constexpr double roomPerTask = 1.5;
+/// Before the first answers of a queue.
+constexpr double firstShare = 0.5;
+
+using Workers = std::vector<Worker *>;
+
+Workers withRoom(Workers workers, const StepDemand &demand)
+{
+    std::erase_if(workers,
+                  [&demand](const Worker *worker) { return roomFor(*worker, demand) == 0; });
+    return workers;
+}
+
+/// Most free first; workers that are kept for gangs come last.
+Workers byPreference(Workers workers, const StepDemand &demand)
+{
+    const auto kept = [&demand](const Worker *worker) {
+        return demand.reservations != nullptr && demand.reservations->holds(worker->entry.id);
+    };
+    std::stable_sort(workers.begin(), workers.end(), [&](const Worker *left, const Worker *right) {
+        return std::pair(!kept(left), left->free().cpuMillis)
+            > std::pair(!kept(right), right->free().cpuMillis);
+    });
+    return workers;
+}
+
+std::uint32_t totalRoom(const Workers &workers, const StepDemand &demand)
+{
+    std::uint32_t sum = 0;
+    for (const Worker *worker : workers)
+        sum += roomFor(*worker, demand);
+    return sum;
+}
+
+/// The first workers that together have room for \p tasks; all if there is less.
+Workers untilRoomFor(const Workers &workers, const StepDemand &demand, double tasks)
+{
+    Workers result;
+    double room = 0;
+    for (Worker *worker : workers) {
+        if (room >= tasks)
+            break;
+        room += roomFor(*worker, demand);
+        result.push_back(worker);
+    }
+    return result;
+}
+
+std::vector<std::string> names(const Workers &workers, std::size_t limit)
+{
+    std::vector<std::string> result;
+    for (const Worker *worker : workers) {
+        // A gang's workers are named once for each of its tasks.
+        if (result.size() < std::min(limit, maxAsked)
+            && std::find(result.begin(), result.end(), worker->entry.id) == result.end())
+            result.push_back(worker->entry.id);
+    }
+    return result;
+}
+
+std::vector<std::string> askUnknown(const AdviceNeed &need, const StepDemand &demand,
+                                    const AdviceCandidates &candidates)
+{
+    const auto open = byPreference(withRoom(candidates.unknown, demand), demand);
+    if (need.cheap)
+        return names(open, spareWorkers + cheapWorkersPerTask * need.tasks);
+    const double sought = roomPerTask * need.tasks / need.allowedShare;
+    return names(untilRoomFor(open, demand, sought), maxAsked);
+}
+
+std::vector<std::string> askForGang(const AdviceNeed &need, const StepDemand &demand,
+                                    const AdviceCandidates &candidates)
+{
+    // Tickets are renewed once the whole gang has room, which is then kept for it.
+    if (const auto chosen = chooseForGang(candidates.allowed, demand, need.tasks); !chosen.empty())
+        return names(chosen, maxAsked);
+    const auto open = withRoom(candidates.unknown, demand);
+    const double expected =
+        totalRoom(candidates.allowed, demand) + need.allowedShare * totalRoom(open, demand);
+    if (expected >= need.tasks)
+        return askUnknown(need, demand, candidates);
+    // Room is kept on workers that are known to be allowed: there have to be enough of them.
+    if (!chooseToReserve(candidates.allowed, demand, need.tasks).empty())
+        return {};
+    return names(byPreference(candidates.unknown, demand),
+                 spareWorkers + cheapWorkersPerTask * need.tasks);
+}
+
+std::vector<std::string> askForTasks(const AdviceNeed &need, const StepDemand &demand,
+                                     const AdviceCandidates &candidates)
+{
+    const auto stale = byPreference(candidates.stale, demand);
+    auto result = names(untilRoomFor(stale, demand, need.tasks), maxAsked);
+    return result.empty() ? askUnknown(need, demand, candidates) : result;
+}
+
+} // namespace
+
+void AllowedShares::note(const std::string &queue, std::size_t asked, std::size_t allowed)
+{
+    auto &counts = m_counts[queue];
+    counts.asked += static_cast<double>(asked);
+    counts.allowed += static_cast<double>(allowed);
+}
+
+double AllowedShares::of(const std::string &queue) const
+{
+    const auto counts = m_counts.find(queue);
+    if (counts == m_counts.end())
+        return firstShare;
+    // As if two workers had been asked about before.
+    return (counts->second.allowed + 2 * firstShare) / (counts->second.asked + 2);
+}
+
+std::vector<std::string> chooseToAskAbout(const AdviceNeed &need, const StepDemand &demand,
+                                          const AdviceCandidates &candidates)
+{
+    if (need.first && !need.gang)
+        return askUnknown(need, demand, candidates);
+    return need.gang ? askForGang(need, demand, candidates) : askForTasks(need, demand, candidates);
+}
+
+} // namespace cowsliprock::cell
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "advicechoice.h"
 #include "advicequeue.h"
 #include "fencedwriter.h"
 #include "jobtable.h"
@@ -118,17 +119,11 @@
                    const Reservations &reservations);
     void reserveFor(const StepView &view, const StepDemand &demand, Reservations &reservations);
     void askAdvice(const StepView &view, const StepDemand &demand, Reservations &reservations);
-    struct AdviceCandidates
-    {
-        std::vector<Worker *> unknown; ///< Never asked about in their present life.
-        std::vector<Worker *> stale;   ///< Allowed and with room, but their tickets are too old.
-        std::vector<Worker *> allowed; ///< With or without a ticket.
-    };
     [[nodiscard]] AdviceCandidates adviceCandidates(const StepView &view, const StepDemand &demand,
                                                     const Reservations &reservations);
-    [[nodiscard]] std::vector<std::string> workersToAskAbout(const StepView &view,
-                                                             const StepDemand &demand,
-                                                             const AdviceCandidates &candidates);
+    [[nodiscard]] std::vector<std::string>
+    workersToAskAbout(const StepView &view, const StepDemand &demand,
+                      const AdviceCandidates &candidates) const;
     void advised(const TaskId &stepId, const std::vector<std::string> &asked,
                  const Result<Advice> &advice);
 
@@ -175,6 +170,7 @@
     std::function<void()> m_fenced;
     JobTable m_jobs;
     WorkerTable m_workers;
+    AllowedShares m_allowedShares;
     std::set<Job *, MoreUrgent> m_activeJobs;
     std::optional<CellConfiguration> m_configuration;
     OrderSender m_sender;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -24,10 +24,8 @@
 /// A ticket that expires sooner may be too old when the order arrives.
 constexpr std::chrono::milliseconds ticketMargin{ 250 };
 constexpr std::chrono::milliseconds adviceRetryPause{ 150 };
-constexpr std::size_t maxAdvisedWorkers = 100;
-/// Workers asked about beyond those that are needed, since many are not allowed.
-constexpr std::size_t spareAdvisedWorkers = 4;
-constexpr std::size_t advisedPerTask = 3;
+/// Questions to policy services that take less for each worker are cheap.
+constexpr std::chrono::microseconds cheapPerWorker{ 500 };
 /// Run numbers that fit between the first runs of two owners.
 constexpr std::uint64_t runsPerOwner = 1000;
 
@@ -261,9 +259,8 @@
         reservations.reserve(worker->entry.id, demand.priority);
 }
 
-Scheduler::AdviceCandidates Scheduler::adviceCandidates(const StepView &view,
-                                                        const StepDemand &demand,
-                                                        const Reservations &reservations)
+AdviceCandidates Scheduler::adviceCandidates(const StepView &view, const StepDemand &demand,
+                                             const Reservations &reservations)
 {
     const auto current = now();
     const auto &advice = view.step->advice;
@@ -291,62 +288,17 @@
 
 std::vector<std::string> Scheduler::workersToAskAbout(const StepView &view,
                                                       const StepDemand &demand,
-                                                      const AdviceCandidates &candidates)
+                                                      const AdviceCandidates &candidates) const
 {
-    const auto byFreeRoom = [](const Worker *left, const Worker *right) {
-        return left->free().cpuMillis > right->free().cpuMillis;
-    };
-    std::vector<std::string> names;
-    const auto take = [&names, &byFreeRoom](std::vector<Worker *> workers, std::size_t limit) {
-        std::stable_sort(workers.begin(), workers.end(), byFreeRoom);
-        for (const Worker *worker : workers) {
-            if (names.size() >= std::min(limit, maxAdvisedWorkers))
-                return;
-            if (std::find(names.begin(), names.end(), worker->entry.id) == names.end())
-                names.push_back(worker->entry.id);
-        }
-    };
-    const auto takeUnknown = [&](std::uint32_t count) {
-        auto unknown = candidates.unknown;
-        std::erase_if(unknown, [&](const Worker *worker) {
-            return !view.spec->gang && roomFor(*worker, demand) == 0;
-        });
-        // Workers that are kept for gangs come last.
-        const auto kept =
-            std::stable_partition(unknown.begin(), unknown.end(), [&demand](const Worker *worker) {
-                return !demand.reservations->holds(worker->entry.id);
-            });
-        const std::vector<Worker *> last(kept, unknown.end());
-        unknown.erase(kept, unknown.end());
-        const auto limit = spareAdvisedWorkers + advisedPerTask * count;
-        take(std::move(unknown), limit);
-        take(last, limit);
-    };
     const auto &advice = view.step->advice;
-    const auto count = waitingTasks(*view.step, now());
-    if (advice.allowed.empty() && advice.denied.empty()) {
-        takeUnknown(count);
-        return names;
-    }
-    if (view.spec->gang) {
-        // Tickets are renewed once the whole gang has room, which is then kept for it.
-        take(chooseForGang(candidates.allowed, demand, count), maxAdvisedWorkers);
-        if (names.empty())
-            takeUnknown(count);
-        return names;
-    }
-    std::uint32_t staleRoom = 0;
-    auto stale = candidates.stale;
-    std::stable_sort(stale.begin(), stale.end(), byFreeRoom);
-    for (std::size_t index = 0; index < stale.size(); ++index) {
-        staleRoom += roomFor(*stale[index], demand);
-        if (staleRoom >= count)
-            stale.resize(index + 1);
-    }
-    take(std::move(stale), maxAdvisedWorkers);
-    if (names.empty())
-        takeUnknown(count);
-    return names;
+    const auto &queue = view.job->record.queue;
+    AdviceNeed need;
+    need.gang = view.spec->gang;
+    need.first = advice.allowed.empty() && advice.denied.empty();
+    need.cheap = queue.advice->perWorker < cheapPerWorker;
+    need.tasks = waitingTasks(*view.step, now());
+    need.allowedShare = m_allowedShares.of(queue.name);
+    return chooseToAskAbout(need, demand, candidates);
 }
 
 void Scheduler::askAdvice(const StepView &view, const StepDemand &demand,
@@ -424,6 +376,8 @@
         const auto worker = m_workers.find(id);
         return worker == m_workers.end() ? std::int64_t{ 0 } : worker->second.born;
     };
+    if (const Job *job = m_jobs.find(stepId.job))
+        m_allowedShares.note(job->record.queue.name, asked.size(), answer.value().allowed.size());
     for (const auto &ticket : answer.value().allowed) {
         step->advice.allowed[ticket.worker] = { ticket.value, current + answer.value().validity,
                                                 lifeOf(ticket.worker) };
--- /dev/null
+++ b/standins/cell/tests/advicechoice_test.cpp
@@ -0,0 +1,140 @@
+#include <advicechoice.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+using namespace cowsliprock;
+using namespace cowsliprock::cell;
+
+namespace {
+
+/// Workers of 16 cores, by name and free cores.
+struct Fixture
+{
+    Fixture()
+    {
+        spec.amount = { 4000, 1024, 0 };
+        demand.spec = &spec;
+        demand.service = "s";
+        demand.reservations = &reservations;
+    }
+
+    Worker *add(const std::string &name, std::int64_t freeCores)
+    {
+        Worker &worker = workers.emplace_back();
+        worker.entry.id = name;
+        worker.entry.service = "s";
+        worker.entry.capacity = { 16000, 65536, 0 };
+        worker.held = { 16000 - freeCores * 1000, 0, 0 };
+        return &worker;
+    }
+
+    void addUnknown(std::uint32_t count, std::int64_t freeCores)
+    {
+        for (std::uint32_t index = 0; index < count; ++index)
+            candidates.unknown.push_back(add("u" + std::to_string(index), freeCores));
+    }
+
+    [[nodiscard]] std::vector<std::string> choose(const AdviceNeed &need) const
+    {
+        return chooseToAskAbout(need, demand, candidates);
+    }
+
+    StepSpec spec;
+    StepDemand demand;
+    Reservations reservations;
+    std::deque<Worker> workers;
+    AdviceCandidates candidates;
+};
+
+AdviceNeed slowGang(std::uint32_t tasks)
+{
+    AdviceNeed need;
+    need.gang = true;
+    need.cheap = false;
+    need.tasks = tasks;
+    need.allowedShare = 0.5;
+    return need;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(advicechoice)
+
+// Twenty tasks, four to an empty worker, half of the workers allowed: 15 of them give room for 30.
+BOOST_FIXTURE_TEST_CASE(gangAsksAboutAsManyAsGiveRoomOnAnEmptyCell, Fixture)
+{
+    addUnknown(80, 16);
+    BOOST_TEST(choose(slowGang(20)).size() == 15U);
+}
+
+BOOST_FIXTURE_TEST_CASE(gangAsksAboutMoreIfEachHasLittleRoom, Fixture)
+{
+    addUnknown(80, 4);
+    BOOST_TEST(choose(slowGang(20)).size() == 60U);
+}
+
+// Guards against questions that cannot lead to a start: on a full cell they keep the service from
+// others.
+BOOST_FIXTURE_TEST_CASE(gangAsksNothingMoreWhileThereIsNoRoom, Fixture)
+{
+    addUnknown(80, 0);
+    for (int index = 0; index < 6; ++index)
+        candidates.allowed.push_back(add("a" + std::to_string(index), 0));
+    for (auto &worker : workers) {
+        Run run;
+        run.task.job = worker.entry.id;
+        run.held = worker.held;
+        run.priority = 2;
+        worker.held = {};
+        addRun(worker, run);
+    }
+    demand.priority = 1;
+    auto need = slowGang(20);
+    need.first = false;
+    BOOST_TEST(choose(need).empty());
+}
+
+// Guards against a gang that waits for ever on too few workers.
+BOOST_FIXTURE_TEST_CASE(gangAsksOnIfThoseAllowedCanNeverHoldIt, Fixture)
+{
+    addUnknown(80, 0);
+    candidates.allowed.push_back(add("a", 0));
+    auto need = slowGang(20);
+    need.first = false;
+    BOOST_TEST(!choose(need).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ticketsOfAGangAreRenewedOnceItHasRoom, Fixture)
+{
+    addUnknown(80, 16);
+    for (int index = 0; index < 5; ++index)
+        candidates.allowed.push_back(add("a" + std::to_string(index), 16));
+    auto need = slowGang(20);
+    need.first = false;
+    const auto asked = choose(need);
+    BOOST_TEST(asked.size() == 5U);
+    BOOST_TEST(asked.front().starts_with("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(workersKeptForGangsAreAskedAboutLast, Fixture)
+{
+    addUnknown(10, 12);
+    reservations.reserve("u0", 1);
+    AdviceNeed need;
+    need.tasks = 2;
+    const auto asked = choose(need);
+    BOOST_REQUIRE(!asked.empty());
+    BOOST_TEST(asked.back() == "u0");
+}
+
+BOOST_AUTO_TEST_CASE(shareIsLearnedFromTheAnswers)
+{
+    AllowedShares shares;
+    BOOST_TEST(shares.of("q") == 0.5);
+    shares.note("q", 998, 299);
+    BOOST_TEST(shares.of("q") == 0.3, boost::test_tools::tolerance(0.001));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
