--- a/libs/cell/src/advicechoice.cpp
+++ b/libs/cell/src/advicechoice.cpp
@@ -10,9 +10,7 @@
 constexpr std::size_t maxAsked = 100;
 /// Workers asked about beyond those that are needed, since many are not allowed.
 constexpr std::size_t spareWorkers = 4;
-constexpr std::size_t cheapWorkersPerTask = 3;
-/// Expected room for each task that waits, since some of it is gone before the answer.
-constexpr double roomPerTask = 1.5;
+constexpr std::size_t workersPerTask = 3;
 /// Before the first answers of a queue.
 constexpr double firstShare = 0.5;
 
@@ -76,10 +74,7 @@
                                     const AdviceCandidates &candidates)
 {
     const auto open = byPreference(withRoom(candidates.unknown, demand), demand);
-    if (need.cheap)
-        return names(open, spareWorkers + cheapWorkersPerTask * need.tasks);
-    const double sought = roomPerTask * need.tasks / need.allowedShare;
-    return names(untilRoomFor(open, demand, sought), maxAsked);
+    return names(open, spareWorkers + workersPerTask * need.tasks);
 }
 
 std::vector<std::string> askForGang(const AdviceNeed &need, const StepDemand &demand,
@@ -97,7 +92,7 @@
     if (!chooseToReserve(candidates.allowed, demand, need.tasks).empty())
         return {};
     return names(byPreference(candidates.unknown, demand),
-                 spareWorkers + cheapWorkersPerTask * need.tasks);
+                 spareWorkers + workersPerTask * need.tasks);
 }
 
 std::vector<std::string> askForTasks(const AdviceNeed &need, const StepDemand &demand,
--- a/libs/cell/src/advicechoice.h
+++ b/libs/cell/src/advicechoice.h
@@ -38,7 +38,6 @@
 {
     bool gang = false;
     bool first = true;         ///< Nothing is known of the step yet.
-    bool cheap = true;         ///< A question about many workers takes hardly longer.
     std::uint32_t tasks = 0;   ///< That wait.
     double allowedShare = 0.5; ///< Expected share of unknown workers that are allowed.
 };
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -24,8 +24,6 @@
 /// A ticket that expires sooner may be too old when the order arrives.
 constexpr std::chrono::milliseconds ticketMargin{ 250 };
 constexpr std::chrono::milliseconds adviceRetryPause{ 150 };
-/// Questions to policy services that take less for each worker are cheap.
-constexpr std::chrono::microseconds cheapPerWorker{ 500 };
 /// Run numbers that fit between the first runs of two owners.
 constexpr std::uint64_t runsPerOwner = 1000;
 
@@ -295,7 +293,6 @@
     AdviceNeed need;
     need.gang = view.spec->gang;
     need.first = advice.allowed.empty() && advice.denied.empty();
-    need.cheap = queue.advice->perWorker < cheapPerWorker;
     need.tasks = waitingTasks(*view.step, now());
     need.allowedShare = m_allowedShares.of(queue.name);
     return chooseToAskAbout(need, demand, candidates);
