--- a/libs/cell/src/advicechoice.cpp
+++ b/libs/cell/src/advicechoice.cpp
@@ -83,16 +83,7 @@
     // Tickets are renewed once the whole gang has room, which is then kept for it.
     if (const auto chosen = chooseForGang(candidates.allowed, demand, need.tasks); !chosen.empty())
         return names(chosen, maxAsked);
-    const auto open = withRoom(candidates.unknown, demand);
-    const double expected =
-        totalRoom(candidates.allowed, demand) + need.allowedShare * totalRoom(open, demand);
-    if (expected >= need.tasks)
-        return askUnknown(need, demand, candidates);
-    // Room is kept on workers that are known to be allowed: there have to be enough of them.
-    if (!chooseToReserve(candidates.allowed, demand, need.tasks).empty())
-        return {};
-    return names(byPreference(candidates.unknown, demand),
-                 spareWorkers + workersPerTask * need.tasks);
+    return names(byPreference(candidates.unknown, demand), maxAsked);
 }
 
 std::vector<std::string> askForTasks(const AdviceNeed &need, const StepDemand &demand,
