--- a/libs/cell/src/advicechoice.cpp
+++ b/libs/cell/src/advicechoice.cpp
@@ -36,14 +36,6 @@
     return workers;
 }
 
-std::uint32_t totalRoom(const Workers &workers, const StepDemand &demand)
-{
-    std::uint32_t sum = 0;
-    for (const Worker *worker : workers)
-        sum += roomFor(*worker, demand);
-    return sum;
-}
-
 /// The first workers that together have room for \p tasks; all if there is less.
 Workers untilRoomFor(const Workers &workers, const StepDemand &demand, double tasks)
 {
