--- a/libs/cell/src/advicechoice.cpp
+++ b/libs/cell/src/advicechoice.cpp
@@ -75,7 +75,8 @@
     // Tickets are renewed once the whole gang has room, which is then kept for it.
     if (const auto chosen = chooseForGang(candidates.allowed, demand, need.tasks); !chosen.empty())
         return names(chosen, maxAsked);
-    return names(byPreference(candidates.unknown, demand), maxAsked);
+    return names(byPreference(candidates.unknown, demand),
+                 spareWorkers + workersPerTask * need.tasks);
 }
 
 std::vector<std::string> askForTasks(const AdviceNeed &need, const StepDemand &demand,
