Log the load of a shard each second; keep a third of the daemons for quick questions again

The policy service is not what binds: more questions start more gangs, and urgent work finds less room.

--- a/libs/cell/src/advicequeue.cpp
+++ b/libs/cell/src/advicequeue.cpp
@@ -17,8 +17,7 @@
 /// A question that takes longer is a slow one.
 constexpr std::chrono::milliseconds slowQuestion{ 60 };
 /// One daemon in this many takes no slow questions.
-constexpr std::size_t quickShare = 6;
-constexpr std::size_t fewestQuick = 2;
+constexpr std::size_t quickShare = 3;
 /// A daemon that did not answer is not asked for this long, doubled with each failure in a row.
 constexpr std::chrono::seconds avoidTime{ 2 };
 constexpr std::uint32_t maxDoublings = 3;
@@ -83,8 +82,7 @@
             best = name;
         }
     }
-    const std::size_t quick =
-        usable > 1 ? std::max(std::min(fewestQuick, usable / 2), usable / quickShare) : 0;
+    const std::size_t quick = usable > 1 ? std::max<std::size_t>(1, usable / quickShare) : 0;
     if (slow && slowNow + quick >= usable && usable > 1)
         return {};
     return best;
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -107,6 +107,7 @@
     // Passes: which waiting tasks start where (schedulerpass.cpp).
     void requestPass();
     void requestLaterPass();
+    void logLoad(const std::vector<StepView> &waiting);
     void pass();
     void findUsableWorkers();
     [[nodiscard]] std::vector<StepView> waitingSteps();
@@ -177,7 +178,8 @@
     WorkerLinks m_links;
     std::vector<Worker *> m_usable; ///< During a pass.
     Resources m_mostFree;           ///< The most of each resource that a usable worker has free.
-    Duration m_lastPass{};          ///< How long the last pass took.
+    TimePoint m_loadLogged{};
+    Duration m_lastPass{}; ///< How long the last pass took.
     bool m_passRequested = false;
     bool m_laterPassRequested = false;
     bool m_recovering = true;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -15,6 +15,8 @@
 constexpr int passRest = 4;
 /// A step for which nobody can be asked is not looked at again for this long.
 constexpr std::chrono::milliseconds adviceIdlePause{ 60 };
+/// The load of the shard is logged at most this often.
+constexpr std::chrono::seconds loadLogInterval{ 1 };
 /// Waiting work is looked at again after this time, also without an event.
 constexpr std::chrono::milliseconds laterPassDelay{ 150 };
 /// Steps without room that a pass looks at, so that its cost does not grow with the backlog.
@@ -65,7 +67,9 @@
     Reservations reservations;
     int failures = 0;
     int reservedGangs = 0;
-    for (const auto &view : waitingSteps()) {
+    const auto waiting = waitingSteps();
+    logLoad(waiting);
+    for (const auto &view : waiting) {
         const StepDemand demand{ view.spec, view.task(0), view.job->record.queue.service,
                                  view.job->record.queue.priority, &reservations };
         // Nobody has room: only what is needed to ask for advice is looked at.
@@ -89,6 +93,32 @@
     m_lastPass = now() - begun;
 }
 
+void Scheduler::logLoad(const std::vector<StepView> &waiting)
+{
+    const auto current = now();
+    if (current - m_loadLogged < loadLogInterval)
+        return;
+    m_loadLogged = current;
+    Resources free;
+    Resources capacity;
+    for (const Worker *worker : m_usable) {
+        free += worker->free();
+        capacity += worker->entry.capacity;
+    }
+    std::array<std::uint64_t, bandCount> steps{};
+    for (const auto &view : waiting)
+        ++steps.at(static_cast<std::size_t>(view.band));
+    m_ports.log.write(current, "shard.load",
+                      { { "workers", static_cast<std::uint64_t>(m_usable.size()) },
+                        { "cpuMillis", capacity.cpuMillis },
+                        { "freeCpuMillis", free.cpuMillis },
+                        { "memoryMb", capacity.memoryMb },
+                        { "freeMemoryMb", free.memoryMb },
+                        { "waitingSteps", steps[bandOnTime] },
+                        { "lateSteps", steps[bandLate] },
+                        { "uselessSteps", steps[bandUseless] } });
+}
+
 void Scheduler::requestLaterPass()
 {
     if (std::exchange(m_laterPassRequested, true))
