--- a/libs/cell/src/placement.h
+++ b/libs/cell/src/placement.h
@@ -26,6 +26,9 @@
         return m_priorities.contains(worker);
     }
 
+    /// Workers that are kept.
+    [[nodiscard]] std::size_t workers() const noexcept { return m_priorities.size(); }
+
     /// Takes a part of the worker's free room away from the work that comes after.
     void pledge(const std::string &worker, const Resources &amount);
     [[nodiscard]] Resources pledged(const std::string &worker) const;
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -107,7 +107,7 @@
     // Passes: which waiting tasks start where (schedulerpass.cpp).
     void requestPass();
     void requestLaterPass();
-    void logLoad(const std::vector<StepView> &waiting);
+    void logLoad(const std::vector<StepView> &waiting, const Reservations &reservations);
     void pass();
     void findUsableWorkers();
     [[nodiscard]] std::vector<StepView> waitingSteps();
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -68,7 +68,6 @@
     int failures = 0;
     int reservedGangs = 0;
     const auto waiting = waitingSteps();
-    logLoad(waiting);
     for (const auto &view : waiting) {
         const StepDemand demand{ view.spec, view.task(0), view.job->record.queue.service,
                                  view.job->record.queue.priority, &reservations };
@@ -88,12 +87,13 @@
         if (++failures >= maxFailuresPerPass)
             break;
     }
+    logLoad(waiting, reservations);
     if (failures > 0)
         requestLaterPass();
     m_lastPass = now() - begun;
 }
 
-void Scheduler::logLoad(const std::vector<StepView> &waiting)
+void Scheduler::logLoad(const std::vector<StepView> &waiting, const Reservations &reservations)
 {
     const auto current = now();
     if (current - m_loadLogged < loadLogInterval)
@@ -106,14 +106,19 @@
         capacity += worker->entry.capacity;
     }
     std::array<std::uint64_t, bandCount> steps{};
-    for (const auto &view : waiting)
+    std::uint64_t asking = 0;
+    for (const auto &view : waiting) {
         ++steps.at(static_cast<std::size_t>(view.band));
+        asking += view.step->advice.asking ? 1 : 0;
+    }
     m_ports.log.write(current, "shard.load",
                       { { "workers", static_cast<std::uint64_t>(m_usable.size()) },
                         { "cpuMillis", capacity.cpuMillis },
                         { "freeCpuMillis", free.cpuMillis },
                         { "memoryMb", capacity.memoryMb },
                         { "freeMemoryMb", free.memoryMb },
+                        { "keptWorkers", static_cast<std::uint64_t>(reservations.workers()) },
+                        { "askingSteps", asking },
                         { "waitingSteps", steps[bandOnTime] },
                         { "lateSteps", steps[bandLate] },
                         { "uselessSteps", steps[bandUseless] } });
