--- a/libs/cell/src/advicequeue.cpp
+++ b/libs/cell/src/advicequeue.cpp
@@ -38,6 +38,11 @@
     *m_alive = false;
 }
 
+bool AdviceQueue::accepts(Duration expected)
+{
+    return m_waiting.empty() && !freeAsker(expected > slowQuestion).empty();
+}
+
 void AdviceQueue::advise(const AdviceRequest &request, Done<Result<Advice>> done)
 {
     enqueue({ request, 0, std::move(done) });
--- a/libs/cell/src/advicequeue.h
+++ b/libs/cell/src/advicequeue.h
@@ -28,6 +28,9 @@
 {
 public:
     virtual ~Adviser() = default;
+    /// True if a question that takes \p expected would be asked at once. A question that waits
+    /// here names workers whose room is gone when it is answered.
+    [[nodiscard]] virtual bool accepts(Duration expected) = 0;
     virtual void advise(const AdviceRequest &request, Done<Result<Advice>> done) = 0;
 };
 
@@ -41,6 +44,7 @@
     AdviceQueue(AdvicePort &local, PeerPort &peers, Timers &timers, Membership &membership);
     ~AdviceQueue() override;
 
+    [[nodiscard]] bool accepts(Duration expected) override;
     void advise(const AdviceRequest &request, Done<Result<Advice>> done) override;
 
 private:
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -119,6 +119,7 @@
     bool placeGang(const StepView &view, const StepDemand &demand,
                    const Reservations &reservations);
     void reserveFor(const StepView &view, const StepDemand &demand, Reservations &reservations);
+    [[nodiscard]] bool mayAsk(const AdviceSettings &settings, std::uint32_t tasks);
     void askAdvice(const StepView &view, const StepDemand &demand, Reservations &reservations);
     [[nodiscard]] AdviceCandidates adviceCandidates(const StepView &view, const StepDemand &demand,
                                                     const Reservations &reservations);
@@ -179,7 +180,9 @@
     std::vector<Worker *> m_usable; ///< During a pass.
     Resources m_mostFree;           ///< The most of each resource that a usable worker has free.
     TimePoint m_loadLogged{};
-    Duration m_lastPass{}; ///< How long the last pass took.
+    bool m_slowAdviceFull = false;  ///< During a pass: no more slow questions can be asked.
+    bool m_quickAdviceFull = false; ///< During a pass: no more questions can be asked.
+    Duration m_lastPass{};          ///< How long the last pass took.
     bool m_passRequested = false;
     bool m_laterPassRequested = false;
     bool m_recovering = true;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -20,12 +20,14 @@
 /// Waiting work is looked at again after this time, also without an event.
 constexpr std::chrono::milliseconds laterPassDelay{ 150 };
 /// Steps without room that a pass looks at, so that its cost does not grow with the backlog.
-constexpr int maxFailuresPerPass = 80;
+constexpr int maxFailuresPerPass = 400;
 /// Gangs for which room is kept at a time.
 constexpr int maxReservedGangs = 3;
 /// A ticket that expires sooner may be too old when the order arrives.
 constexpr std::chrono::milliseconds ticketMargin{ 250 };
 constexpr std::chrono::milliseconds adviceRetryPause{ 150 };
+/// Questions that take longer wait for each other.
+constexpr std::chrono::milliseconds slowAdvice{ 60 };
 /// Run numbers that fit between the first runs of two owners.
 constexpr std::uint64_t runsPerOwner = 1000;
 
@@ -65,6 +67,8 @@
     const auto begun = now();
     findUsableWorkers();
     Reservations reservations;
+    m_slowAdviceFull = false;
+    m_quickAdviceFull = false;
     int failures = 0;
     int reservedGangs = 0;
     const auto waiting = waitingSteps();
@@ -333,6 +337,15 @@
     return chooseToAskAbout(need, demand, candidates);
 }
 
+bool Scheduler::mayAsk(const AdviceSettings &settings, std::uint32_t tasks)
+{
+    const Duration expected = settings.decision + settings.perWorker * tasks;
+    bool &full = expected > slowAdvice ? m_slowAdviceFull : m_quickAdviceFull;
+    // Asked once in a pass: the service is the same for all steps.
+    full = full || !m_ports.advice.accepts(expected);
+    return !full;
+}
+
 void Scheduler::askAdvice(const StepView &view, const StepDemand &demand,
                           Reservations &reservations)
 {
@@ -341,6 +354,8 @@
     if (!settings || advice.nextAsk > now())
         return;
     if (!advice.asking) {
+        if (!mayAsk(*settings, waitingTasks(*view.step, now())))
+            return;
         const auto names =
             workersToAskAbout(view, demand, adviceCandidates(view, demand, reservations));
         if (names.empty()) {
