--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -180,9 +180,8 @@
     std::vector<Worker *> m_usable; ///< During a pass.
     Resources m_mostFree;           ///< The most of each resource that a usable worker has free.
     TimePoint m_loadLogged{};
-    bool m_slowAdviceFull = false;  ///< During a pass: no more slow questions can be asked.
-    bool m_quickAdviceFull = false; ///< During a pass: no more questions can be asked.
-    Duration m_lastPass{};          ///< How long the last pass took.
+    bool m_slowAdviceFull = false; ///< During a pass: no more slow questions can be asked.
+    Duration m_lastPass{};         ///< How long the last pass took.
     bool m_passRequested = false;
     bool m_laterPassRequested = false;
     bool m_recovering = true;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -20,7 +20,7 @@
 /// Waiting work is looked at again after this time, also without an event.
 constexpr std::chrono::milliseconds laterPassDelay{ 150 };
 /// Steps without room that a pass looks at, so that its cost does not grow with the backlog.
-constexpr int maxFailuresPerPass = 400;
+constexpr int maxFailuresPerPass = 80;
 /// Gangs for which room is kept at a time.
 constexpr int maxReservedGangs = 3;
 /// A ticket that expires sooner may be too old when the order arrives.
@@ -68,13 +68,15 @@
     findUsableWorkers();
     Reservations reservations;
     m_slowAdviceFull = false;
-    m_quickAdviceFull = false;
     int failures = 0;
     int reservedGangs = 0;
     const auto waiting = waitingSteps();
     for (const auto &view : waiting) {
         const StepDemand demand{ view.spec, view.task(0), view.job->record.queue.service,
                                  view.job->record.queue.priority, &reservations };
+        // Nothing can be done before the first answer.
+        if (view.step->advice.asking && view.step->advice.allowed.empty())
+            continue;
         // Nobody has room: only what is needed to ask for advice is looked at.
         const bool anyRoom = heldBy(*view.spec).fitsIn(m_mostFree);
         const bool placed = !anyRoom ? false
@@ -340,10 +342,11 @@
 bool Scheduler::mayAsk(const AdviceSettings &settings, std::uint32_t tasks)
 {
     const Duration expected = settings.decision + settings.perWorker * tasks;
-    bool &full = expected > slowAdvice ? m_slowAdviceFull : m_quickAdviceFull;
-    // Asked once in a pass: the service is the same for all steps.
-    full = full || !m_ports.advice.accepts(expected);
-    return !full;
+    if (expected <= slowAdvice)
+        return true;
+    // Found out once in a pass: the service is the same for all steps.
+    m_slowAdviceFull = m_slowAdviceFull || !m_ports.advice.accepts(expected);
+    return !m_slowAdviceFull;
 }
 
 void Scheduler::askAdvice(const StepView &view, const StepDemand &demand,
