--- a/libs/cell/include/cell/model.h
+++ b/libs/cell/include/cell/model.h
@@ -129,6 +129,7 @@
     std::string service;
     std::string dataCentre;
     bool draining = false;
+    std::chrono::milliseconds remaining{}; ///< Least time until a draining worker leaves.
     Resources capacity;
     std::vector<std::string> labels; ///< Kind of machine and rack.
     std::int64_t born = 0;           ///< Start of this life, in ms since 1970; 0 if unknown.
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -79,8 +79,11 @@
                             { "draining", entry.draining },
                             { "born", entry.born } });
     }
+    const bool leaves = entry.draining && !worker.entry.draining;
     worker.entry = entry;
     worker.unlistedSince.reset();
+    if (leaves)
+        evacuate(worker);
     if (added)
         m_links.add(worker);
     else if (entry.born != 0 && worker.born != 0 && entry.born != worker.born)
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -143,6 +143,8 @@
     void dropMissing(Worker &worker, const Inventory &inventory, TimePoint asked);
     void takeNewLife(Worker &worker, const Inventory &inventory, TimePoint asked);
     void endAllRuns(Worker &worker);
+    void evacuate(Worker &worker);
+    [[nodiscard]] Duration restOf(const Run &run) const;
     void loseRuns(Worker &worker, const std::vector<RunKey> &lost, const char *reason);
     void endRun(Worker &worker, const FinishedTask &end);
     void releaseRun(Worker &worker, const RunKey &key, std::string checkpoint);
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -10,6 +10,9 @@
 
 /// A worker that refuses orders gets no new ones for this long.
 constexpr std::chrono::milliseconds refusalPause{ 1000 };
+/// A run that is stopped saves its progress within this time.
+constexpr std::chrono::milliseconds stopReserve{ 900 };
+constexpr std::uint32_t hundredPercent = 100;
 
 const char *toString(OrderRefusal reason) noexcept
 {
@@ -351,6 +354,36 @@
     loseRuns(worker, keys, "the worker's leases are over");
 }
 
+Duration Scheduler::restOf(const Run &run) const
+{
+    const Job *job = m_jobs.find(run.task.job);
+    if (job == nullptr || run.task.step >= job->record.spec.steps.size())
+        return Duration::zero();
+    const auto elapsed = now() - run.ordered;
+    if (run.percent > 0)
+        return elapsed * (hundredPercent - std::min(run.percent, hundredPercent)) / run.percent;
+    return std::max(job->spec(run.task.step).estimate - elapsed, Duration::zero());
+}
+
+void Scheduler::evacuate(Worker &worker)
+{
+    // What cannot end in time is better begun elsewhere now than when the worker is gone.
+    std::vector<RunKey> hopeless;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.phase != RunPhase::Stopping && restOf(run) + stopReserve > worker.entry.remaining)
+            hopeless.push_back(key);
+    }
+    for (const auto &key : hopeless) {
+        const auto run = worker.runs.find(key);
+        if (run == worker.runs.end() || run->second.phase == RunPhase::Stopping)
+            continue;
+        if (run->second.gang)
+            abortGang(key.first, key.second, "the worker of a member leaves");
+        else
+            stopRun(worker, run->second, "its worker leaves");
+    }
+}
+
 void Scheduler::loseRuns(Worker &worker, const std::vector<RunKey> &lost, const char *reason)
 {
     for (const auto &key : lost) {
--- a/standins/cell/tests/failures_test.cpp
+++ b/standins/cell/tests/failures_test.cpp
@@ -266,4 +266,25 @@
     checkPromises(world);
 }
 
+// Guards against a gang that is lost with a worker which said that it would leave, and is begun
+// again only when the lease on the gone worker is over.
+BOOST_AUTO_TEST_CASE(gangOnAWorkerThatLeavesIsBegunElsewhereAtOnce)
+{
+    World::Settings settings;
+    settings.workers = 2;
+    World world(settings);
+    world.run(startTime);
+    world.submit(0, jobId(1), gang(4, seconds(4)));
+    world.run(seconds(1));
+    BOOST_REQUIRE(world.promises().starts() == 4U);
+    const std::uint32_t used = world.worker(0).present({ jobId(1), 0, 0, 0 }, 1) > 0 ? 0 : 1;
+    world.drainWorker(used);
+    world.run(milliseconds(600));
+    BOOST_TEST(world.promises().starts() == 8U);
+    world.crashWorker(used);
+    world.run(seconds(6));
+    BOOST_TEST((world.status(0, jobId(1)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
