--- a/apps/cowsliprock/src/commandline.cpp
+++ b/apps/cowsliprock/src/commandline.cpp
@@ -54,6 +54,9 @@
     CommandHelp{ "late", "", 0, 0, "Lists late work.", "late --daemon 127.0.0.1:8301" },
     CommandHelp{ "report burn", "", 0, 0, "Shows the burn of the service-level objectives.",
                  "report burn --daemon 127.0.0.1:8301 --daemon 127.0.0.1:8302" },
+    CommandHelp{ "explain", "ID FILE...", 2, 1000,
+                 "Gathers what the logs of several daemons say about one job; needs no daemon.",
+                 "explain 5c0e7a21d94b36f8 logs/daemon-0.log logs/daemon-1.log" },
     CommandHelp{ "replay", "FILE", 1, 1,
                  "Replays a recorded trace and checks the invariants; needs no daemon.",
                  "replay tests/traces/desk-checks.jsonl" },
@@ -133,8 +136,8 @@
         return std::string("expected: ") + help.name + " " + help.positionals;
     if (line.command == "submit" && (count == 1) == !line.file.empty())
         return "submit needs either the name of a job or --file";
-    if (line.daemons.empty() && line.command != "configuration validate"
-        && line.command != "replay")
+    if (line.daemons.empty() && line.command != "configuration validate" && line.command != "replay"
+        && line.command != "explain")
         return "--daemon is missing";
     if (line.deadlineMs && (*line.deadlineMs < 1 || *line.deadlineMs > 25'000))
         return "--deadline-ms must be from 1 to 25000";
--- a/apps/cowsliprock/src/session.cpp
+++ b/apps/cowsliprock/src/session.cpp
@@ -62,6 +62,8 @@
         return perDaemon("/v1/late");
     if (command == "replay")
         return replay();
+    if (command == "explain")
+        return explainJob();
     return reportBurn();
 }
 
--- a/apps/cowsliprock/src/session.h
+++ b/apps/cowsliprock/src/session.h
@@ -46,6 +46,7 @@
     [[nodiscard]] ExitCode reportBurn();
 
     [[nodiscard]] ExitCode replay();
+    [[nodiscard]] ExitCode explainJob();
 
     /// Sends to the daemons in their order until one can be reached.
     [[nodiscard]] Result<HttpAnswer> sendToFirst(const HttpCall &call);
--- a/apps/cowsliprock/tests/cli_test.cpp
+++ b/apps/cowsliprock/tests/cli_test.cpp
@@ -2,7 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <filesystem>
+#include <fstream>
 #include <sstream>
+#include <unistd.h>
 
 using namespace cowsliprock;
 using namespace cowsliprock::cli;
@@ -138,6 +141,32 @@
     BOOST_TEST(run.out.str() == "whole answer");
 }
 
+// The lines of two daemons make one account; a job that no log names is no success.
+BOOST_AUTO_TEST_CASE(explainGathersTheLogsOfSeveralDaemons)
+{
+    const auto folder = std::filesystem::temp_directory_path()
+        / ("cowsliprock-explain-" + std::to_string(getpid()));
+    std::filesystem::create_directories(folder);
+    std::ofstream(folder / "a.log")
+        << R"({"t":9,"time":100,"process":"a","event":"job.accepted","job":"x1","ms":7})" << '\n';
+    std::ofstream(folder / "b.log")
+        << R"({"t":1,"time":350,"process":"b","event":"step.started","step":"x1.0.0","tasks":2})"
+        << '\n'
+        << R"({"t":0,"time":300,"process":"b","event":"job.known","job":"x1"})" << '\n';
+    const auto a = (folder / "a.log").string();
+    const auto b = (folder / "b.log").string();
+    const Run text({ "explain", "x1", a, b }, Run::unreachable());
+    BOOST_TEST((text.code == ExitCode::Ok));
+    BOOST_TEST(text.daemons.empty());
+    BOOST_TEST(text.out.str().find("accepted by a after 7 ms") != std::string::npos);
+    BOOST_TEST(text.out.str().find("started 50 ms after its owner b") != std::string::npos);
+    const Run json({ "explain", "x1", a, b, "--output", "json" }, Run::unreachable());
+    BOOST_TEST(json.out.str().find("\"findings\"") != std::string::npos);
+    BOOST_TEST((Run({ "explain", "x2", a }, Run::unreachable()).code == ExitCode::Refused));
+    BOOST_TEST((Run({ "explain", "x1", "/no/such" }, Run::unreachable()).code == ExitCode::Usage));
+    std::filesystem::remove_all(folder);
+}
+
 BOOST_AUTO_TEST_CASE(everyCommandHasHelpWithAnExample)
 {
     for (const std::vector<std::string> &command :
@@ -154,7 +183,8 @@
                                                 { "endpoints" },
                                                 { "daemons" },
                                                 { "late" },
-                                                { "report", "burn" } }) {
+                                                { "report", "burn" },
+                                                { "explain" } }) {
         auto arguments = command;
         arguments.emplace_back("--help");
         const Run run(arguments, answerOf(200, "{}"));
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -5,6 +5,7 @@
 #include "election.h"
 #include "frontdesk.h"
 #include "keys.h"
+#include "measuredports.h"
 #include "membership.h"
 #include "peermessages.h"
 #include "shard.h"
@@ -69,7 +70,12 @@
     void peerAdvise(const std::string &body, const Done<PeerAnswer> &done);
     void peerSubmit(const std::string &body, const Done<PeerAnswer> &done);
 
-    Ports ports;
+    CallMeter meter;
+    MeasuredStore store;
+    MeasuredWorkers workers;
+    MeasuredAdvice adviceService;
+    MeasuredPeers peers;
+    Ports ports; ///< Those that are measured.
     Settings settings;
     PlatformRecords records;
     Membership membership;
@@ -82,7 +88,13 @@
 };
 
 Node::State::State(const Ports &nodePorts, Settings nodeSettings, PlatformRecords platformRecords)
-    : ports(nodePorts)
+    : meter(nodePorts.timers, nodePorts.log, nodePorts.metrics)
+    , store(nodePorts.store, meter)
+    , workers(nodePorts.workers, meter)
+    , adviceService(nodePorts.advice, meter)
+    , peers(nodePorts.peers, meter)
+    , ports{ store,         workers,          adviceService, peers, nodePorts.timers,
+             nodePorts.log, nodePorts.metrics }
     , settings(std::move(nodeSettings))
     , records(std::move(platformRecords))
     , membership(ports.store, ports.timers, ports.log,
