Play heavy loads against the decisions alone, with simple rivals; bound the calls for each job

cell-decisions plays urgent checks, gangs and batch work on a nearly full cell in virtual time: in time, late, refused at once, refused late, never, by kind, beside first come first served and first fit. Fields that nothing learned or read are gone.

--- a/libs/cell/include/cell/node.h
+++ b/libs/cell/include/cell/node.h
@@ -3,6 +3,7 @@
 #include <cell/clientresults.h>
 #include <cell/discovery.h>
 #include <cell/model.h>
+#include <cell/policy.h>
 #include <cell/ports.h>
 
 #include <base/eventlog.h>
@@ -44,6 +45,7 @@
         Duration lease{ std::chrono::seconds(5) };         ///< Of tasks on a worker.
         Duration longestLease{ std::chrono::seconds(10) }; ///< That a worker grants at all.
         Duration statusKept{ std::chrono::seconds(130) };  ///< State of an ended job.
+        PlacementPolicy policy;
     };
 
     Node(const Ports &ports, Settings settings, PlatformRecords records);
--- a/libs/cell/src/measuredports.h
+++ b/libs/cell/src/measuredports.h
@@ -27,6 +27,7 @@
     template <typename T>
     [[nodiscard]] Done<Result<T>> measure(const char *name, Done<Result<T>> done)
     {
+        m_metrics.count(std::string(name) + ".calls");
         return [this, name, begun = m_timers.now(), done = std::move(done)](Result<T> result) {
             ended(name, begun, result.has_value() ? nullptr : &result.error());
             done(std::move(result));
@@ -37,6 +38,7 @@
     template <typename T>
     [[nodiscard]] Done<Result<T>> count(const char *name, Done<Result<T>> done)
     {
+        m_metrics.count(std::string(name) + ".calls");
         return [this, name, done = std::move(done)](Result<T> result) {
             if (!result.has_value())
                 failed(name, result.error());
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -147,6 +147,7 @@
     shardSettings.lease = settings.lease;
     shardSettings.longestLease = settings.longestLease;
     shardSettings.statusKept = settings.statusKept;
+    shardSettings.policy = settings.policy;
     auto &slot = slots[number];
     slot.shard = std::make_unique<Shard>(
         Scheduler::Ports{ ports.workers, advice, ports.timers, ports.log, ports.metrics },
--- a/libs/cell/src/placement.cpp
+++ b/libs/cell/src/placement.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Room left over that counts as much as running one time longer than on other workers.
-constexpr double slownessWeight = 40.0;
 /// A worker that is kept for a gang is taken by more urgent work only if no other has room: one
 /// task there would make the whole gang wait.
 constexpr double keptWeight = 500.0;
@@ -55,6 +53,7 @@
     return std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
 }
 
+/// What counts against a worker with the room that a task would leave.
 double leftOver(const Worker &worker, const StepDemand &demand)
 {
     const Resources rest = worker.free() - heldBy(*demand.spec);
@@ -69,8 +68,7 @@
 
 double cost(const Worker &worker, const StepDemand &demand)
 {
-    double result =
-        leftOver(worker, demand) + slownessWeight * std::max(0.0, worker.health.slowness - 1.0);
+    double result = std::holds_alternative<BestFit>(demand.fit) ? leftOver(worker, demand) : 0.0;
     if (!demand.spec->preferredRack.empty() && !hasLabel(worker.entry, demand.spec->preferredRack))
         result += distanceWeight;
     if (demand.reservations != nullptr && demand.reservations->holds(worker.entry.id))
--- a/libs/cell/src/placement.h
+++ b/libs/cell/src/placement.h
@@ -4,6 +4,7 @@
 #include "workertable.h"
 
 #include <cell/model.h>
+#include <cell/policy.h>
 
 #include <cstdint>
 #include <string>
@@ -46,6 +47,7 @@
     std::string service;
     std::uint32_t priority = 0;
     const Reservations *reservations = nullptr; ///< Null: none are respected.
+    WorkerFit fit{};
 };
 
 /// True if the worker's kind and service suit the step, whether it has room or not.
@@ -57,8 +59,7 @@
 /// How many tasks of the step the worker could take if all less urgent work left it.
 [[nodiscard]] std::uint32_t roomWithoutLesser(const Worker &worker, const StepDemand &demand);
 
-/// Chooses the worker for one task among \p candidates: the one that is left with the least room,
-/// so that large tasks find whole workers. Null if none has room.
+/// Chooses the worker for one task among \p candidates. Null if none has room.
 [[nodiscard]] Worker *chooseForTask(const std::vector<Worker *> &candidates,
                                     const StepDemand &demand, const Task &task);
 
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "keys.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -23,6 +24,7 @@
     , m_settings(settings)
     , m_writer(writer)
     , m_fenced(std::move(fenced))
+    , m_activeJobs(MoreUrgent{ settings.policy.order })
     , m_sender(ports.workers, ports.timers)
     , m_links(ports.workers, ports.timers, ports.log, m_workers,
               { settings.ownershipRevision, settings.lease, settings.longestLease },
@@ -44,8 +46,10 @@
 
 bool Scheduler::MoreUrgent::operator()(const Job *left, const Job *right) const
 {
-    const auto key = [](const Job *job) {
-        return std::tie(job->record.queue.priority, job->created, job->record.id);
+    const bool byPriority = std::holds_alternative<UrgencyOrder>(order);
+    const auto key = [byPriority](const Job *job) {
+        return std::tuple(byPriority ? job->record.queue.priority : 0, job->created,
+                          std::string_view(job->record.id));
     };
     return key(left) < key(right);
 }
@@ -59,7 +63,8 @@
 {
     m_configuration = configuration;
     // The priorities, and with them the order, may change.
-    const auto jobs = std::exchange(m_activeJobs, {});
+    const auto jobs =
+        std::exchange(m_activeJobs, ActiveJobs(MoreUrgent{ m_settings.policy.order }));
     for (Job *job : jobs) {
         if (const auto *queue = configuration.queueNamed(job->record.queue.name))
             job->record.queue = *queue;
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -10,6 +10,7 @@
 #include "workertable.h"
 
 #include <cell/model.h>
+#include <cell/policy.h>
 #include <cell/ports.h>
 
 #include <base/eventlog.h>
@@ -39,6 +40,7 @@
         Duration lease{};        ///< Of tasks on a worker, from each contact on.
         Duration longestLease{}; ///< That a worker grants at all.
         Duration statusKept{};   ///< How long the state of an ended job can be asked for.
+        PlacementPolicy policy;
     };
 
     struct Ports
@@ -88,9 +90,12 @@
     /// Order in which jobs are looked at.
     struct MoreUrgent
     {
+        JobOrder order;
         bool operator()(const Job *left, const Job *right) const;
     };
 
+    using ActiveJobs = std::set<Job *, MoreUrgent>;
+
     /// A ready step of a job, while a pass lasts.
     struct StepView
     {
@@ -175,7 +180,7 @@
     JobTable m_jobs;
     WorkerTable m_workers;
     AllowedShares m_allowedShares;
-    std::set<Job *, MoreUrgent> m_activeJobs;
+    ActiveJobs m_activeJobs;
     std::optional<CellConfiguration> m_configuration;
     OrderSender m_sender;
     WorkerLinks m_links;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -72,8 +72,12 @@
     int reservedGangs = 0;
     const auto waiting = waitingSteps();
     for (const auto &view : waiting) {
-        const StepDemand demand{ view.spec, view.task(0), view.job->record.queue.service,
-                                 view.job->record.queue.priority, &reservations };
+        const StepDemand demand{ view.spec,
+                                 view.task(0),
+                                 view.job->record.queue.service,
+                                 view.job->record.queue.priority,
+                                 &reservations,
+                                 m_settings.policy.fit };
         // Nothing can be done before the first answer.
         if (view.step->advice.asking && view.step->advice.allowed.empty())
             continue;
@@ -170,7 +174,7 @@
 
 int Scheduler::bandOf(const StepView &view, TimePoint current) const
 {
-    if (view.spec->longRunning)
+    if (view.spec->longRunning || std::holds_alternative<ArrivalOrder>(m_settings.policy.order))
         return bandOnTime;
     const Duration rest =
         view.job->chain - view.job->chainBefore.at(view.index) + view.spec->estimate;
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -69,10 +69,7 @@
     run.held = heldBy(*view.spec);
     run.priority = view.job->record.queue.priority;
     run.gang = view.spec->gang;
-    run.checkpointing = view.spec->checkpointing;
-    run.speculative = view.spec->speculative;
     run.ordered = current;
-    run.progressed = current;
     const RunKey key(run.task, number);
     addRun(worker, std::move(run));
     view.step->move(task, TaskPhase::Placed);
@@ -243,8 +240,6 @@
         return;
     }
     Run &run = found->second;
-    if (row.percent > run.percent)
-        run.progressed = now();
     run.percent = row.percent;
     run.checkpoint = row.checkpoint;
     if (run.phase == RunPhase::Starting) {
@@ -264,7 +259,6 @@
     run.number = row.run;
     run.ordered = now();
     run.confirmed = now();
-    run.progressed = now();
     run.percent = row.percent;
     run.checkpoint = row.checkpoint;
     run.phase = RunPhase::Running;
@@ -273,8 +267,6 @@
         run.held = heldBy(spec);
         run.priority = job->record.queue.priority;
         run.gang = spec.gang;
-        run.checkpointing = spec.checkpointing;
-        run.speculative = spec.speculative;
     } else {
         run.sizeUnknown = true;
     }
@@ -416,7 +408,7 @@
     const bool gang = found != worker.runs.end() && found->second.gang;
     releaseRun(worker, key, end.checkpoint);
     if (end.kind == EndKind::Done) {
-        noteSuccess(worker, now());
+        noteSuccess(worker);
         taskDone(end.task, end.run);
         return;
     }
--- a/libs/cell/src/workertable.cpp
+++ b/libs/cell/src/workertable.cpp
@@ -54,13 +54,11 @@
     return true;
 }
 
-bool noteSuccess(Worker &worker, TimePoint now)
+void noteSuccess(Worker &worker) noexcept
 {
     worker.health.failuresInRow = 0;
     worker.health.lastFailedJob.clear();
     worker.health.quarantines = 0;
-    worker.health.lastSuccess = now;
-    return false;
 }
 
 bool noteFailure(Worker &worker, const std::string &job, TimePoint now)
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -32,14 +32,11 @@
     std::uint32_t priority = 0;
     RunPhase phase = RunPhase::Starting;
     bool gang = false;
-    bool checkpointing = false;
-    bool speculative = false;
     TimePoint ordered{};
     TimePoint confirmed{}; ///< Since when the worker is known to have it.
     std::optional<TimePoint> stopConfirmed;
     bool outcomeUnknown = false; ///< A start that was never answered.
     std::uint32_t percent = 0;
-    TimePoint progressed{}; ///< When the percentage last rose.
     std::string checkpoint;
 };
 
@@ -50,8 +47,6 @@
     std::string lastFailedJob;
     std::uint32_t quarantines = 0;
     TimePoint quarantinedUntil{};
-    TimePoint lastSuccess{};
-    double slowness = 1.0; ///< Mean of run time against the run time of others.
 };
 
 struct Worker
@@ -89,8 +84,10 @@
 /// Takes a run out of the ledger. False if it is not there.
 bool removeRun(Worker &worker, const RunKey &key);
 
-/// Notes how a run ended. Returns true if the worker gets quarantined by it.
-bool noteSuccess(Worker &worker, TimePoint now);
+/// Notes that a run ended well.
+void noteSuccess(Worker &worker) noexcept;
+
+/// Notes that a run of \p job failed. Returns true if the worker gets quarantined by it.
 bool noteFailure(Worker &worker, const std::string &job, TimePoint now);
 void quarantine(Worker &worker, TimePoint now, Duration time);
 
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -41,12 +41,16 @@
         std::uint32_t seed = 1;
         Duration stopTime{ std::chrono::milliseconds(50) }; ///< That a stop of a task takes.
         bool advice = false;
+        /// Queues of the configuration; if there are none, one named "batch".
+        std::vector<cell::QueueSettings> queues;
+        cell::PlacementPolicy policy;
         double adviceAllows = 0.6; ///< Share of the workers that a step may use.
     };
 
     struct JobPlan
     {
         cell::JobSpec spec;
+        std::string queue = "batch";
         Duration work{ std::chrono::milliseconds(400) };
         std::set<std::uint32_t> failingRuns; ///< Numbers of starts of a task that fail, from 1 on.
     };
@@ -92,6 +96,8 @@
     /// Version of the configuration that a node has in force; 0 if it has none.
     [[nodiscard]] std::uint64_t configurationOf(std::uint32_t node) const;
     [[nodiscard]] std::string logOf(std::uint32_t node) const;
+    /// Calls of one kind that a node has made, for example of "store.commit".
+    [[nodiscard]] std::uint64_t callsOf(std::uint32_t node, const std::string &name) const;
 
     struct NodeSlot;
     struct WorkerSlot;
@@ -102,6 +108,8 @@
     NodeSlot *findNode(const std::string &address);
     [[nodiscard]] bool ordersLate() { return m_chance(m_random) < m_lateOrders; }
     [[nodiscard]] bool allowed(const std::string &step, const std::string &worker) const;
+    /// Time that the policy service takes to answer.
+    [[nodiscard]] Duration adviceTime(const std::string &step, std::size_t workerCount) const;
 
 private:
     void publishWorker(WorkerSlot &slot);
--- /dev/null
+++ b/standins/cell/src/decisionload.cpp
@@ -0,0 +1,229 @@
+#include <standincell/decisionload.h>
+
+#include <standincell/world.h>
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <sstream>
+#include <vector>
+
+namespace cowsliprock::standincell {
+
+using namespace cell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t workers = 24;
+constexpr seconds startTime{ 3 };
+constexpr seconds loadTime{ 30 };
+constexpr seconds settleTime{ 15 };
+constexpr milliseconds tick{ 50 };
+constexpr seconds atOnce{ 1 };
+
+/// Jobs of one kind, with tasks of 16-core workers.
+struct Kind
+{
+    const char *name;
+    std::uint32_t priority;
+    double perSecond;
+    std::uint32_t tasks;
+    Resources amount;
+    milliseconds work;
+    bool gang;
+    milliseconds target; ///< Beyond twice the work.
+    milliseconds adviceTime;
+    seconds burstFrom; ///< Twice the load for four seconds.
+};
+
+constexpr seconds burstTime{ 4 };
+
+const std::array<Kind, 3> kinds{
+    Kind{
+        .name = "urgent",
+        .priority = 0,
+        .perSecond = 12.0,
+        .tasks = 3,
+        .amount = { 2500, 9000, 0 },
+        .work = milliseconds(640),
+        .gang = false,
+        .target = milliseconds(500),
+        .adviceTime = milliseconds(8),
+        .burstFrom = seconds(6),
+    },
+    Kind{
+        .name = "gang",
+        .priority = 1,
+        .perSecond = 0.62,
+        .tasks = 12,
+        .amount = { 4500, 16000, 0 },
+        .work = milliseconds(5000),
+        .gang = true,
+        .target = milliseconds(1200),
+        .adviceTime = milliseconds(440),
+        .burstFrom = seconds(18),
+    },
+    Kind{
+        .name = "batch",
+        .priority = 2,
+        .perSecond = 1.2,
+        .tasks = 25,
+        .amount = { 1700, 6000, 0 },
+        .work = milliseconds(2700),
+        .gang = false,
+        .target = milliseconds(3000),
+        .adviceTime = milliseconds(100),
+        .burstFrom = seconds(100),
+    },
+};
+
+QueueSettings queueOf(const Kind &kind)
+{
+    QueueSettings queue;
+    queue.name = kind.name;
+    queue.host = "h";
+    queue.prefix = std::string("/") + kind.name + "/";
+    queue.service = "s";
+    queue.priority = kind.priority;
+    queue.maxAttempts = 2;
+    queue.extension = 2.0;
+    queue.targetRuntime = kind.target;
+    queue.timeout = seconds(3);
+    queue.advice = AdviceSettings{ kind.adviceTime, milliseconds(1), seconds(2) };
+    return queue;
+}
+
+struct Submitted
+{
+    const Kind *kind = nullptr;
+    TimePoint at{};
+    TimePoint answered{};
+    std::optional<SubmitResult> result;
+};
+
+class HeavyLoad
+{
+public:
+    HeavyLoad(const PlacementPolicy &policy, std::uint32_t seed)
+        : m_random(seed)
+        , m_world(settings(policy, seed))
+    { }
+
+    std::map<std::string, KindOutcome> play()
+    {
+        m_world.run(startTime);
+        const auto begin = m_world.time().now();
+        while (m_world.time().now() - begin < loadTime) {
+            for (const auto &kind : kinds)
+                arrive(kind, m_world.time().now() - begin);
+            m_world.run(tick);
+            noteAnswers();
+        }
+        m_world.run(settleTime);
+        noteAnswers();
+        return outcomes();
+    }
+
+private:
+    static World::Settings settings(const PlacementPolicy &policy, std::uint32_t seed)
+    {
+        World::Settings result;
+        result.nodes = 6;
+        result.workers = workers;
+        result.seed = seed;
+        result.policy = policy;
+        for (const auto &kind : kinds)
+            result.queues.push_back(queueOf(kind));
+        return result;
+    }
+
+    void arrive(const Kind &kind, Duration since)
+    {
+        const bool burst = since >= kind.burstFrom && since < kind.burstFrom + burstTime;
+        const double expected =
+            kind.perSecond * (burst ? 2 : 1) * std::chrono::duration<double>(tick).count();
+        const auto count = std::poisson_distribution<std::uint32_t>(expected)(m_random);
+        for (std::uint32_t job = 0; job < count; ++job)
+            submit(kind);
+    }
+
+    void submit(const Kind &kind)
+    {
+        std::uniform_real_distribution<double> factor(0.6, 1.4);
+        World::JobPlan plan;
+        plan.queue = kind.name;
+        plan.work = std::chrono::duration_cast<Duration>(kind.work * factor(m_random));
+        StepSpec step;
+        step.count = kind.tasks;
+        step.amount = kind.amount;
+        step.estimate = kind.work;
+        step.gang = kind.gang;
+        plan.spec.steps.push_back(step);
+        const auto number = std::to_string(m_jobs.size());
+        const auto id = std::string(16 - number.size(), '0') + number;
+        auto &job = m_jobs[id];
+        job.kind = &kind;
+        job.at = m_world.time().now();
+        m_world.submit(static_cast<std::uint32_t>(m_jobs.size() % 6), id, plan, &job.result);
+    }
+
+    void noteAnswers()
+    {
+        for (auto &[id, job] : m_jobs) {
+            if (job.result && job.answered == TimePoint())
+                job.answered = m_world.time().now();
+        }
+    }
+
+    /// Times at which jobs were completed, from the logs.
+    std::map<std::string, Duration> completions()
+    {
+        std::map<std::string, Duration> result;
+        for (std::uint32_t node = 0; node < 6; ++node) {
+            std::istringstream log(m_world.logOf(node));
+            for (std::string row; std::getline(log, row);) {
+                if (row.find("\"job.ended\"") == std::string::npos)
+                    continue;
+                const auto line = nlohmann::json::parse(row, nullptr, false);
+                if (line.is_object() && line.value("status", "") == "completed")
+                    result[line.value("job", "")] = milliseconds(line.value("ms", 0));
+            }
+        }
+        return result;
+    }
+
+    std::map<std::string, KindOutcome> outcomes()
+    {
+        std::map<std::string, KindOutcome> result;
+        const auto completed = completions();
+        for (const auto &[id, job] : m_jobs) {
+            auto &outcome = result[job.kind->name];
+            ++outcome.submitted;
+            const auto done = completed.find(id);
+            const Duration objective =
+                2 * (job.kind->work + job.kind->adviceTime) + job.kind->target;
+            if (done != completed.end())
+                ++(done->second <= objective ? outcome.inTime : outcome.late);
+            else if (job.result == SubmitResult::NotStored)
+                ++(job.answered - job.at < atOnce ? outcome.refusedAtOnce : outcome.refusedLate);
+            else
+                ++outcome.never;
+        }
+        return result;
+    }
+
+    std::mt19937 m_random;
+    World m_world;
+    std::map<std::string, Submitted> m_jobs;
+};
+
+} // namespace
+
+std::map<std::string, KindOutcome> playHeavyLoad(const PlacementPolicy &policy, std::uint32_t seed)
+{
+    return HeavyLoad(policy, seed).play();
+}
+
+} // namespace cowsliprock::standincell
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -1,5 +1,6 @@
 #include "ports.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cowsliprock::standincell {
@@ -12,7 +13,6 @@
 constexpr std::chrono::milliseconds orderTimeout{ 300 };
 constexpr std::chrono::milliseconds inventoryReserve{ 350 };
 constexpr std::chrono::milliseconds lateAfter{ 3000 };
-constexpr std::chrono::milliseconds adviceTime{ 50 };
 
 Error timedOut(const char *step)
 {
@@ -24,7 +24,7 @@
 World::NodeSlot::NodeSlot(World &world, VirtualTime &time, StoreModel &storeModel,
                           std::string nodeName)
     : name(std::move(nodeName))
-    , log(-1, name, { 100000, 64UL * 1024UL * 1024UL })
+    , log(-1, name, { 100000, 64UL * 1024UL * 1024UL, 64UL * 1024UL * 1024UL })
     , timers(std::make_unique<NodeTimers>(time, *this))
     , store(std::make_unique<NodeStore>(world, time, storeModel, *this))
     , workers(std::make_unique<NodeWorkers>(world, time, *this))
@@ -227,7 +227,9 @@
                         Duration /*timeout*/, Done<Result<Advice>> done)
 {
     const auto life = m_slot.life;
-    m_time.after(adviceTime, [this, life, step, workers, done] {
+    // One question of a node is answered after the other.
+    m_adviceFree = std::max(m_adviceFree, m_time.now()) + m_world.adviceTime(step, workers.size());
+    m_time.after(m_adviceFree - m_time.now(), [this, life, step, workers, done] {
         Advice advice;
         advice.validity = std::chrono::seconds(2);
         for (const auto &worker : workers) {
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -150,6 +150,7 @@
     World &m_world;
     VirtualTime &m_time;
     World::NodeSlot &m_slot;
+    TimePoint m_adviceFree{};
 };
 
 /// The other nodes.
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -22,6 +22,7 @@
 constexpr std::chrono::milliseconds entryTime{ 4500 };
 constexpr std::chrono::milliseconds restartDelay{ 500 };
 constexpr std::uint32_t attempts = 2;
+constexpr std::chrono::milliseconds usualAdviceTime{ 50 };
 
 std::string nodeName(std::uint32_t index)
 {
@@ -76,7 +77,10 @@
         queue.advice = AdviceSettings{ std::chrono::milliseconds(40), std::chrono::milliseconds(1),
                                        std::chrono::seconds(2) };
     }
-    m_store.put(configurationKey, configurationDocument(++m_version, { queue }));
+    auto queues = m_settings.queues;
+    if (queues.empty())
+        queues.push_back(queue);
+    m_store.put(configurationKey, configurationDocument(++m_version, queues));
 }
 
 void World::publishWorker(WorkerSlot &slot)
@@ -113,6 +117,17 @@
         < m_settings.adviceAllows * static_cast<double>(parts);
 }
 
+Duration World::adviceTime(const std::string &step, std::size_t workerCount) const
+{
+    const auto job = m_jobs.find(step.substr(0, step.find('.')));
+    for (const auto &queue : m_settings.queues) {
+        if (job != m_jobs.end() && queue.name == job->second.queue && queue.advice)
+            return queue.advice->decision
+                + queue.advice->perWorker * static_cast<std::int64_t>(workerCount);
+    }
+    return usualAdviceTime;
+}
+
 World::WorkerSlot *World::findWorker(const std::string &id)
 {
     const auto entry = std::find_if(m_workers.begin(), m_workers.end(),
@@ -139,6 +154,7 @@
     settings.incarnation = slot.life;
     settings.dataCentre = "z";
     settings.address = slot.name;
+    settings.policy = m_settings.policy;
     slot.node =
         std::make_unique<Node>(Node::Ports{ *slot.store, *slot.workers, *slot.advice, *slot.peers,
                                             *slot.timers, slot.log, slot.metrics },
@@ -214,7 +230,7 @@
     if (!slot.node || !slot.node->ready())
         return;
     m_jobs[id] = jobPlan;
-    const auto *queue = slot.node->configuration()->queueNamed("batch");
+    const auto *queue = slot.node->configuration()->queueNamed(jobPlan.queue);
     m_promises.submitted(id, jobPlan.spec, attempts);
     slot.node->submit(id, *queue, jobPlan.spec, m_time.now() + std::chrono::milliseconds(2500),
                       [this, id, result](SubmitResult answer) {
@@ -291,6 +307,11 @@
     return m_nodes.at(node)->node != nullptr;
 }
 
+std::uint64_t World::callsOf(std::uint32_t node, const std::string &name) const
+{
+    return m_nodes.at(node)->metrics.counter(name + ".calls");
+}
+
 std::string World::logOf(std::uint32_t node) const
 {
     return m_nodes.at(node)->log.buffered();
