--- a/libs/cell/src/fencedwriter.cpp
+++ b/libs/cell/src/fencedwriter.cpp
@@ -15,8 +15,8 @@
 namespace {
 
 /// Changes are gathered this long, so that one transaction carries many of them.
-constexpr std::chrono::milliseconds urgentGatherTime{ 10 };
-constexpr std::chrono::milliseconds gatherTime{ 20 };
+constexpr std::chrono::milliseconds urgentGatherTime{ 20 };
+constexpr std::chrono::milliseconds gatherTime{ 35 };
 constexpr std::chrono::milliseconds laterGatherTime{ 500 };
 constexpr std::chrono::milliseconds retryDelay{ 120 };
 /// Transactions in flight; the store may be in another region.
--- a/libs/cell/src/shard.cpp
+++ b/libs/cell/src/shard.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr PrefixWatch::Options jobsWatch{ std::chrono::milliseconds(1500),
-                                          std::chrono::milliseconds(15) };
+                                          std::chrono::milliseconds(30) };
 constexpr PrefixWatch::Options workersWatch{ std::chrono::milliseconds(1500),
                                              std::chrono::milliseconds(25) };
 constexpr std::chrono::milliseconds retryDelay{ 150 };
