--- a/libs/explain/src/account.cpp
+++ b/libs/explain/src/account.cpp
@@ -175,8 +175,9 @@
 
 std::string toText(const LogLine &line, std::int64_t begin)
 {
-    std::string text =
-        "  +" + std::to_string(line.time - begin) + " ms  " + line.process + "  " + line.event;
+    const auto since = line.time - begin;
+    std::string text = std::string(since < 0 ? "  " : "  +") + std::to_string(since) + " ms  "
+        + line.process + "  " + line.event;
     for (const auto &[name, value] : line.fields.items())
         text += "  " + name + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
     return text + "\n";
