--- a/apps/experiment/include/experiment/cell.h
+++ b/apps/experiment/include/experiment/cell.h
@@ -73,7 +73,7 @@
     void signal(std::uint32_t daemon, int number);
 
     // Troubles of the store. Without a daemon they hold for all.
-    void storeBehaves(std::optional<std::uint32_t> daemon, standincell::StoreBehaviour behaviour);
+    void disturbStore(std::optional<std::uint32_t> daemon, standincell::StoreFault fault);
     void storeDelay(Duration delay);
     void pauseStoreLeases(bool paused) { m_store.pauseLeases(paused); }
     void compactStore() { m_store.compact(); }
--- a/apps/experiment/src/cell.cpp
+++ b/apps/experiment/src/cell.cpp
@@ -93,6 +93,11 @@
 Result<void> Cell::start()
 {
     std::filesystem::create_directories(m_paths.folder);
+    // A build in between must not change what is played.
+    const auto program = m_paths.folder / "daemon";
+    std::filesystem::copy_file(m_paths.program, program,
+                               std::filesystem::copy_options::overwrite_existing);
+    m_paths.program = program.string();
     changeConfiguration();
     for (std::uint32_t number = 0; number < m_plan.workers; ++number) {
         BOOST_OUTCOME_TRYV(startWorker(number));
@@ -337,11 +342,11 @@
         signal(number, SIGTERM);
 }
 
-void Cell::storeBehaves(std::optional<std::uint32_t> daemon, StoreBehaviour behaviour)
+void Cell::disturbStore(std::optional<std::uint32_t> daemon, StoreFault fault)
 {
     for (std::uint32_t number = 0; number < m_daemons.size(); ++number) {
         if (!daemon || *daemon == number)
-            m_daemons[number]->store->behave(behaviour);
+            m_daemons[number]->store->disturb(fault);
     }
 }
 
--- a/apps/experiment/src/troubles.cpp
+++ b/apps/experiment/src/troubles.cpp
@@ -8,7 +8,7 @@
 
 namespace cowsliprock::experiment {
 
-using standincell::StoreBehaviour;
+using standincell::StoreFault;
 using standincell::WorkerBehaviour;
 using std::chrono::milliseconds;
 
@@ -116,29 +116,28 @@
 
 void Troubles::beginForStore(const Trouble &trouble, std::uint32_t daemon)
 {
-    const auto behave = [this, &trouble](std::optional<std::uint32_t> whom,
-                                         StoreBehaviour behaviour) {
-        m_cell.storeBehaves(whom, behaviour);
-        later(trouble, [this, whom] { m_cell.storeBehaves(whom, StoreBehaviour::Healthy); });
+    const auto disturb = [this, &trouble](std::optional<std::uint32_t> whom, StoreFault fault) {
+        m_cell.disturbStore(whom, fault);
+        later(trouble, [this, whom] { m_cell.disturbStore(whom, StoreFault::None); });
     };
-    const auto outage = [this, &trouble, &behave](StoreBehaviour behaviour) {
-        behave(std::nullopt, behaviour);
+    const auto outage = [this, &trouble, &disturb](StoreFault fault) {
+        disturb(std::nullopt, fault);
         // Leases stand still in some outages and run on in others.
         m_cell.pauseStoreLeases(trouble.target % 2 == 0);
         later(trouble, [this] { m_cell.pauseStoreLeases(false); });
     };
     switch (trouble.kind) {
     case TroubleKind::StoreRefuses:
-        outage(StoreBehaviour::Refuse);
+        outage(StoreFault::Refuse);
         return;
     case TroubleKind::StoreSilent:
-        outage(StoreBehaviour::Silent);
+        outage(StoreFault::Silent);
         return;
     case TroubleKind::StoreLosesAnswers:
-        behave(daemon, StoreBehaviour::Lose);
+        disturb(daemon, StoreFault::Lose);
         return;
     case TroubleKind::StoreWritesLate:
-        behave(daemon, StoreBehaviour::LoseLate);
+        disturb(daemon, StoreFault::LoseLate);
         return;
     case TroubleKind::StoreSlow:
         m_cell.storeDelay(slowStore);
@@ -148,7 +147,7 @@
         m_cell.compactStore();
         return;
     default:
-        behave(daemon, trouble.target % 2 == 0 ? StoreBehaviour::Refuse : StoreBehaviour::Silent);
+        disturb(daemon, trouble.target % 2 == 0 ? StoreFault::Refuse : StoreFault::Silent);
         return;
     }
 }
--- a/libs/cell/include/cell/model.h
+++ b/libs/cell/include/cell/model.h
@@ -133,12 +133,13 @@
     Resources capacity;
     std::vector<std::string> labels; ///< Kind of machine and rack.
     std::int64_t born = 0;           ///< Start of this life, in ms since 1970; 0 if unknown.
-    std::chrono::milliseconds coldRemaining{};
 };
 
 /// How a run ended.
 enum class EndKind { Done, Failed, Stopped, Lapsed, Broken, Alone };
 
+[[nodiscard]] const char *toString(EndKind kind) noexcept;
+
 struct RunningTask
 {
     TaskId task;
--- a/libs/cell/src/advicequeue.cpp
+++ b/libs/cell/src/advicequeue.cpp
@@ -14,8 +14,6 @@
 constexpr std::chrono::milliseconds timeoutReserve{ 450 };
 /// A daemon gets its next question this long before the last one is answered.
 constexpr std::chrono::milliseconds overlap{ 25 };
-/// A question that takes longer is a slow one.
-constexpr std::chrono::milliseconds slowQuestion{ 60 };
 /// One daemon in this many takes no slow questions.
 constexpr std::size_t quickShare = 3;
 /// A daemon that did not answer is not asked for this long, doubled with each failure in a row.
--- a/libs/cell/src/advicequeue.h
+++ b/libs/cell/src/advicequeue.h
@@ -16,6 +16,9 @@
 
 namespace cowsliprock::cell {
 
+/// Questions that take longer are slow ones: they wait for each other.
+constexpr std::chrono::milliseconds slowQuestion{ 60 };
+
 struct AdviceRequest
 {
     std::string step; ///< Text of the step.
--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -9,6 +9,8 @@
 
 /// A job that takes this many times its objective is of no use to its caller any more.
 constexpr int usefulObjectives = 3;
+/// Time that an order takes at most on its way.
+constexpr std::chrono::milliseconds ticketMargin{ 250 };
 
 void estimateChains(Job &job)
 {
@@ -55,6 +57,19 @@
     return failures.emplace_back(TaskFailures{ index, {} });
 }
 
+bool StepTicket::usableAt(TimePoint now) const noexcept
+{
+    return !value.empty() && expires >= now + ticketMargin;
+}
+
+std::uint32_t Step::startable(TimePoint now) const noexcept
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(tasks.begin(), tasks.end(), [now](const Task &task) {
+            return task.phase == TaskPhase::Waiting && task.notBefore <= now;
+        }));
+}
+
 void Step::move(Task &task, TaskPhase phase) noexcept
 {
     const auto count = [this](TaskPhase of) {
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -34,6 +34,9 @@
     std::string value; ///< Empty: the worker is allowed but its ticket has to be asked for.
     TimePoint expires{};
     std::int64_t born = 0; ///< Life of the worker that the ticket is for.
+
+    /// True if an order with the ticket reaches the worker before the ticket expires.
+    [[nodiscard]] bool usableAt(TimePoint now) const noexcept;
 };
 
 struct StepAdvice
@@ -56,6 +59,8 @@
 
     [[nodiscard]] bool done() const noexcept { return doneCount == tasks.size(); }
     TaskFailures &failuresOf(std::uint32_t index);
+    /// Tasks that wait and whose time has come.
+    [[nodiscard]] std::uint32_t startable(TimePoint now) const noexcept;
     /// Changes the phase of one of the step's tasks, and the counts.
     void move(Task &task, TaskPhase phase) noexcept;
 };
--- a/libs/cell/src/model.cpp
+++ b/libs/cell/src/model.cpp
@@ -83,4 +83,23 @@
     return result;
 }
 
+const char *toString(EndKind kind) noexcept
+{
+    switch (kind) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::Lapsed:
+        return "lapsed";
+    case EndKind::Broken:
+        return "broken";
+    case EndKind::Alone:
+        return "alone";
+    }
+    return "unknown";
+}
+
 } // namespace cowsliprock::cell
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -124,6 +124,8 @@
     bool placeGang(const StepView &view, const StepDemand &demand,
                    const Reservations &reservations);
     void reserveFor(const StepView &view, const StepDemand &demand, Reservations &reservations);
+
+    // Advice (scheduleradvice.cpp).
     [[nodiscard]] bool mayAsk(const AdviceSettings &settings, std::uint32_t tasks);
     void askAdvice(const StepView &view, const StepDemand &demand, Reservations &reservations);
     [[nodiscard]] AdviceCandidates adviceCandidates(const StepView &view, const StepDemand &demand,
@@ -144,7 +146,6 @@
     void takeInventory(Worker &worker, const Inventory &inventory, TimePoint asked);
     void takeRunning(Worker &worker, const RunningTask &row);
     void adopt(Worker &worker, const RunningTask &row);
-    void stopUnknown(Worker &worker, const RunningTask &row);
     void dropMissing(Worker &worker, const Inventory &inventory, TimePoint asked);
     void takeNewLife(Worker &worker, const Inventory &inventory, TimePoint asked);
     void endAllRuns(Worker &worker);
--- /dev/null
+++ b/libs/cell/src/scheduleradvice.cpp
@@ -0,0 +1,167 @@
+#include "scheduler.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// A step for which nobody can be asked is not looked at again for this long.
+constexpr std::chrono::milliseconds adviceIdlePause{ 60 };
+constexpr std::chrono::milliseconds adviceRetryPause{ 150 };
+
+} // namespace
+
+AdviceCandidates Scheduler::adviceCandidates(const StepView &view, const StepDemand &demand,
+                                             const Reservations &reservations)
+{
+    const auto current = now();
+    const auto &advice = view.step->advice;
+    AdviceCandidates result;
+    for (Worker *worker : m_usable) {
+        const auto &id = worker->entry.id;
+        if (!suits(*worker, demand))
+            continue;
+        const auto denied = advice.denied.find(id);
+        if (denied != advice.denied.end() && denied->second == worker->born)
+            continue;
+        const auto ticket = advice.allowed.find(id);
+        if (ticket == advice.allowed.end() || ticket->second.born != worker->born) {
+            result.unknown.push_back(worker);
+            continue;
+        }
+        if (reservations.blocks(id, demand.priority))
+            continue;
+        result.allowed.push_back(worker);
+        if (roomFor(*worker, demand) > 0 && !ticket->second.usableAt(current))
+            result.stale.push_back(worker);
+    }
+    return result;
+}
+
+std::vector<std::string> Scheduler::workersToAskAbout(const StepView &view,
+                                                      const StepDemand &demand,
+                                                      const AdviceCandidates &candidates) const
+{
+    const auto &advice = view.step->advice;
+    const auto &queue = view.job->record.queue;
+    AdviceNeed need;
+    need.gang = view.spec->gang;
+    need.first = advice.allowed.empty() && advice.denied.empty();
+    need.tasks = view.step->startable(now());
+    need.allowedShare = m_allowedShares.of(queue.name);
+    return chooseToAskAbout(need, demand, candidates);
+}
+
+bool Scheduler::mayAsk(const AdviceSettings &settings, std::uint32_t tasks)
+{
+    const Duration expected = settings.decision + settings.perWorker * tasks;
+    if (expected <= slowQuestion)
+        return true;
+    // Found out once in a pass: the service is the same for all steps.
+    m_slowAdviceFull = m_slowAdviceFull || !m_ports.advice.accepts(expected);
+    return !m_slowAdviceFull;
+}
+
+void Scheduler::askAdvice(const StepView &view, const StepDemand &demand,
+                          Reservations &reservations)
+{
+    const auto &settings = view.job->record.queue.advice;
+    auto &advice = view.step->advice;
+    if (!settings || advice.nextAsk > now())
+        return;
+    if (!advice.asking) {
+        if (!mayAsk(*settings, view.step->startable(now())))
+            return;
+        const auto names =
+            workersToAskAbout(view, demand, adviceCandidates(view, demand, reservations));
+        if (names.empty()) {
+            advice.nextAsk = now() + adviceIdlePause;
+            return;
+        }
+        advice.asking = true;
+        // The note is stored while the policy service decides.
+        if (heldBy(*view.spec).fitsIn(m_mostFree))
+            static_cast<void>(mayStart(*view.job));
+        // Room is kept only on workers that are known to be allowed.
+        std::copy_if(names.begin(), names.end(), std::back_inserter(advice.asked),
+                     [&advice](const std::string &id) { return advice.allowed.contains(id); });
+        m_ports.metrics.count("advice.asked");
+        AdviceRequest request;
+        request.step = demand.step.stepText();
+        request.workers = names;
+        request.expected =
+            settings->decision + settings->perWorker * static_cast<std::int64_t>(names.size());
+        request.priority = demand.priority;
+        m_ports.advice.advise(
+            request,
+            [this, alive = m_alive, step = demand.step, names](const Result<Advice> &answer) {
+                if (*alive)
+                    advised(step, names, answer);
+            });
+    }
+    if (view.spec->gang) {
+        for (const auto &id : advice.asked)
+            reservations.reserve(id, demand.priority);
+        return;
+    }
+    auto open = view.step->startable(now());
+    for (const auto &id : advice.asked) {
+        const auto worker = m_workers.find(id);
+        if (worker == m_workers.end())
+            continue;
+        const auto tasks = std::min(open, roomFor(worker->second, demand));
+        reservations.pledge(id, heldBy(*view.spec) * tasks);
+        open -= tasks;
+    }
+}
+
+void Scheduler::advised(const TaskId &stepId, const std::vector<std::string> &asked,
+                        const Result<Advice> &answer)
+{
+    Step *step = m_jobs.findStep(stepId);
+    if (step == nullptr)
+        return;
+    const auto current = now();
+    step->advice.asking = false;
+    step->advice.asked.clear();
+    requestPass();
+    if (!answer.has_value()) {
+        step->advice.nextAsk = current + adviceRetryPause;
+        m_ports.log.write(current, "advice.failed",
+                          { { "step", stepId.stepText() }, { "error", answer.error().text() } });
+        m_ports.timers.after(adviceRetryPause, [this, alive = m_alive] {
+            if (*alive)
+                requestPass();
+        });
+        return;
+    }
+    const auto lifeOf = [this](const std::string &id) {
+        const auto worker = m_workers.find(id);
+        return worker == m_workers.end() ? std::int64_t{ 0 } : worker->second.born;
+    };
+    if (const Job *job = m_jobs.find(stepId.job))
+        m_allowedShares.note(job->record.queue.name, asked.size(), answer.value().allowed.size());
+    for (const auto &ticket : answer.value().allowed) {
+        step->advice.allowed[ticket.worker] = { ticket.value, current + answer.value().validity,
+                                                lifeOf(ticket.worker) };
+    }
+    for (const auto &id : asked) {
+        const auto &tickets = answer.value().allowed;
+        const bool allowed =
+            std::any_of(tickets.begin(), tickets.end(),
+                        [&id](const Ticket &ticket) { return ticket.worker == id; });
+        if (allowed)
+            continue;
+        step->advice.allowed.erase(id);
+        step->advice.denied[id] = lifeOf(id);
+    }
+    m_ports.log.write(current, "advice.received",
+                      { { "step", stepId.stepText() },
+                        { "asked", static_cast<std::uint64_t>(asked.size()) },
+                        { "allowed", static_cast<std::uint64_t>(answer.value().allowed.size()) } });
+}
+
+} // namespace cowsliprock::cell
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -37,25 +37,6 @@
     return "unknown";
 }
 
-const char *toString(EndKind kind) noexcept
-{
-    switch (kind) {
-    case EndKind::Done:
-        return "done";
-    case EndKind::Failed:
-        return "failed";
-    case EndKind::Stopped:
-        return "stopped";
-    case EndKind::Lapsed:
-        return "lapsed";
-    case EndKind::Broken:
-        return "broken";
-    case EndKind::Alone:
-        return "alone";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 void Scheduler::startTask(const StepView &view, std::uint32_t index, Worker &worker,
--- a/standins/cell/include/standincell/storemodel.h
+++ b/standins/cell/include/standincell/storemodel.h
@@ -14,6 +14,15 @@
 
 namespace cowsliprock::standincell {
 
+/// How the store treats the calls of a daemon.
+enum class StoreFault {
+    None,
+    Refuse,  ///< Answers that it did nothing.
+    Silent,  ///< Neither acts nor answers.
+    Lose,    ///< Acts and does not answer.
+    LoseLate ///< Writes take effect seconds later and are not answered.
+};
+
 /// The platform's store: revisions, conditions, leases, watches and a bounded history.
 /// Every member takes effect at once; who calls it adds delay and faults.
 class StoreModel
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -20,15 +20,6 @@
 
 namespace cowsliprock::standincell {
 
-/// How the store treats calls.
-enum class StoreFault {
-    None,
-    Refuse,  ///< Answers that it did nothing.
-    Silent,  ///< Neither acts nor answers.
-    Lose,    ///< Acts and does not answer.
-    LoseLate ///< Writes take effect seconds later and are not answered.
-};
-
 /// A cell in one process and in virtual time: nodes, a store, workers, a policy service.
 class World
 {
--- a/standins/cellhttp/include/standincellhttp/storeserver.h
+++ b/standins/cellhttp/include/standincellhttp/storeserver.h
@@ -19,15 +19,6 @@
 
 namespace cowsliprock::standincell {
 
-/// How the store treats the calls of one daemon.
-enum class StoreBehaviour {
-    Healthy,
-    Refuse,  ///< Answers that it did nothing.
-    Silent,  ///< Neither acts nor answers.
-    Lose,    ///< Acts and does not answer.
-    LoseLate ///< Writes take effect seconds later and are not answered.
-};
-
 /// The store as one daemon reaches it over HTTP. All servers of a cell share one model.
 /// All members run in the loop's thread.
 class StoreServer
@@ -37,7 +28,7 @@
 
     [[nodiscard]] Result<SocketAddress> listen(const SocketAddress &address);
 
-    void behave(StoreBehaviour behaviour) noexcept { m_behaviour = behaviour; }
+    void disturb(StoreFault fault) noexcept { m_fault = fault; }
     void delay(Duration delay) noexcept { m_delay = delay; }
 
     /// Calls by kind, for example "commit".
@@ -59,7 +50,7 @@
     StoreModel &m_store;
     std::mt19937 m_random;
     HttpServer m_server;
-    StoreBehaviour m_behaviour = StoreBehaviour::Healthy;
+    StoreFault m_fault = StoreFault::None;
     Duration m_delay{};
     std::map<std::string, std::uint64_t> m_calls;
     /// Connections of calls that never get an answer.
--- a/standins/cellhttp/src/storeserver.cpp
+++ b/standins/cellhttp/src/storeserver.cpp
@@ -61,24 +61,24 @@
 {
     ++m_calls[kindOf(parseTarget(request.target).path)];
     const Respond nobody = [](const HttpReply &) {};
-    switch (m_behaviour) {
-    case StoreBehaviour::Healthy:
+    switch (m_fault) {
+    case StoreFault::None:
         if (m_delay <= Duration::zero())
             act(request, respond);
         else
             m_loop.after(m_delay, [this, request, respond] { act(request, respond); });
         return;
-    case StoreBehaviour::Refuse:
+    case StoreFault::Refuse:
         respond(reply(statusUnavailable));
         return;
-    case StoreBehaviour::Silent:
+    case StoreFault::Silent:
         m_unanswered.push_back(respond);
         return;
-    case StoreBehaviour::Lose:
+    case StoreFault::Lose:
         m_unanswered.push_back(respond);
         act(request, nobody);
         return;
-    case StoreBehaviour::LoseLate: {
+    case StoreFault::LoseLate: {
         m_unanswered.push_back(respond);
         std::uniform_int_distribution<std::int64_t> pick(minLateness.count(), maxLateness.count());
         m_loop.after(std::chrono::milliseconds(pick(m_random)),
--- a/standins/cellhttp/src/wire.cpp
+++ b/standins/cellhttp/src/wire.cpp
@@ -27,25 +27,6 @@
     return result;
 }
 
-const char *toText(EndKind kind) noexcept
-{
-    switch (kind) {
-    case EndKind::Done:
-        return "done";
-    case EndKind::Failed:
-        return "failed";
-    case EndKind::Stopped:
-        return "stopped";
-    case EndKind::Lapsed:
-        return "lapsed";
-    case EndKind::Broken:
-        return "broken";
-    case EndKind::Alone:
-        return "alone";
-    }
-    return "failed";
-}
-
 } // namespace
 
 std::string Target::value(const std::string &name) const
@@ -107,7 +88,7 @@
     Json finished = Json::array();
     for (const auto &row : inventory.finished)
         finished.push_back(
-            { row.number, row.task.text(), row.run, toText(row.kind), row.checkpoint });
+            { row.number, row.task.text(), row.run, toString(row.kind), row.checkpoint });
     return { { "born", inventory.born },
              { "clock_ms", inventory.clock.count() },
              { "running", std::move(running) },
--- a/standins/cellhttp/tests/cellhttp_test.cpp
+++ b/standins/cellhttp/tests/cellhttp_test.cpp
@@ -113,7 +113,7 @@
 
 BOOST_FIXTURE_TEST_CASE(lostAnswerLeavesTheWriteInPlace, StoreFixture)
 {
-    server.behave(StoreBehaviour::Lose);
+    server.disturb(StoreFault::Lose);
     Transaction write;
     write.writes.push_back({ "k/3", "v", 0 });
     const auto outcome = commit(write);
@@ -124,7 +124,7 @@
 
 BOOST_FIXTURE_TEST_CASE(refusalSaysThatNothingWasDone, StoreFixture)
 {
-    server.behave(StoreBehaviour::Refuse);
+    server.disturb(StoreFault::Refuse);
     Transaction write;
     write.writes.push_back({ "k/4", "v", 0 });
     const auto outcome = commit(write);
