--- a/libs/cell/src/advicechoice.cpp
+++ b/libs/cell/src/advicechoice.cpp
@@ -11,8 +11,6 @@
 /// Workers asked about beyond those that are needed, since many are not allowed.
 constexpr std::size_t spareWorkers = 4;
 constexpr std::size_t workersPerTask = 3;
-/// Before the first answers of a queue.
-constexpr double firstShare = 0.5;
 
 using Workers = std::vector<Worker *>;
 
@@ -37,10 +35,10 @@
 }
 
 /// The first workers that together have room for \p tasks; all if there is less.
-Workers untilRoomFor(const Workers &workers, const StepDemand &demand, double tasks)
+Workers untilRoomFor(const Workers &workers, const StepDemand &demand, std::uint32_t tasks)
 {
     Workers result;
-    double room = 0;
+    std::uint32_t room = 0;
     for (Worker *worker : workers) {
         if (room >= tasks)
             break;
@@ -89,27 +87,9 @@
 
 } // namespace
 
-void AllowedShares::note(const std::string &queue, std::size_t asked, std::size_t allowed)
-{
-    auto &counts = m_counts[queue];
-    counts.asked += static_cast<double>(asked);
-    counts.allowed += static_cast<double>(allowed);
-}
-
-double AllowedShares::of(const std::string &queue) const
-{
-    const auto counts = m_counts.find(queue);
-    if (counts == m_counts.end())
-        return firstShare;
-    // As if two workers had been asked about before.
-    return (counts->second.allowed + 2 * firstShare) / (counts->second.asked + 2);
-}
-
 std::vector<std::string> chooseToAskAbout(const AdviceNeed &need, const StepDemand &demand,
                                           const AdviceCandidates &candidates)
 {
-    if (need.first && !need.gang)
-        return askUnknown(need, demand, candidates);
     return need.gang ? askForGang(need, demand, candidates) : askForTasks(need, demand, candidates);
 }
 
--- a/libs/cell/src/advicechoice.h
+++ b/libs/cell/src/advicechoice.h
@@ -3,28 +3,11 @@
 #include "placement.h"
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <vector>
 
 namespace cowsliprock::cell {
 
-/// Share of the workers that the policy of a queue allows, as seen in its answers.
-class AllowedShares
-{
-public:
-    void note(const std::string &queue, std::size_t asked, std::size_t allowed);
-    [[nodiscard]] double of(const std::string &queue) const;
-
-private:
-    struct Counts
-    {
-        double asked = 0;
-        double allowed = 0;
-    };
-    std::map<std::string, Counts> m_counts;
-};
-
 /// Workers of a step's service and kind, by what is known of their permission.
 struct AdviceCandidates
 {
@@ -37,14 +20,13 @@
 struct AdviceNeed
 {
     bool gang = false;
-    bool first = true;         ///< Nothing is known of the step yet.
-    std::uint32_t tasks = 0;   ///< That wait.
-    double allowedShare = 0.5; ///< Expected share of unknown workers that are allowed.
+    std::uint32_t tasks = 0; ///< That wait.
 };
 
 /// Chooses whom to ask the policy service about. Load it answers: slow questions of wide gangs on
-/// a nearly full cell. The service is then the scarcest resource, so a question names just the
-/// workers that can be expected to give room enough, and none is asked while there is no room.
+/// a nearly full cell, where the service is the scarcest resource. A question names several times
+/// the workers that are needed, since the decision itself takes the most time; tickets are renewed
+/// only where there is room, and workers that are kept for gangs are left to them.
 /// The result is empty if nothing should be asked now.
 [[nodiscard]] std::vector<std::string> chooseToAskAbout(const AdviceNeed &need,
                                                         const StepDemand &demand,
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -180,7 +180,6 @@
     std::function<void()> m_fenced;
     JobTable m_jobs;
     WorkerTable m_workers;
-    AllowedShares m_allowedShares;
     ActiveJobs m_activeJobs;
     std::optional<CellConfiguration> m_configuration;
     OrderSender m_sender;
--- a/libs/cell/src/scheduleradvice.cpp
+++ b/libs/cell/src/scheduleradvice.cpp
@@ -45,13 +45,9 @@
                                                       const StepDemand &demand,
                                                       const AdviceCandidates &candidates) const
 {
-    const auto &advice = view.step->advice;
-    const auto &queue = view.job->record.queue;
     AdviceNeed need;
     need.gang = view.spec->gang;
-    need.first = advice.allowed.empty() && advice.denied.empty();
     need.tasks = view.step->startable(now());
-    need.allowedShare = m_allowedShares.of(queue.name);
     return chooseToAskAbout(need, demand, candidates);
 }
 
@@ -142,8 +138,6 @@
         const auto worker = m_workers.find(id);
         return worker == m_workers.end() ? std::int64_t{ 0 } : worker->second.born;
     };
-    if (const Job *job = m_jobs.find(stepId.job))
-        m_allowedShares.note(job->record.queue.name, asked.size(), answer.value().allowed.size());
     for (const auto &ticket : answer.value().allowed) {
         step->advice.allowed[ticket.worker] = { ticket.value, current + answer.value().validity,
                                                 lifeOf(ticket.worker) };
