--- a/libs/base/include/base/metrics.h
+++ b/libs/base/include/base/metrics.h
@@ -15,7 +15,8 @@
     Metrics(const Metrics &) = delete;
     Metrics &operator=(const Metrics &) = delete;
 
-    /// Adds to a counter. Dots in \p name become underscores in the text format.
+    /// Adds to a counter. What is no letter or digit in \p name becomes an underscore in the text
+    /// format.
     void count(const std::string &name, std::uint64_t amount = 1);
 
     /// Sets a gauge.
--- a/libs/base/src/metrics.cpp
+++ b/libs/base/src/metrics.cpp
@@ -3,6 +3,7 @@
 #include <base/distribution.h>
 
 #include <algorithm>
+#include <cctype>
 #include <map>
 #include <mutex>
 #include <sstream>
@@ -21,8 +22,10 @@
 std::string metricName(const std::string &name)
 {
     std::string result = "cowsliprock_" + name;
-    std::replace(result.begin(), result.end(), '.', '_');
-    std::replace(result.begin(), result.end(), '-', '_');
+    // The text format admits no other characters in a name.
+    std::replace_if(
+        result.begin(), result.end(),
+        [](unsigned char character) { return std::isalnum(character) == 0; }, '_');
     return result;
 }
 
--- a/libs/base/tests/metrics_test.cpp
+++ b/libs/base/tests/metrics_test.cpp
@@ -16,6 +16,15 @@
     BOOST_TEST(text.find("cowsliprock_wait_seconds_bucket{le=\"1000\"} 2") != std::string::npos);
 }
 
+// Guards against a name that a scraper rejects together with the whole page.
+BOOST_AUTO_TEST_CASE(namesHoldLettersDigitsAndUnderscoresOnly)
+{
+    Metrics metrics;
+    metrics.count("store.read.failed.not found");
+    BOOST_TEST(metrics.text().find("cowsliprock_store_read_failed_not_found_total 1")
+               != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(counterAddsUp)
 {
     Metrics metrics;
