Let one piece of code serve where the change had written it twice

- Numbers and JSON read from text: base/parsenumber.h and base/readjson.h in place of five and three copies; the stand-ins' parser of addresses uses the first as well.
- Listening: listenOn() for the HTTP server and the fault proxy.
The proxy's links hold its state, no longer three functions that reach into it.
- Keys of one job, the note of a job's progress, statuses between daemons, the address of another owner, and the rule by which a newer change takes the place of an older one: one each.
- Workers to ask about: sorted by room, then parted by who is kept, not looked up at each comparison.
- The explanation of a job finds its lines once; the experiment prints its counts without parsing its own report; its cell is split into start, troubles and counts.
- Dead: an unused list in the election, a member that only called another, unused includes.

--- a/apps/experiment/include/experiment/cell.h
+++ b/apps/experiment/include/experiment/cell.h
@@ -113,6 +113,8 @@
     [[nodiscard]] Result<void> startDaemon(std::uint32_t number);
     void writeSettings(const Daemon &daemon) const;
     void publish(Worker &worker);
+    template <typename Action>
+    void forEachLink(const Action &action);
     void reapDaemons();
     void probe();
     [[nodiscard]] bool allowed(const std::string &step, const std::string &worker) const;
--- a/apps/experiment/include/experiment/experiment.h
+++ b/apps/experiment/include/experiment/experiment.h
@@ -3,8 +3,7 @@
 #include <experiment/cell.h>
 #include <experiment/plan.h>
 
-#include <nlohmann/json_fwd.hpp>
-
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -13,6 +12,8 @@
 struct Outcome
 {
     std::vector<std::string> broken; ///< One line for each promise that was not kept.
+    std::uint64_t jobs = 0;          ///< Accepted ones.
+    std::uint64_t starts = 0;        ///< Of tasks.
     std::string report;              ///< JSON: plan, counts by kind and second, costs.
 };
 
--- a/apps/experiment/include/experiment/faultproxy.h
+++ b/apps/experiment/include/experiment/faultproxy.h
@@ -43,6 +43,7 @@
 
 private:
     struct State;
+    class Link; ///< One forwarded connection.
     std::shared_ptr<State> m_state;
 };
 
--- a/apps/experiment/include/experiment/measurements.h
+++ b/apps/experiment/include/experiment/measurements.h
@@ -49,6 +49,8 @@
     [[nodiscard]] Duration longestGap() const noexcept { return m_longestGap; }
 
 private:
+    using Counts = std::map<std::string, std::uint64_t>;
+
     struct Job
     {
         std::size_t kind = 0;
@@ -58,16 +60,12 @@
     };
     struct Kind
     {
-        std::map<std::string, std::uint64_t> outcomes;
+        Counts outcomes;
         std::vector<double> waitMs;  ///< From the submission to the first start.
         std::vector<double> totalMs; ///< From the submission to the end as a caller saw it.
     };
-    struct Second
-    {
-        std::map<std::string, std::uint64_t> counts;
-    };
-
-    Second &second();
+    /// Counts of the present second.
+    Counts &second();
     void count(const std::string &what);
     void noteStart();
 
@@ -77,7 +75,7 @@
     TimePoint m_begin{};
     std::map<std::string, Job> m_jobs;
     std::vector<Kind> m_kinds;
-    std::vector<Second> m_seconds;
+    std::vector<Counts> m_seconds;
     std::uint64_t m_accepted = 0;
     std::uint64_t m_started = 0;
     std::uint64_t m_waiting = 0; ///< Accepted jobs without a start.
--- a/apps/experiment/main.cpp
+++ b/apps/experiment/main.cpp
@@ -2,7 +2,6 @@
 #include <experiment/plan.h>
 
 #include <cxxopts.hpp>
-#include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <filesystem>
@@ -80,9 +79,8 @@
     std::ofstream(paths.folder / "report.json") << outcome.value().report;
     for (const auto &line : outcome.value().broken)
         std::cout << "seed " << plan.seed << ": " << line << '\n';
-    const auto report = nlohmann::json::parse(outcome.value().report);
-    std::cout << "seed " << plan.seed << ": " << report["costs"]["jobs"] << " jobs, "
-              << report["costs"]["tasks"] << " starts, " << plan.troubles.size() << " troubles, "
+    std::cout << "seed " << plan.seed << ": " << outcome.value().jobs << " jobs, "
+              << outcome.value().starts << " starts, " << plan.troubles.size() << " troubles, "
               << outcome.value().broken.size() << " promises broken\n";
     return outcome.value().broken.empty() ? Kept : Broken;
 }
--- a/apps/experiment/src/callers.cpp
+++ b/apps/experiment/src/callers.cpp
@@ -1,5 +1,7 @@
 #include <experiment/callers.h>
 
+#include <calls.h>
+
 #include <eventloop/eventloop.h>
 
 #include <nlohmann/json.hpp>
@@ -10,6 +12,7 @@
 namespace cowsliprock::experiment {
 
 using namespace cell;
+using namespace platform;
 using std::chrono::milliseconds;
 
 namespace {
@@ -18,11 +21,6 @@
 constexpr milliseconds retryDelay{ 300 };
 constexpr milliseconds pollDelay{ 700 };
 constexpr std::uint32_t maxTries = 5;
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusGone = 410;
-constexpr unsigned statusTooMany = 429;
-constexpr unsigned statusUnavailable = 503;
 
 std::optional<JobStatus> statusIn(const std::string &body)
 {
--- a/apps/experiment/src/cell.cpp
+++ b/apps/experiment/src/cell.cpp
@@ -1,4 +1,6 @@
-#include <experiment/cell.h>
+#include "cellparts.h"
+
+#include <calls.h>
 
 #include <standincell/documents.h>
 
@@ -25,15 +27,11 @@
 constexpr milliseconds probeInterval{ 1000 };
 constexpr milliseconds probeTimeout{ 500 };
 constexpr std::uint32_t missesUntilOut = 2;
-/// A worker that says nothing is taken out of discovery after three heartbeats.
-constexpr milliseconds entryTime{ 4500 };
 constexpr milliseconds ticketTime{ 2500 };
 constexpr std::uint64_t allowedPerMille = 700;
 constexpr std::uint16_t clientPort = 7001;
 constexpr std::uint16_t readyPort = 7002;
 constexpr std::uint16_t peerPort = 7003;
-constexpr int graceSeconds = 6;
-constexpr unsigned statusOk = 200;
 
 const SocketAddress anyPort{ "127.0.0.1", 0 };
 
@@ -45,39 +43,8 @@
         + "." + std::to_string(daemon + 1);
 }
 
-std::uint64_t bytesOf(const FaultProxy &proxy)
-{
-    return proxy.bytes(Direction::ToServer) + proxy.bytes(Direction::ToClient);
-}
-
 } // namespace
 
-struct Cell::Worker
-{
-    std::unique_ptr<WorkerModel> model;
-    std::unique_ptr<WorkerServer> server;
-    std::unique_ptr<FaultProxy> proxy;
-    std::string address;
-    bool draining = false;
-    WorkerBehaviour behaviour = WorkerBehaviour::Healthy;
-};
-
-struct Cell::Daemon
-{
-    std::string name;
-    std::string ip;
-    std::unique_ptr<StoreServer> store;
-    std::unique_ptr<AdviceServer> advice;
-    std::unique_ptr<FaultProxy> storeProxy;
-    std::unique_ptr<FaultProxy> clientProxy;
-    std::unique_ptr<DaemonProcess> process;
-    SocketAddress front;
-    SocketAddress storeAddress;
-    SocketAddress adviceAddress;
-    std::uint32_t misses = 0;
-    bool told = false; ///< A signal that ends it was sent.
-};
-
 Cell::Cell(EventLoop &loop, const Plan &plan, Paths paths, Jobs jobs, WorkerObserver &observer)
     : m_loop(loop)
     , m_plan(plan)
@@ -179,7 +146,8 @@
         { "platform", { { "address", daemon.storeAddress.text() } } },
         { "advice", daemon.adviceAddress.text() },
         { "limits", { { "cpu_share", 1.0 }, { "cores", 1 } } },
-        { "bounds", { { "hold_max_ms", 10000 }, { "grace_s", graceSeconds }, { "status_s", 120 } } }
+        { "bounds",
+          { { "hold_max_ms", 10000 }, { "grace_s", graceTime.count() }, { "status_s", 120 } } }
     };
     std::ofstream(m_paths.folder / (daemon.name + ".json")) << settings.dump(2) << '\n';
 }
@@ -281,7 +249,7 @@
         call.timeout = probeTimeout;
         m_client.call(call, [&daemon = *daemon](const HttpOutcome &outcome) {
             const auto *answer = std::get_if<HttpAnswer>(&outcome);
-            if (answer != nullptr && answer->status == statusOk)
+            if (answer != nullptr && answer->status == platform::statusOk)
                 daemon.misses = 0;
             else
                 ++daemon.misses;
@@ -303,20 +271,6 @@
     return static_cast<std::uint32_t>(found - m_daemons.begin());
 }
 
-void Cell::signal(std::uint32_t daemon, int number)
-{
-    auto &slot = *m_daemons.at(daemon);
-    slot.told = slot.told || number == SIGKILL || number == SIGTERM;
-    slot.process->signal(number);
-    // As the platform does, a process that ignores the request is killed.
-    if (number == SIGTERM) {
-        m_loop.after(std::chrono::seconds(graceSeconds), [&slot] {
-            if (slot.told)
-                slot.process->signal(SIGKILL);
-        });
-    }
-}
-
 void Cell::reapDaemons()
 {
     for (auto &daemon : m_daemons) {
@@ -342,142 +296,4 @@
         signal(number, SIGTERM);
 }
 
-void Cell::disturbStore(std::optional<std::uint32_t> daemon, StoreFault fault)
-{
-    for (std::uint32_t number = 0; number < m_daemons.size(); ++number) {
-        if (!daemon || *daemon == number)
-            m_daemons[number]->store->disturb(fault);
-    }
-}
-
-void Cell::storeDelay(Duration delay)
-{
-    for (const auto &daemon : m_daemons)
-        daemon->store->delay(delay);
-}
-
-void Cell::crash(std::uint32_t number)
-{
-    auto &worker = *m_workers.at(number);
-    m_observer.crashed(worker.model->id());
-    worker.model->crash();
-    worker.proxy->resetConnections();
-    publish(worker);
-}
-
-void Cell::workerBehaves(std::uint32_t number, WorkerBehaviour behaviour)
-{
-    auto &worker = *m_workers.at(number);
-    worker.behaviour = behaviour;
-    worker.server->behave(behaviour);
-    if (behaviour != WorkerBehaviour::Silent) {
-        publish(worker);
-        return;
-    }
-    m_loop.after(entryTime, [this, &worker] {
-        if (worker.behaviour == WorkerBehaviour::Silent)
-            m_store.remove(workerKey(worker.model->id()));
-    });
-}
-
-void Cell::drain(std::uint32_t number, bool draining)
-{
-    auto &worker = *m_workers.at(number);
-    worker.draining = draining;
-    publish(worker);
-}
-
-void Cell::resetLinks()
-{
-    for (const auto &daemon : m_daemons) {
-        daemon->storeProxy->resetConnections();
-        daemon->clientProxy->resetConnections();
-    }
-    for (const auto &worker : m_workers)
-        worker->proxy->resetConnections();
-}
-
-void Cell::silenceLinks()
-{
-    for (const auto &daemon : m_daemons) {
-        daemon->storeProxy->silenceConnections();
-        daemon->clientProxy->silenceConnections();
-    }
-    for (const auto &worker : m_workers)
-        worker->proxy->silenceConnections();
-}
-
-void Cell::delayLinks(Duration delay)
-{
-    for (const auto &daemon : m_daemons)
-        daemon->storeProxy->delay(delay);
-    for (const auto &worker : m_workers)
-        worker->proxy->delay(delay);
-}
-
-void Cell::cutStoreLink(std::uint32_t daemon, Direction direction, bool isCut)
-{
-    m_daemons.at(daemon)->storeProxy->cut(direction, isCut);
-}
-
-std::map<std::string, std::uint64_t> Cell::storeCalls() const
-{
-    std::map<std::string, std::uint64_t> result;
-    for (const auto &daemon : m_daemons) {
-        for (const auto &[kind, count] : daemon->store->calls())
-            result[kind] += count;
-    }
-    return result;
-}
-
-std::map<std::string, std::uint64_t> Cell::workerCalls() const
-{
-    std::map<std::string, std::uint64_t> result;
-    for (const auto &worker : m_workers) {
-        for (const auto &[kind, count] : worker->server->calls())
-            result[kind] += count;
-    }
-    return result;
-}
-
-std::uint64_t Cell::adviceCalls() const
-{
-    std::uint64_t result = 0;
-    for (const auto &daemon : m_daemons)
-        result += daemon->advice->calls();
-    return result;
-}
-
-std::uint64_t Cell::workerConnections() const
-{
-    std::uint64_t result = 0;
-    for (const auto &worker : m_workers)
-        result += worker->proxy->connections();
-    return result;
-}
-
-std::uint64_t Cell::storeBytes() const
-{
-    std::uint64_t result = 0;
-    for (const auto &daemon : m_daemons)
-        result += bytesOf(*daemon->storeProxy);
-    return result;
-}
-
-std::uint64_t Cell::workerBytes() const
-{
-    std::uint64_t result = 0;
-    for (const auto &worker : m_workers)
-        result += bytesOf(*worker->proxy);
-    return result;
-}
-
-ProcessUsage Cell::usage() const
-{
-    ProcessUsage result;
-    for (const auto &daemon : m_daemons)
-        result += daemon->process->usage();
-    return result;
-}
-
 } // namespace cowsliprock::experiment
--- a/apps/experiment/src/experiment.cpp
+++ b/apps/experiment/src/experiment.cpp
@@ -57,7 +57,8 @@
         BOOST_OUTCOME_TRYV(m_cell.start());
         m_loop.after(startTime, [this] { begin(); });
         m_loop.run();
-        return Outcome{ broken(), report().dump(1) + "\n" };
+        return Outcome{ broken(), m_measurements.jobsAccepted(), m_measurements.tasksStarted(),
+                        report().dump(1) + "\n" };
     }
 
 private:
--- a/apps/experiment/src/faultproxy.cpp
+++ b/apps/experiment/src/faultproxy.cpp
@@ -1,16 +1,13 @@
 #include <experiment/faultproxy.h>
 
+#include <eventloop/asio.h>
 #include <eventloop/eventloop.h>
+#include <eventloop/listen.h>
 
-// Boost 1.74's Asio needs <utility> before it in C++20.
-#include <utility>
-
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
-#include <algorithm>
 #include <array>
-#include <functional>
+#include <utility>
 #include <vector>
 
 namespace cowsliprock::experiment {
@@ -32,8 +29,6 @@
     return { asio::ip::make_address_v4(address.ip), address.port };
 }
 
-class Link;
-
 } // namespace
 
 struct FaultProxy::State
@@ -52,32 +47,24 @@
     std::array<bool, 2> cut{};
     std::array<std::uint64_t, 2> bytes{};
     std::uint64_t connections = 0;
-};
 
-namespace {
+    static void acceptNext(const std::shared_ptr<State> &state);
+};
 
 /// One forwarded connection.
-class Link : public std::enable_shared_from_this<Link>
+class FaultProxy::Link : public std::enable_shared_from_this<Link>
 {
 public:
-    /// What a link needs of its proxy.
-    struct Proxy
-    {
-        std::function<bool(Direction)> isCut;
-        std::function<void(Direction, std::size_t)> count;
-        std::function<Duration()> delay;
-        EventLoop &loop;
-    };
-
-    Link(Proxy proxy, tcp::socket client)
+    Link(std::shared_ptr<State> proxy, tcp::socket client)
         : m_proxy(std::move(proxy))
-        , m_sides{ std::move(client), tcp::socket(m_proxy.loop.context()) }
+        , m_sides{ std::move(client), tcp::socket(m_proxy->loop.context()) }
     { }
 
-    void start(const tcp::endpoint &target)
+    void start()
     {
         m_sides[1].async_connect(
-            target, [self = shared_from_this()](const boost::system::error_code &error) {
+            toEndpoint(m_proxy->target),
+            [self = shared_from_this()](const boost::system::error_code &error) {
                 if (error) {
                     self->close();
                     return;
@@ -126,13 +113,13 @@
 
     void forward(Direction direction, std::size_t size)
     {
-        if (m_silent || m_proxy.isCut(direction)) {
+        if (m_silent || m_proxy->cut[indexOf(direction)]) {
             read(direction);
             return;
         }
-        m_proxy.count(direction, size);
-        if (const auto delay = m_proxy.delay(); delay > Duration::zero())
-            m_proxy.loop.after(delay, [self = shared_from_this(), direction, size] {
+        m_proxy->bytes[indexOf(direction)] += size;
+        if (m_proxy->delay > Duration::zero())
+            m_proxy->loop.after(m_proxy->delay, [self = shared_from_this(), direction, size] {
                 self->write(direction, size);
             });
         else
@@ -152,14 +139,13 @@
                           });
     }
 
-    Proxy m_proxy;
+    std::shared_ptr<State> m_proxy;
     std::array<tcp::socket, 2> m_sides; ///< Client and server.
     std::array<std::array<char, bufferBytes>, 2> m_buffers{};
     bool m_silent = false;
 };
 
-template <typename State>
-void acceptNext(const std::shared_ptr<State> &state)
+void FaultProxy::State::acceptNext(const std::shared_ptr<State> &state)
 {
     state->acceptor.async_accept(
         [state](const boost::system::error_code &error, tcp::socket socket) {
@@ -167,24 +153,15 @@
                 return;
             if (!error) {
                 ++state->connections;
-                const Link::Proxy proxy{ [state](Direction direction) {
-                                            return state->cut[indexOf(direction)];
-                                        },
-                                         [state](Direction direction, std::size_t size) {
-                                             state->bytes[indexOf(direction)] += size;
-                                         },
-                                         [state] { return state->delay; }, state->loop };
-                auto link = std::make_shared<Link>(proxy, std::move(socket));
+                auto link = std::make_shared<Link>(state, std::move(socket));
                 std::erase_if(state->links, [](const auto &one) { return one.expired(); });
                 state->links.push_back(link);
-                link->start(toEndpoint(state->target));
+                link->start();
             }
             acceptNext(state);
         });
 }
 
-} // namespace
-
 FaultProxy::FaultProxy(EventLoop &loop, SocketAddress target)
     : m_state(std::make_shared<State>(loop, std::move(target)))
 { }
@@ -197,19 +174,10 @@
 
 Result<SocketAddress> FaultProxy::listen(const SocketAddress &address)
 {
-    try {
-        auto &acceptor = m_state->acceptor;
-        const auto endpoint = toEndpoint(address);
-        acceptor.open(endpoint.protocol());
-        acceptor.set_option(asio::socket_base::reuse_address(true));
-        acceptor.bind(endpoint);
-        acceptor.listen(asio::socket_base::max_listen_connections);
-        acceptNext(m_state);
-        const auto bound = acceptor.local_endpoint();
-        return SocketAddress{ bound.address().to_string(), bound.port() };
-    } catch (const boost::system::system_error &error) {
-        return Error{ ErrorKind::Unavailable, "proxy.listen", address.text(), error.what() };
-    }
+    auto bound = listenOn(m_state->acceptor, address, "proxy.listen");
+    if (bound.has_value())
+        State::acceptNext(m_state);
+    return bound;
 }
 
 void FaultProxy::delay(Duration delay) noexcept
--- a/apps/experiment/src/measurements.cpp
+++ b/apps/experiment/src/measurements.cpp
@@ -39,7 +39,7 @@
     m_lastStart = m_begin;
 }
 
-Measurements::Second &Measurements::second()
+Measurements::Counts &Measurements::second()
 {
     const auto passed = std::chrono::duration_cast<std::chrono::seconds>(m_timers.now() - m_begin);
     const auto index = static_cast<std::size_t>(std::max<std::int64_t>(0, passed.count()));
@@ -50,7 +50,7 @@
 
 void Measurements::count(const std::string &what)
 {
-    ++second().counts[what];
+    ++second()[what];
 }
 
 void Measurements::submitted(const std::string &id, std::size_t kind)
@@ -99,7 +99,7 @@
 
 void Measurements::storeCalls(std::uint64_t total)
 {
-    second().counts["storeCalls"] += total - m_storeCalls;
+    second()["storeCalls"] += total - m_storeCalls;
     m_storeCalls = total;
 }
 
@@ -159,10 +159,7 @@
 
 nlohmann::json Measurements::secondsReport() const
 {
-    nlohmann::json report = nlohmann::json::array();
-    for (const auto &one : m_seconds)
-        report.push_back(one.counts);
-    return report;
+    return m_seconds;
 }
 
 } // namespace cowsliprock::experiment
--- /dev/null
+++ b/libs/base/include/base/readjson.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace cowsliprock {
+
+using Json = nlohmann::json;
+
+/// Calls \p read; nothing if the JSON lacks a member or has another type there. The caller reports
+/// where the malformed text came from.
+template <typename Read>
+auto readJson(const Json &json, const Read &read) -> std::optional<decltype(read(json))>
+{
+    try {
+        return read(json);
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+/// As readJson(), from text; nothing if that is no JSON object.
+template <typename Read>
+auto decodeJson(const std::string &text, const Read &read)
+    -> std::optional<decltype(read(std::declval<const Json &>()))>
+{
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return std::nullopt;
+    return readJson(json, read);
+}
+
+} // namespace cowsliprock
--- a/libs/cell/src/advicechoice.cpp
+++ b/libs/cell/src/advicechoice.cpp
@@ -1,6 +1,7 @@
 #include "advicechoice.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace cowsliprock::cell {
 
@@ -27,10 +28,10 @@
     const auto kept = [&demand](const Worker *worker) {
         return demand.reservations != nullptr && demand.reservations->holds(worker->entry.id);
     };
-    std::stable_sort(workers.begin(), workers.end(), [&](const Worker *left, const Worker *right) {
-        return std::pair(!kept(left), left->free().cpuMillis)
-            > std::pair(!kept(right), right->free().cpuMillis);
+    std::stable_sort(workers.begin(), workers.end(), [](const Worker *left, const Worker *right) {
+        return left->free().cpuMillis > right->free().cpuMillis;
     });
+    std::stable_partition(workers.begin(), workers.end(), std::not_fn(kept));
     return workers;
 }
 
--- a/libs/cell/src/advicequeue.cpp
+++ b/libs/cell/src/advicequeue.cpp
@@ -20,7 +20,6 @@
 constexpr std::chrono::seconds avoidTime{ 2 };
 constexpr std::uint32_t maxDoublings = 3;
 constexpr std::chrono::milliseconds idleDispatch{ 10 };
-constexpr unsigned statusOk = 200;
 
 } // namespace
 
--- a/libs/cell/src/configurationfollower.cpp
+++ b/libs/cell/src/configurationfollower.cpp
@@ -1,8 +1,9 @@
 #include "configurationfollower.h"
 
+#include "peermessages.h"
+
 #include <base/id.h>
 
-#include <charconv>
 #include <iterator>
 #include <utility>
 
@@ -100,7 +101,7 @@
     m_peers.call({ member->second.address, "GET", "/peer/configuration/" + std::to_string(version),
                    "", peerTimeout },
                  [this, alive = m_alive](const Result<PeerAnswer> &answer) {
-                     if (*alive && answer.has_value() && answer.value().status == 200)
+                     if (*alive && answer.has_value() && answer.value().status == statusOk)
                          apply(answer.value().body, "peer");
                  });
 }
--- a/libs/cell/src/election.cpp
+++ b/libs/cell/src/election.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace cowsliprock::cell {
 
@@ -76,7 +75,6 @@
 
 Duration Election::claimDelay(const std::optional<OwnerView> &view) const
 {
-    std::vector<std::pair<double, std::uint64_t>> stronger;
     const auto preference = [this](const MemberRecord &member) {
         return std::pair(member.weight, stableHash(member.name + "/" + std::to_string(m_shard)));
     };
--- a/libs/cell/src/fencedwriter.cpp
+++ b/libs/cell/src/fencedwriter.cpp
@@ -91,6 +91,8 @@
 
     void add(Change change);
     void absorb(Change &change, const std::string &key);
+    /// The newer of two changes of one key is written in the order of the older one.
+    void takePlace(Change &newer, Change &older);
     void insert(Change change);
     void schedule(Duration delay);
     void flush();
@@ -127,16 +129,24 @@
     // A change of several keys goes as it is; what follows it waits.
     if (older.parts.size() > 1)
         return;
-    // The newer value takes the place of the older one, and who waited for that waits for it.
-    unfinished.erase(older.sequence);
-    change.sequence = std::min(change.sequence, older.sequence);
-    change.urgency = std::min(change.urgency, older.urgency);
-    change.actions.insert(change.actions.begin(), std::make_move_iterator(older.actions.begin()),
-                          std::make_move_iterator(older.actions.end()));
+    takePlace(change, older);
     pending.erase(entry);
     pendingOfKey.erase(found);
 }
 
+void FencedWriter::State::takePlace(Change &newer, Change &older)
+{
+    unfinished.erase(newer.sequence);
+    unfinished.erase(older.sequence);
+    newer.sequence = std::min(newer.sequence, older.sequence);
+    newer.urgency = std::min(newer.urgency, older.urgency);
+    // Who waited for the older value waits for the newer one.
+    newer.actions.insert(newer.actions.begin(), std::make_move_iterator(older.actions.begin()),
+                         std::make_move_iterator(older.actions.end()));
+    if (newer.urgency != Urgency::Later)
+        unfinished.insert(newer.sequence);
+}
+
 void FencedWriter::State::insert(Change change)
 {
     const Order order(change.urgency, change.sequence);
@@ -314,17 +324,12 @@
             insert(std::move(change));
             continue;
         }
-        // The newer value that arrived meanwhile replaces this one and takes its place.
+        // The newer value that arrived meanwhile replaces this one.
         auto replacement = pending.extract(newer->second);
         Change &kept = replacement.mapped();
         for (const auto &part : kept.parts)
             pendingOfKey.erase(part.key);
-        unfinished.erase(kept.sequence);
-        kept.sequence = change.sequence;
-        kept.urgency = std::min(kept.urgency, change.urgency);
-        kept.actions.insert(kept.actions.begin(), change.actions.begin(), change.actions.end());
-        if (kept.urgency != Urgency::Later)
-            unfinished.insert(kept.sequence);
+        takePlace(kept, change);
         insert(std::move(kept));
     }
 }
--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -20,7 +20,19 @@
 constexpr std::chrono::milliseconds cancelRetryDelay{ 100 };
 /// Time for the store before another daemon is asked to store a job.
 constexpr std::chrono::milliseconds ownStoreTime{ 900 };
-constexpr unsigned statusOk = 200;
+
+const char *submissionEvent(SubmitResult result) noexcept
+{
+    switch (result) {
+    case SubmitResult::Accepted:
+        return "job.accepted";
+    case SubmitResult::NotStored:
+        return "job.refused";
+    case SubmitResult::Unknown:
+        break;
+    }
+    return "job.unanswered";
+}
 
 } // namespace
 
@@ -47,12 +59,20 @@
 
 std::string FrontDesk::jobKey(const std::string &id) const
 {
-    return keys::jobsPrefix(shardOf(id)) + id;
+    return keys::job(shardOf(id), id);
 }
 
 std::string FrontDesk::endedKey(const std::string &id) const
 {
-    return keys::endedPrefix(shardOf(id)) + id;
+    return keys::ended(shardOf(id), id);
+}
+
+std::optional<std::string> FrontDesk::otherOwner(std::uint32_t shard) const
+{
+    const auto owner = m_membership.owner(shard);
+    if (!owner || owner->record.address.empty() || owner->record.name == m_membership.self().name)
+        return std::nullopt;
+    return owner->record.address;
 }
 
 std::optional<MemberRecord> FrontDesk::otherMember()
@@ -99,19 +119,8 @@
                               SubmitResult result)
 {
     const auto now = m_ports.timers.now();
-    const auto event = [result] {
-        switch (result) {
-        case SubmitResult::Accepted:
-            return "job.accepted";
-        case SubmitResult::NotStored:
-            return "job.refused";
-        case SubmitResult::Unknown:
-            return "job.unanswered";
-        }
-        return "job.unanswered";
-    };
     m_ports.log.write(
-        now, event(),
+        now, submissionEvent(result),
         { { "job", id },
           { "asker", asker },
           { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - begun).count() },
@@ -157,12 +166,10 @@
             statusFromStore(id, relayed, done);
         return;
     }
-    const auto owner = m_membership.owner(shard);
-    if (owner && !owner->record.address.empty() && owner->record.name != m_membership.self().name) {
-        statusFromOwner(id, owner->record.address, relayed, done);
-        return;
-    }
-    statusFromStore(id, relayed, done);
+    if (const auto address = otherOwner(shard))
+        statusFromOwner(id, *address, relayed, done);
+    else
+        statusFromStore(id, relayed, done);
 }
 
 void FrontDesk::statusFromOwner(const std::string &id, const std::string &address, bool relayed,
@@ -187,7 +194,7 @@
 
 void FrontDesk::statusFromStore(const std::string &id, bool relayed, const Done<StatusAnswer> &done)
 {
-    const auto key = keys::statesPrefix(shardOf(id)) + id;
+    const auto key = keys::state(shardOf(id), id);
     m_ports.store.read(
         key,
         [this, alive = m_alive, id, relayed, done](const Result<std::optional<StoreItem>> &item) {
@@ -271,12 +278,6 @@
 
 void FrontDesk::cancel(const std::string &id, TimePoint deadline, bool relayed,
                        const Done<CancelResult> &done)
-{
-    cancelRead(id, deadline, relayed, done);
-}
-
-void FrontDesk::cancelRead(const std::string &id, TimePoint deadline, bool relayed,
-                           const Done<CancelResult> &done)
 {
     m_ports.store.read(jobKey(id),
                        [this, alive = m_alive, id, deadline, relayed,
@@ -344,10 +345,10 @@
 void FrontDesk::tellOwner(const std::string &id)
 {
     // The owner reads the store; it is told as well, since it may be cut off from that.
-    const auto owner = m_membership.owner(shardOf(id));
-    if (!owner || owner->record.address.empty() || owner->record.name == m_membership.self().name)
+    const auto address = otherOwner(shardOf(id));
+    if (!address)
         return;
-    m_ports.peers.call({ owner->record.address, "POST", "/peer/cancelled/" + id, "", peerTimeout },
+    m_ports.peers.call({ *address, "POST", "/peer/cancelled/" + id, "", peerTimeout },
                        [](const Result<PeerAnswer> &) {});
 }
 
@@ -364,7 +365,7 @@
         if (!relayed && m_ports.timers.now() + peerTimeout < deadline)
             cancelThroughPeer(id, deadline, done);
         else
-            cancelRead(id, deadline, relayed, done);
+            cancel(id, deadline, relayed, done);
     });
 }
 
@@ -373,7 +374,7 @@
 {
     const auto peer = otherMember();
     if (!peer) {
-        cancelRead(id, deadline, true, done);
+        cancel(id, deadline, true, done);
         return;
     }
     m_ports.peers.call(
@@ -387,7 +388,7 @@
             if (reply && reply->result != CancelResult::Unavailable)
                 done(reply->result);
             else
-                cancelRead(id, deadline, true, done);
+                cancel(id, deadline, true, done);
         });
 }
 
--- a/libs/cell/src/frontdesk.h
+++ b/libs/cell/src/frontdesk.h
@@ -55,6 +55,8 @@
     [[nodiscard]] std::uint32_t shardOf(const std::string &id) const noexcept;
 
 private:
+    /// Address of the owner of a shard, if that is another daemon.
+    [[nodiscard]] std::optional<std::string> otherOwner(std::uint32_t shard) const;
     [[nodiscard]] std::optional<MemberRecord> otherMember();
     [[nodiscard]] std::string jobKey(const std::string &id) const;
     [[nodiscard]] std::string endedKey(const std::string &id) const;
@@ -69,8 +71,6 @@
     void statusFromJob(const std::string &id, bool begun, const Done<StatusAnswer> &done);
     void statusFromEnd(const std::string &id, const Done<StatusAnswer> &done);
     void statusThroughPeer(const std::string &id, const Done<StatusAnswer> &done);
-    void cancelRead(const std::string &id, TimePoint deadline, bool relayed,
-                    const Done<CancelResult> &done);
     void cancelEnded(const std::string &id, const Done<CancelResult> &done);
     void cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline, bool relayed,
                      const Done<CancelResult> &done);
--- a/libs/cell/src/keys.h
+++ b/libs/cell/src/keys.h
@@ -36,6 +36,21 @@
     return "cowsliprock/ended/" + std::to_string(shard) + "/";
 }
 
+inline std::string job(std::uint32_t shard, const std::string &id)
+{
+    return jobsPrefix(shard) + id;
+}
+
+inline std::string state(std::uint32_t shard, const std::string &id)
+{
+    return statesPrefix(shard) + id;
+}
+
+inline std::string ended(std::uint32_t shard, const std::string &id)
+{
+    return endedPrefix(shard) + id;
+}
+
 /// Workers that the owner of a shard uses, for its successor.
 inline std::string roster(std::uint32_t shard)
 {
--- a/libs/cell/src/membership.cpp
+++ b/libs/cell/src/membership.cpp
@@ -2,7 +2,8 @@
 
 #include "keys.h"
 
-#include <charconv>
+#include <base/parsenumber.h>
+
 #include <string_view>
 
 namespace cowsliprock::cell {
@@ -22,12 +23,7 @@
     const std::string prefix = keys::membersPrefix + "owner/";
     if (!key.starts_with(prefix))
         return std::nullopt;
-    std::uint32_t shard = 0;
-    const char *end = key.data() + key.size();
-    const auto [last, error] = std::from_chars(key.data() + prefix.size(), end, shard);
-    if (error != std::errc() || last != end)
-        return std::nullopt;
-    return shard;
+    return parseNumber<std::uint32_t>(std::string_view(key).substr(prefix.size()));
 }
 
 std::optional<std::string> memberOfKey(const std::string &key)
--- a/libs/cell/src/model.cpp
+++ b/libs/cell/src/model.cpp
@@ -1,7 +1,8 @@
 #include <cell/model.h>
 
+#include <base/parsenumber.h>
+
 #include <array>
-#include <charconv>
 #include <string_view>
 
 namespace cowsliprock::cell {
@@ -11,13 +12,6 @@
 constexpr std::array<const char *, 5> statusNames{ "queued", "running", "completed", "failed",
                                                    "cancelled" };
 
-bool parseNumber(std::string_view text, std::uint32_t &number)
-{
-    const char *end = text.data() + text.size();
-    const auto [last, error] = std::from_chars(text.data(), end, number);
-    return error == std::errc() && last == end;
-}
-
 } // namespace
 
 const QueueSettings *CellConfiguration::queueFor(const std::string &host,
@@ -73,8 +67,12 @@
     const std::array<std::uint32_t *, 3> numbers{ &result.index, &result.step, &result.occurrence };
     for (std::uint32_t *number : numbers) {
         const auto dot = rest.rfind('.');
-        if (dot == std::string_view::npos || !parseNumber(rest.substr(dot + 1), *number))
+        if (dot == std::string_view::npos)
+            return std::nullopt;
+        const auto parsed = parseNumber<std::uint32_t>(rest.substr(dot + 1));
+        if (!parsed)
             return std::nullopt;
+        *number = *parsed;
         rest = rest.substr(0, dot);
     }
     if (rest.empty())
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -10,7 +10,8 @@
 #include "peermessages.h"
 #include "shard.h"
 
-#include <charconv>
+#include <base/parsenumber.h>
+
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -21,20 +22,6 @@
 
 /// Calls that a daemon makes for another one end before that one gives up.
 constexpr std::chrono::milliseconds relayedCallTime{ 600 };
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusUnavailable = 503;
-
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const char *end = text.data() + text.size();
-    const auto [last, error] = std::from_chars(text.data(), end, number);
-    if (error != std::errc() || last != end)
-        return std::nullopt;
-    return number;
-}
 
 /// The rest of \p path after \p prefix, or nothing.
 std::optional<std::string> pathAfter(const std::string &path, std::string_view prefix)
@@ -237,7 +224,8 @@
     } else if (const auto rest = pathAfter(path, "/peer/pending/")) {
         peerPending(*rest, done);
     } else if (const auto version = pathAfter(path, "/peer/configuration/")) {
-        const auto newer = configuration.newerThan(parseNumber(*version).value_or(0));
+        const auto newer =
+            configuration.newerThan(parseNumber<std::uint64_t>(*version).value_or(0));
         done({ newer ? statusOk : statusNotFound, newer.value_or("{}") });
     } else {
         done({ statusNotFound, "{}" });
@@ -247,7 +235,7 @@
 void Node::State::peerPending(const std::string &rest, const Done<PeerAnswer> &done)
 {
     const auto slash = rest.find('/');
-    const auto number = parseNumber(std::string_view(rest).substr(0, slash));
+    const auto number = parseNumber<std::uint64_t>(std::string_view(rest).substr(0, slash));
     const Shard *shard = slash == std::string::npos || !number
         ? nullptr
         : loadedShard(static_cast<std::uint32_t>(*number));
--- a/libs/cell/src/peermessages.cpp
+++ b/libs/cell/src/peermessages.cpp
@@ -1,6 +1,6 @@
 #include "peermessages.h"
 
-#include "decodejson.h"
+#include <base/readjson.h>
 
 namespace cowsliprock::cell {
 
@@ -48,7 +48,7 @@
 
 std::optional<AdviceQuestion> decodeAdviceQuestion(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) {
+    return decodeJson(text, [](const Json &json) {
         return AdviceQuestion{ json.at("step"), json.at("workers").get<std::vector<std::string>>(),
                                Duration(json.at("timeoutUs").get<std::int64_t>()) };
     });
@@ -56,7 +56,7 @@
 
 std::optional<Advice> decodeAdvice(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) {
+    return decodeJson(text, [](const Json &json) {
         Advice advice;
         for (const auto &row : json.at("allowed"))
             advice.allowed.push_back({ row.at(0), row.at(1) });
@@ -67,7 +67,7 @@
 
 std::optional<SubmitReply> decodeSubmitReply(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) {
+    return decodeJson(text, [](const Json &json) {
         // An unknown number promises nothing.
         const int number = json.at("result");
         const bool known = number >= 0 && number <= static_cast<int>(SubmitResult::Unknown);
@@ -77,7 +77,7 @@
 
 std::optional<CancelReply> decodeCancelReply(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) {
+    return decodeJson(text, [](const Json &json) {
         const int number = json.at("result");
         const bool known = number >= 0 && number <= static_cast<int>(CancelResult::Unavailable);
         return CancelReply{ known ? static_cast<CancelResult>(number) : CancelResult::Unavailable };
@@ -86,7 +86,7 @@
 
 std::optional<std::optional<JobStatus>> decodeStatus(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) -> std::optional<JobStatus> {
+    return decodeJson(text, [](const Json &json) -> std::optional<JobStatus> {
         if (const auto status = json.find("status"); status != json.end())
             return parseJobStatus(status->get<std::string>());
         return std::nullopt;
@@ -95,7 +95,7 @@
 
 std::optional<std::uint64_t> decodeCount(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) { return json.at("count").get<std::uint64_t>(); });
+    return decodeJson(text, [](const Json &json) { return json.at("count").get<std::uint64_t>(); });
 }
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/peermessages.h
+++ b/libs/cell/src/peermessages.h
@@ -11,6 +11,12 @@
 
 namespace cowsliprock::cell {
 
+// Statuses of the answers of daemons to each other.
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusUnavailable = 503;
+
 /// Bodies of the calls between daemons, as JSON. Decoders return nothing for malformed text.
 
 struct AdviceQuestion
--- a/libs/cell/src/records.cpp
+++ b/libs/cell/src/records.cpp
@@ -1,6 +1,6 @@
 #include "records.h"
 
-#include "decodejson.h"
+#include <base/readjson.h>
 
 namespace cowsliprock::cell {
 
@@ -194,7 +194,7 @@
 
 std::optional<std::vector<WorkerEntry>> decodeRoster(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) {
+    return decodeJson(text, [](const Json &json) {
         std::vector<WorkerEntry> roster;
         for (const auto &row : json.at("workers")) {
             WorkerEntry worker;
@@ -209,7 +209,7 @@
 
 std::optional<MemberRecord> decodeMember(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) {
+    return decodeJson(text, [](const Json &json) {
         MemberRecord record;
         record.name = json.at("name");
         record.incarnation = json.at("incarnation");
@@ -222,7 +222,7 @@
 
 std::optional<OwnerRecord> decodeOwner(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) {
+    return decodeJson(text, [](const Json &json) {
         OwnerRecord record;
         record.name = json.at("name");
         record.incarnation = json.at("incarnation");
@@ -234,7 +234,7 @@
 
 std::optional<JobRecord> decodeJob(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) {
+    return decodeJson(text, [](const Json &json) {
         JobRecord record;
         record.id = json.at("id");
         record.queue = queueFromJson(json.at("queue"));
@@ -254,7 +254,7 @@
 
 std::optional<JobProgress> decodeProgress(const std::string &text)
 {
-    return decodeWith(text, [](const Json &json) {
+    return decodeJson(text, [](const Json &json) {
         JobProgress progress;
         const auto status = parseJobStatus(json.at("status").get<std::string>());
         progress.status = status.value_or(JobStatus::Queued);
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -187,7 +187,7 @@
     }
     for (const auto &id : ended) {
         m_jobs.erase(id);
-        m_writer.remove(keys::endedPrefix(m_settings.shard) + id);
+        m_writer.remove(keys::ended(m_settings.shard, id));
     }
     m_ports.timers.after(garbageInterval, [this, alive = m_alive] {
         if (*alive)
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -162,7 +162,7 @@
     void stopOthers(const TaskId &task, std::uint32_t run);
     void stopAllRuns(const std::string &job, const char *reason);
     void endJob(Job &job, JobStatus status);
-    void save(Job &job);
+    void save(const Job &job, Urgency urgency, FencedWriter::Action durable = {});
     void retire(Job &job);
     void endDurable(const std::string &id);
     [[nodiscard]] bool mayStart(Job &job);
--- a/libs/cell/src/scheduleradvice.cpp
+++ b/libs/cell/src/scheduleradvice.cpp
@@ -53,6 +53,8 @@
 
 bool Scheduler::mayAsk(const AdviceSettings &settings, std::uint32_t tasks)
 {
+    // Putting the question together is saved if it cannot be asked; it names a worker a task or
+    // more.
     const Duration expected = settings.decision + settings.perWorker * tasks;
     if (expected <= slowQuestion)
         return true;
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -56,16 +56,15 @@
     stopAllRuns(id, "the job was removed");
     m_activeJobs.erase(job);
     m_jobs.erase(id);
-    m_writer.remove(keys::statesPrefix(m_settings.shard) + id);
+    m_writer.remove(keys::state(m_settings.shard, id));
 }
 
 void Scheduler::retire(Job &job)
 {
     const auto &id = job.record.id;
-    m_writer.conclude(
-        keys::endedPrefix(m_settings.shard) + id, toString(job.status),
-        { keys::jobsPrefix(m_settings.shard) + id, keys::statesPrefix(m_settings.shard) + id },
-        [this, id] { endDurable(id); });
+    m_writer.conclude(keys::ended(m_settings.shard, id), toString(job.status),
+                      { keys::job(m_settings.shard, id), keys::state(m_settings.shard, id) },
+                      [this, id] { endDurable(id); });
 }
 
 void Scheduler::endDurable(const std::string &id)
@@ -125,10 +124,10 @@
     endJob(job, JobStatus::Cancelled);
 }
 
-void Scheduler::save(Job &job)
+void Scheduler::save(const Job &job, Urgency urgency, FencedWriter::Action durable)
 {
-    m_writer.write(keys::statesPrefix(m_settings.shard) + job.record.id, encode(progressOf(job)),
-                   Urgency::Soon);
+    m_writer.write(keys::state(m_settings.shard, job.record.id), encode(progressOf(job)), urgency,
+                   std::move(durable));
 }
 
 bool Scheduler::mayStart(Job &job)
@@ -137,13 +136,12 @@
         return job.noted;
     // A successor has to know which jobs may run on workers that it does not reach.
     job.noting = true;
-    m_writer.write(keys::statesPrefix(m_settings.shard) + job.record.id, encode(progressOf(job)),
-                   Urgency::Now, [this, id = job.record.id] {
-                       if (Job *known = m_jobs.find(id)) {
-                           known->noted = true;
-                           requestPass();
-                       }
-                   });
+    save(job, Urgency::Now, [this, id = job.record.id] {
+        if (Job *known = m_jobs.find(id)) {
+            known->noted = true;
+            requestPass();
+        }
+    });
     return false;
 }
 
@@ -174,7 +172,7 @@
             return;
         }
     }
-    save(*job);
+    save(*job, Urgency::Soon);
     requestPass();
 }
 
@@ -203,7 +201,7 @@
         endJob(*job, JobStatus::Failed);
         return;
     }
-    save(*job);
+    save(*job, Urgency::Soon);
     if (gang)
         abortGang(id, run, "a member has failed");
     m_ports.timers.after(retryPause, [this, alive = m_alive] {
--- a/libs/cell/src/shard.cpp
+++ b/libs/cell/src/shard.cpp
@@ -96,7 +96,7 @@
         return;
     // What is left belongs to jobs whose records were removed after their end.
     for (const auto &[id, progress] : m_progress)
-        m_writer.remove(keys::statesPrefix(m_shard) + id);
+        m_writer.remove(keys::state(m_shard, id));
     m_progress.clear();
     readRoster();
 }
--- a/libs/eventloop/src/eventloop.cpp
+++ b/libs/eventloop/src/eventloop.cpp
@@ -1,6 +1,6 @@
 #include <eventloop/eventloop.h>
 
-#include "asio.h"
+#include <eventloop/asio.h>
 
 #include <map>
 
--- a/libs/eventloop/src/http.cpp
+++ b/libs/eventloop/src/http.cpp
@@ -1,6 +1,6 @@
 #include <eventloop/http.h>
 
-#include <charconv>
+#include <base/parsenumber.h>
 
 namespace cowsliprock {
 
@@ -10,13 +10,11 @@
     const auto colon = text.rfind(':');
     if (colon == std::string::npos)
         return result;
-    const char *end = text.data() + text.size();
-    if (const auto [last, error] = std::from_chars(text.data() + colon + 1, end, result.port);
-        error != std::errc() || last != end) {
-        result.port = 0;
+    const auto port = parseNumber<std::uint16_t>(std::string_view(text).substr(colon + 1));
+    if (!port)
         return result;
-    }
     result.ip = text.substr(0, colon);
+    result.port = *port;
     return result;
 }
 
--- a/libs/eventloop/src/httpclient.cpp
+++ b/libs/eventloop/src/httpclient.cpp
@@ -1,10 +1,10 @@
 #include <eventloop/httpclient.h>
 
-#include <eventloop/eventloop.h>
-
-#include "asio.h"
 #include "socketoptions.h"
 
+#include <eventloop/asio.h>
+#include <eventloop/eventloop.h>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/libs/eventloop/src/httpserver.cpp
+++ b/libs/eventloop/src/httpserver.cpp
@@ -1,10 +1,11 @@
 #include <eventloop/httpserver.h>
 
-#include <eventloop/eventloop.h>
-
-#include "asio.h"
 #include "socketoptions.h"
 
+#include <eventloop/asio.h>
+#include <eventloop/eventloop.h>
+#include <eventloop/listen.h>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -202,19 +203,10 @@
 Result<SocketAddress> HttpServer::listen(const SocketAddress &address, const Limits &limits)
 {
     m_state->limits = limits;
-    try {
-        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(address.ip), address.port);
-        auto &acceptor = m_state->acceptor;
-        acceptor.open(endpoint.protocol());
-        acceptor.set_option(asio::socket_base::reuse_address(true));
-        acceptor.bind(endpoint);
-        acceptor.listen(asio::socket_base::max_listen_connections);
+    auto bound = listenOn(m_state->acceptor, address, "http.listen");
+    if (bound.has_value())
         acceptNext(m_state);
-        const auto bound = acceptor.local_endpoint();
-        return SocketAddress{ bound.address().to_string(), bound.port() };
-    } catch (const boost::system::system_error &error) {
-        return Error{ ErrorKind::Unavailable, "http.listen", address.text(), error.what() };
-    }
+    return bound;
 }
 
 void HttpServer::drain()
--- a/libs/eventloop/src/socketoptions.h
+++ b/libs/eventloop/src/socketoptions.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "asio.h"
+#include <eventloop/asio.h>
 
 #include <chrono>
 
--- a/libs/explain/src/account.cpp
+++ b/libs/explain/src/account.cpp
@@ -216,23 +216,21 @@
     std::stable_sort(lines.begin(), lines.end(), [](const LogLine &left, const LogLine &right) {
         return left.time < right.time;
     });
+    const auto others = std::stable_partition(
+        lines.begin(), lines.end(), [&job](const LogLine &line) { return names(line, job); });
     Account account;
     account.job = job;
-    std::set<std::string> workers;
-    for (const auto &line : lines) {
-        if (!names(line, job))
-            continue;
-        workers.insert(textOf(line.fields, "worker"));
-        account.events.push_back(line);
-    }
+    account.events.assign(lines.begin(), others);
     if (!account.found())
         return account;
+    std::set<std::string> workers;
+    for (const auto &line : account.events)
+        workers.insert(textOf(line.fields, "worker"));
     const auto begin = account.events.front().time - contextMs;
     const auto end = account.events.back().time + contextMs;
-    std::copy_if(lines.begin(), lines.end(), std::back_inserter(account.context),
+    std::copy_if(others, lines.end(), std::back_inserter(account.context),
                  [&](const LogLine &line) {
-                     return line.time >= begin && line.time <= end && !names(line, job)
-                         && isContext(line, workers);
+                     return line.time >= begin && line.time <= end && isContext(line, workers);
                  });
     account.findings = Findings(account).write();
     return account;
--- a/standins/cellhttp/src/storeserver.cpp
+++ b/standins/cellhttp/src/storeserver.cpp
@@ -4,6 +4,7 @@
 
 #include <calls.h>
 
+#include <base/parsenumber.h>
 #include <eventloop/eventloop.h>
 
 #include <utility>
@@ -36,7 +37,7 @@
 
 std::uint64_t numberAfter(const std::string &path, const std::string &prefix)
 {
-    return std::strtoull(path.c_str() + prefix.size(), nullptr, 10);
+    return parseNumber<std::uint64_t>(std::string_view(path).substr(prefix.size())).value_or(0);
 }
 
 } // namespace
--- a/standins/cellhttp/src/wire.cpp
+++ b/standins/cellhttp/src/wire.cpp
@@ -2,6 +2,8 @@
 
 #include <base64.h>
 
+#include <base/parsenumber.h>
+
 #include <charconv>
 
 namespace cowsliprock::standincell {
@@ -37,10 +39,7 @@
 
 std::uint64_t Target::number(const std::string &name) const
 {
-    const auto text = value(name);
-    std::uint64_t result = 0;
-    std::from_chars(text.data(), text.data() + text.size(), result);
-    return result;
+    return parseNumber<std::uint64_t>(value(name)).value_or(0);
 }
 
 Target parseTarget(const std::string &target)
--- a/standins/common/src/httphost.cpp
+++ b/standins/common/src/httphost.cpp
@@ -1,9 +1,10 @@
 #include <standincommon/httphost.h>
 
+#include <base/parsenumber.h>
+
 #include <pthread.h>
 #include <sys/socket.h>
 
-#include <charconv>
 #include <csignal>
 
 namespace cowsliprock::standin {
@@ -30,11 +31,9 @@
     const std::size_t colon = text.rfind(':');
     HostPort result;
     if (colon != std::string::npos && colon > 0) {
-        result.host = text.substr(0, colon);
-        const char *end = text.data() + text.size();
-        const auto [last, error] = std::from_chars(text.data() + colon + 1, end, result.port);
-        if (error == std::errc{} && last == end)
-            return result;
+        const auto port = parseNumber<int>(std::string_view(text).substr(colon + 1));
+        if (port)
+            return HostPort{ text.substr(0, colon), *port };
     }
     return Error{ ErrorKind::Invalid, "address.parse", text, "host:port expected" };
 }
