Give the ports of a node their own members again

A base class with protected members for the three of them fails the linter's rule for names; three short constructors of the same shape are simpler than a way around it.

--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -73,29 +73,15 @@
     bool connected(const std::string &node);
 };
 
-/// What the ports of a node share.
-class NodePort
-{
-public:
-    NodePort(World &world, VirtualTime &time, World::NodeSlot &slot)
-        : m_world(world)
-        , m_time(time)
-        , m_slot(slot)
-    { }
-
-protected:
-    World &m_world;
-    VirtualTime &m_time;
-    World::NodeSlot &m_slot;
-};
-
 /// The store as one node reaches it.
-class NodeStore : public cell::StorePort, private NodePort
+class NodeStore : public cell::StorePort
 {
 public:
     NodeStore(World &world, VirtualTime &time, StoreModel &store, World::NodeSlot &slot)
-        : NodePort(world, time, slot)
+        : m_world(world)
+        , m_time(time)
         , m_store(store)
+        , m_slot(slot)
     { }
 
     void read(const std::string &key,
@@ -114,14 +100,21 @@
     template <typename T>
     void call(bool write, std::function<T()> action, cell::Done<Result<T>> done);
 
+    World &m_world;
+    VirtualTime &m_time;
     StoreModel &m_store;
+    World::NodeSlot &m_slot;
 };
 
 /// Workers as one node reaches them.
-class NodeWorkers : public cell::WorkerPort, private NodePort
+class NodeWorkers : public cell::WorkerPort
 {
 public:
-    using NodePort::NodePort;
+    NodeWorkers(World &world, VirtualTime &time, World::NodeSlot &slot)
+        : m_world(world)
+        , m_time(time)
+        , m_slot(slot)
+    { }
 
     void start(const cell::WorkerTarget &worker, const cell::StartOrder &order, bool retry,
                cell::Done<Result<cell::OrderOutcome>> done) override;
@@ -134,28 +127,48 @@
     void order(const cell::WorkerTarget &worker,
                const std::function<cell::OrderOutcome(WorkerModel &)> &action,
                const cell::Done<Result<cell::OrderOutcome>> &done);
+
+    World &m_world;
+    VirtualTime &m_time;
+    World::NodeSlot &m_slot;
 };
 
 /// The policy service as one node reaches it.
-class NodeAdvice : public cell::AdvicePort, private NodePort
+class NodeAdvice : public cell::AdvicePort
 {
 public:
-    using NodePort::NodePort;
+    NodeAdvice(World &world, VirtualTime &time, World::NodeSlot &slot)
+        : m_world(world)
+        , m_time(time)
+        , m_slot(slot)
+    { }
 
     void advise(const std::string &step, const std::vector<std::string> &workers, Duration timeout,
                 cell::Done<Result<cell::Advice>> done) override;
 
 private:
+    World &m_world;
+    VirtualTime &m_time;
+    World::NodeSlot &m_slot;
     TimePoint m_adviceFree{};
 };
 
 /// The other nodes.
-class NodePeers : public cell::PeerPort, private NodePort
+class NodePeers : public cell::PeerPort
 {
 public:
-    using NodePort::NodePort;
+    NodePeers(World &world, VirtualTime &time, World::NodeSlot &slot)
+        : m_world(world)
+        , m_time(time)
+        , m_slot(slot)
+    { }
 
     void call(const cell::PeerCall &call, cell::Done<Result<cell::PeerAnswer>> done) override;
+
+private:
+    World &m_world;
+    VirtualTime &m_time;
+    World::NodeSlot &m_slot;
 };
 
 } // namespace cowsliprock::standincell
