Take late answers of workers, bound orders in flight, and read lists as long as they arrive

Every call that took longer than 300 ms was given up, its answer thrown away and all connections to that worker closed: 1,250 calls of 1,214 failed in a second, and a worker that had answered was declared lost (TWICE: the end had been listed, the socket was closed before it arrived). A successor read 180 KB of a list and gave up after 700 ms, again and again: no recovery. Ruled out: processor (0.02 of a core), store, policy service. Change: time-outs follow the answers (RFC 6298), a late answer is read for 3 s and counts, idle connections are set aside meanwhile, starts without an answer are bounded by a window, a silent worker gets nothing new at once, a list goes on while bytes come, and a failed page is asked for again alone.

--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <variant>
 
 namespace cowsliprock {
@@ -8,6 +9,12 @@
 /// Unit of all times inside the system.
 using Duration = std::chrono::microseconds;
 
+/// Whole milliseconds, for log lines and for interfaces that count in them.
+[[nodiscard]] constexpr std::int64_t toMilliseconds(Duration time) noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 /// Tag of the runtime's monotonic time scale. Values of two processes are not comparable.
 struct RuntimeTimeScale
 {
--- a/libs/cell/include/cell/ports.h
+++ b/libs/cell/include/cell/ports.h
@@ -130,6 +130,13 @@
     std::string ticket;
 };
 
+struct StopOrder
+{
+    TaskId task;
+    std::uint32_t run = 0;
+    std::uint64_t fencingToken = 0;
+};
+
 enum class OrderRefusal {
     Fenced,
     OldRun,
@@ -141,6 +148,13 @@
     Malformed
 };
 
+/// How one call of a worker is made.
+struct OrderCall
+{
+    Duration timeout{};
+    bool freshConnection = false; ///< Not over a connection that may have died unnoticed.
+};
+
 struct OrderAccepted
 {
     std::chrono::milliseconds clock{}; ///< The worker's own steady clock.
@@ -159,20 +173,21 @@
     std::uint64_t fencingToken = 0;
     std::uint64_t acknowledged = 0; ///< Number of the last end that is durable.
     std::optional<std::chrono::milliseconds> leaseUntil; ///< On the worker's clock.
-    Duration wait{}; ///< The worker answers when a task ends, or after this time.
+    Duration wait{};    ///< The worker answers when a task ends, or after this time.
+    Duration timeout{}; ///< Beyond the wait.
 };
 
 using InventoryOutcome = std::variant<Inventory, OrderRefused>;
 
-/// Orders to workers.
+/// Orders to workers. After a timeout, \p done is called a second time if the answer is only late.
 class WorkerPort
 {
 public:
     virtual ~WorkerPort() = default;
-    virtual void start(const WorkerTarget &worker, const StartOrder &order, bool retry,
+    virtual void start(const WorkerTarget &worker, const StartOrder &order, const OrderCall &call,
                        Done<Result<OrderOutcome>> done) = 0;
-    virtual void stop(const WorkerTarget &worker, const TaskId &task, std::uint32_t run,
-                      std::uint64_t fencingToken, Done<Result<OrderOutcome>> done) = 0;
+    virtual void stop(const WorkerTarget &worker, const StopOrder &order, const OrderCall &call,
+                      Done<Result<OrderOutcome>> done) = 0;
     virtual void inventory(const WorkerTarget &worker, const InventoryRequest &request,
                            Done<Result<InventoryOutcome>> done) = 0;
 };
--- /dev/null
+++ b/libs/cell/src/answertimes.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <base/time.h>
+
+namespace cowsliprock::cell {
+
+/// How soon the workers of a cell answer, as smoothed mean and deviation of all of them (RFC 6298).
+/// All calls share this daemon's link, so that a full link shows in every answer.
+class AnswerTimes
+{
+public:
+    /// Notes the time that an answer took, also a late one.
+    void observe(Duration time) noexcept;
+
+    /// Time after which an answer is overdue.
+    [[nodiscard]] Duration timeout() const noexcept;
+
+    [[nodiscard]] Duration mean() const noexcept { return m_mean; }
+
+private:
+    Duration m_mean{};
+    Duration m_deviation{};
+    bool m_observed = false;
+};
+
+} // namespace cowsliprock::cell
--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -119,12 +119,11 @@
                               SubmitResult result)
 {
     const auto now = m_ports.timers.now();
-    m_ports.log.write(
-        now, submissionEvent(result),
-        { { "job", id },
-          { "asker", asker },
-          { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - begun).count() },
-          { "storeFailing", m_submissions.storeFailing() } });
+    m_ports.log.write(now, submissionEvent(result),
+                      { { "job", id },
+                        { "asker", asker },
+                        { "ms", toMilliseconds(now - begun) },
+                        { "storeFailing", m_submissions.storeFailing() } });
 }
 
 void FrontDesk::submitThroughPeer(const JobRecord &record, TimePoint deadline, bool uncertain,
--- a/libs/cell/src/measuredports.cpp
+++ b/libs/cell/src/measuredports.cpp
@@ -36,11 +36,10 @@
     if (now - m_slowLogged < slowLogInterval)
         return;
     m_slowLogged = now;
-    m_log.write(
-        now, "calls.slow",
-        { { "calls", std::exchange(m_slowCalls, 0) },
-          { "slowest", m_slowestName },
-          { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_slowest).count() } });
+    m_log.write(now, "calls.slow",
+                { { "calls", std::exchange(m_slowCalls, 0) },
+                  { "slowest", m_slowestName },
+                  { "ms", toMilliseconds(m_slowest) } });
     m_slowest = {};
 }
 
@@ -76,17 +75,16 @@
     m_store.keepLease(lease, m_meter.measure("store.keepLease", std::move(done)));
 }
 
-void MeasuredWorkers::start(const WorkerTarget &worker, const StartOrder &order, bool retry,
-                            Done<Result<OrderOutcome>> done)
+void MeasuredWorkers::start(const WorkerTarget &worker, const StartOrder &order,
+                            const OrderCall &call, Done<Result<OrderOutcome>> done)
 {
-    m_workers.start(worker, order, retry, m_meter.measure("worker.start", std::move(done)));
+    m_workers.start(worker, order, call, m_meter.measure("worker.start", std::move(done)));
 }
 
-void MeasuredWorkers::stop(const WorkerTarget &worker, const TaskId &task, std::uint32_t run,
-                           std::uint64_t fencingToken, Done<Result<OrderOutcome>> done)
+void MeasuredWorkers::stop(const WorkerTarget &worker, const StopOrder &order,
+                           const OrderCall &call, Done<Result<OrderOutcome>> done)
 {
-    m_workers.stop(worker, task, run, fencingToken,
-                   m_meter.measure("worker.stop", std::move(done)));
+    m_workers.stop(worker, order, call, m_meter.measure("worker.stop", std::move(done)));
 }
 
 void MeasuredWorkers::inventory(const WorkerTarget &worker, const InventoryRequest &request,
--- a/libs/cell/src/measuredports.h
+++ b/libs/cell/src/measuredports.h
@@ -91,10 +91,10 @@
         , m_meter(meter)
     { }
 
-    void start(const WorkerTarget &worker, const StartOrder &order, bool retry,
+    void start(const WorkerTarget &worker, const StartOrder &order, const OrderCall &call,
                Done<Result<OrderOutcome>> done) override;
-    void stop(const WorkerTarget &worker, const TaskId &task, std::uint32_t run,
-              std::uint64_t fencingToken, Done<Result<OrderOutcome>> done) override;
+    void stop(const WorkerTarget &worker, const StopOrder &order, const OrderCall &call,
+              Done<Result<OrderOutcome>> done) override;
     void inventory(const WorkerTarget &worker, const InventoryRequest &request,
                    Done<Result<InventoryOutcome>> done) override;
 
--- a/libs/cell/src/ordersender.cpp
+++ b/libs/cell/src/ordersender.cpp
@@ -1,5 +1,6 @@
 #include "ordersender.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cowsliprock::cell {
@@ -7,13 +8,37 @@
 namespace {
 
 constexpr int maxStartTries = 3;
+/// No further try is made after this time: the lease in the order runs out meanwhile.
+constexpr std::chrono::milliseconds startTime{ 1500 };
 constexpr std::chrono::milliseconds stopRetryDelay{ 200 };
+constexpr std::chrono::milliseconds maxStopRetryDelay{ 1600 };
 
 } // namespace
 
-OrderSender::OrderSender(WorkerPort &port, Timers &timers)
+struct OrderSender::PendingStart
+{
+    WorkerTarget worker;
+    StartOrder order;
+    Done<StartOutcome> done; ///< Empty when the outcome was told.
+    TimePoint begun{};
+    int tries = 0;
+    bool maybeSent = false; ///< A try without an answer may have reached the worker.
+};
+
+struct OrderSender::PendingStop
+{
+    WorkerTarget worker;
+    StopOrder order;
+    std::function<bool()> wanted;
+    Done<bool> done; ///< Empty when the outcome was told.
+    Duration retryDelay{ stopRetryDelay };
+    bool retrying = false; ///< The next try is scheduled.
+};
+
+OrderSender::OrderSender(WorkerPort &port, Timers &timers, AnswerTimes &answerTimes)
     : m_port(port)
     , m_timers(timers)
+    , m_answerTimes(answerTimes)
 { }
 
 OrderSender::~OrderSender()
@@ -24,65 +49,100 @@
 void OrderSender::start(const WorkerTarget &worker, const StartOrder &order,
                         const Done<StartOutcome> &done)
 {
-    tryStart(worker, order, 1, false, done);
+    m_window.sent();
+    tryStart(std::make_shared<PendingStart>(
+        PendingStart{ worker, order, done, m_timers.now(), 0, false }));
 }
 
-void OrderSender::tryStart(const WorkerTarget &worker, const StartOrder &order, int tries,
-                           bool maybeSent, const Done<StartOutcome> &done)
+void OrderSender::tryStart(const std::shared_ptr<PendingStart> &pending)
 {
-    m_port.start(worker, order, tries > 1,
-                 [this, alive = m_alive, worker, order, tries, maybeSent,
-                  done](const Result<OrderOutcome> &result) {
+    const OrderCall call{ m_answerTimes.timeout(), pending->tries > 0 };
+    ++pending->tries;
+    m_port.start(pending->worker, pending->order, call,
+                 [this, alive = m_alive, pending,
+                  sent = m_timers.now()](const Result<OrderOutcome> &result) {
                      if (!*alive)
                          return;
-                     if (result.has_value()) {
-                         if (const auto *accepted = std::get_if<OrderAccepted>(&result.value())) {
-                             done(*accepted);
-                             return;
-                         }
-                         const auto reason = std::get<OrderRefused>(result.value()).reason;
-                         // A refusal says nothing about an earlier try without an answer: that one
-                         // may have run already, or may still be carried out.
-                         if (maybeSent)
-                             done(StartUnknown{});
-                         else
-                             done(StartRejected{ reason, false });
-                         return;
-                     }
-                     const bool unknown = maybeSent || mayHaveTakenEffect(result.error());
-                     if (tries < maxStartTries)
-                         tryStart(worker, order, tries + 1, unknown, done);
-                     else if (unknown)
-                         done(StartUnknown{});
+                     if (result.has_value())
+                         startAnswered(*pending, sent, result.value());
                      else
-                         done(StartRejected{ OrderRefusal::Unhealthy, true });
+                         startFailed(pending, result.error());
                  });
 }
 
-void OrderSender::stop(const WorkerTarget &worker, const RunKey &run, std::uint64_t token,
+void OrderSender::startAnswered(PendingStart &pending, TimePoint sent, const OrderOutcome &outcome)
+{
+    m_answerTimes.observe(m_timers.now() - sent);
+    if (const auto *accepted = std::get_if<OrderAccepted>(&outcome)) {
+        finish(pending, *accepted);
+        return;
+    }
+    // A refusal says nothing about an earlier try without an answer: that one may have run
+    // already, or may still be carried out.
+    if (pending.maybeSent)
+        finish(pending, StartUnknown{});
+    else
+        finish(pending, StartRejected{ std::get<OrderRefused>(outcome).reason, false });
+}
+
+void OrderSender::startFailed(const std::shared_ptr<PendingStart> &pending, const Error &error)
+{
+    if (!pending->done)
+        return;
+    pending->maybeSent = pending->maybeSent || mayHaveTakenEffect(error);
+    if (pending->tries < maxStartTries && m_timers.now() - pending->begun < startTime)
+        tryStart(pending);
+    else if (pending->maybeSent)
+        finish(*pending, StartUnknown{});
+    else
+        finish(*pending, StartRejected{ OrderRefusal::Unhealthy, true });
+}
+
+void OrderSender::finish(PendingStart &pending, const StartOutcome &outcome)
+{
+    // A later answer to another try changes nothing any more.
+    const auto done = std::exchange(pending.done, {});
+    if (!done)
+        return;
+    m_window.ended(m_timers.now(), m_answerTimes.mean());
+    done(outcome);
+}
+
+void OrderSender::stop(const WorkerTarget &worker, const StopOrder &order,
                        std::function<bool()> wanted, Done<bool> done)
 {
-    m_port.stop(
-        worker, run.first, run.second, token,
-        [this, alive = m_alive, worker, run, token, wanted = std::move(wanted),
-         done = std::move(done)](const Result<OrderOutcome> &result) mutable {
-            if (!*alive)
-                return;
-            if (result.has_value() && std::holds_alternative<OrderAccepted>(result.value())) {
-                done(true);
-                return;
-            }
-            m_timers.after(stopRetryDelay,
-                           [this, alive, worker, run, token, wanted = std::move(wanted),
-                            done = std::move(done)]() mutable {
-                               if (!*alive)
-                                   return;
-                               if (wanted())
-                                   stop(worker, run, token, std::move(wanted), std::move(done));
-                               else
-                                   done(false);
-                           });
-        });
+    tryStop(std::make_shared<PendingStop>(
+        PendingStop{ worker, order, std::move(wanted), std::move(done), stopRetryDelay, false }));
+}
+
+void OrderSender::tryStop(const std::shared_ptr<PendingStop> &pending)
+{
+    m_port.stop(pending->worker, pending->order, { m_answerTimes.timeout(), false },
+                [this, alive = m_alive, pending](const Result<OrderOutcome> &result) {
+                    if (!*alive || !pending->done)
+                        return;
+                    if (result.has_value() && std::holds_alternative<OrderAccepted>(result.value()))
+                        std::exchange(pending->done, {})(true);
+                    else
+                        stopAgainLater(pending);
+                });
+}
+
+void OrderSender::stopAgainLater(const std::shared_ptr<PendingStop> &pending)
+{
+    if (std::exchange(pending->retrying, true))
+        return;
+    const auto delay = pending->retryDelay;
+    pending->retryDelay = std::min<Duration>(2 * delay, maxStopRetryDelay);
+    m_timers.after(delay, [this, alive = m_alive, pending] {
+        if (!*alive || !pending->done)
+            return;
+        pending->retrying = false;
+        if (pending->wanted())
+            tryStop(pending);
+        else
+            std::exchange(pending->done, {})(false);
+    });
 }
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/ordersender.h
+++ b/libs/cell/src/ordersender.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "answertimes.h"
+#include "sendwindow.h"
 #include "workertable.h"
 
 #include <cell/ports.h>
@@ -25,28 +27,42 @@
 using StartOutcome = std::variant<OrderAccepted, StartRejected, StartUnknown>;
 
 /// Sends orders to workers and repeats those that were not answered. Orders are idempotent: the
-/// same run is started at most once in a life of a worker.
+/// same run is started at most once in a life of a worker, and the answer to any try counts.
 class OrderSender
 {
 public:
-    OrderSender(WorkerPort &port, Timers &timers);
+    OrderSender(WorkerPort &port, Timers &timers, AnswerTimes &answerTimes);
     ~OrderSender();
     OrderSender(const OrderSender &) = delete;
     OrderSender &operator=(const OrderSender &) = delete;
 
     void start(const WorkerTarget &worker, const StartOrder &order, const Done<StartOutcome> &done);
 
+    /// False while as many starts as the link carries have no answer yet.
+    [[nodiscard]] bool mayStart() const noexcept { return m_window.open(); }
+
+    [[nodiscard]] const SendWindow &window() const noexcept { return m_window; }
+
     /// Repeats the stop until the worker accepts it or \p wanted returns false.
     /// \p done is called with true when the worker has accepted it.
-    void stop(const WorkerTarget &worker, const RunKey &run, std::uint64_t token,
-              std::function<bool()> wanted, Done<bool> done);
+    void stop(const WorkerTarget &worker, const StopOrder &order, std::function<bool()> wanted,
+              Done<bool> done);
 
 private:
-    void tryStart(const WorkerTarget &worker, const StartOrder &order, int tries, bool maybeSent,
-                  const Done<StartOutcome> &done);
+    struct PendingStart;
+    struct PendingStop;
+
+    void tryStart(const std::shared_ptr<PendingStart> &pending);
+    void startAnswered(PendingStart &pending, TimePoint sent, const OrderOutcome &outcome);
+    void startFailed(const std::shared_ptr<PendingStart> &pending, const Error &error);
+    void finish(PendingStart &pending, const StartOutcome &outcome);
+    void tryStop(const std::shared_ptr<PendingStop> &pending);
+    void stopAgainLater(const std::shared_ptr<PendingStop> &pending);
 
     WorkerPort &m_port;
     Timers &m_timers;
+    AnswerTimes &m_answerTimes;
+    SendWindow m_window;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/libs/cell/src/prefixwatch.cpp
+++ b/libs/cell/src/prefixwatch.cpp
@@ -46,7 +46,7 @@
     void takeEvents(const StoreEvents &events);
     void apply(const StoreItem &item);
     void remove(const std::string &key, std::uint64_t revision);
-    void retry(void (State::*step)());
+    void retry(std::function<void(State &)> step);
     void succeeded();
 };
 
@@ -59,11 +59,11 @@
 
 void PrefixWatch::State::listPage(const std::string &after)
 {
-    store.list(prefix, after, [self = shared_from_this()](const Result<StorePage> &page) {
+    store.list(prefix, after, [self = shared_from_this(), after](const Result<StorePage> &page) {
         if (self->closed)
             return;
         if (!page.has_value()) {
-            self->retry(&State::beginList);
+            self->retry([after](State &state) { state.listPage(after); });
             return;
         }
         self->succeeded();
@@ -113,7 +113,7 @@
                     if (self->closed)
                         return;
                     if (!events.has_value()) {
-                        self->retry(&State::watch);
+                        self->retry([](State &state) { state.watch(); });
                         return;
                     }
                     self->succeeded();
@@ -161,15 +161,15 @@
     listener.removed(key, revision);
 }
 
-void PrefixWatch::State::retry(void (State::*step)())
+void PrefixWatch::State::retry(std::function<void(State &)> step)
 {
     if (std::exchange(reachable, false) && listener.reachable)
         listener.reachable(false);
     if (closed)
         return;
-    timers.after(retryDelay, [self = shared_from_this(), step] {
+    timers.after(retryDelay, [self = shared_from_this(), step = std::move(step)] {
         if (!self->closed)
-            (self.get()->*step)();
+            step(*self);
     });
     retryDelay = std::min<Duration>(retryDelay * 2, maxRetryDelay);
 }
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -25,8 +25,8 @@
     , m_writer(writer)
     , m_fenced(std::move(fenced))
     , m_activeJobs(MoreUrgent{ settings.policy.order })
-    , m_sender(ports.workers, ports.timers)
-    , m_links(ports.workers, ports.timers, ports.log, m_workers,
+    , m_sender(ports.workers, ports.timers, m_answerTimes)
+    , m_links(ports.workers, ports.timers, ports.log, m_workers, m_answerTimes,
               { settings.ownershipRevision, settings.lease, settings.longestLease },
               { [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
                    takeInventory(worker, inventory, asked);
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "advicechoice.h"
 #include "advicequeue.h"
+#include "answertimes.h"
 #include "fencedwriter.h"
 #include "jobtable.h"
 #include "ordersender.h"
@@ -182,12 +183,14 @@
     WorkerTable m_workers;
     ActiveJobs m_activeJobs;
     std::optional<CellConfiguration> m_configuration;
+    AnswerTimes m_answerTimes;
     OrderSender m_sender;
     WorkerLinks m_links;
     std::vector<Worker *> m_usable; ///< During a pass.
     Resources m_mostFree;           ///< The most of each resource that a usable worker has free.
     TimePoint m_loadLogged{};
     bool m_slowAdviceFull = false; ///< During a pass: no more slow questions can be asked.
+    bool m_windowFull = false;     ///< The last pass ended since no more orders could be sent.
     Duration m_lastPass{};         ///< How long the last pass took.
     bool m_passRequested = false;
     bool m_laterPassRequested = false;
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -78,9 +78,7 @@
                             std::chrono::duration<double>(time).count());
     m_ports.log.write(
         now(), "job.ended",
-        { { "job", id },
-          { "status", toString(job->status) },
-          { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(time).count() } });
+        { { "job", id }, { "status", toString(job->status) }, { "ms", toMilliseconds(time) } });
 }
 
 void Scheduler::beginDueOccurrences(Job &job)
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -53,6 +53,7 @@
     findUsableWorkers();
     Reservations reservations;
     m_slowAdviceFull = false;
+    m_windowFull = false;
     int failures = 0;
     int reservedGangs = 0;
     const auto waiting = waitingSteps();
@@ -71,6 +72,8 @@
         const bool placed = !anyRoom ? false
             : view.spec->gang        ? placeGang(view, demand, reservations)
                                      : placeTasks(view, demand, reservations);
+        if (m_windowFull)
+            break;
         if (placed)
             continue;
         if (anyRoom || view.spec->gang)
@@ -83,7 +86,7 @@
             break;
     }
     logLoad(waiting, reservations);
-    if (failures > 0)
+    if (failures > 0 || m_windowFull)
         requestLaterPass();
     m_lastPass = now() - begun;
 }
@@ -113,6 +116,9 @@
                         { "memoryMb", capacity.memoryMb },
                         { "freeMemoryMb", free.memoryMb },
                         { "keptWorkers", static_cast<std::uint64_t>(reservations.workers()) },
+                        { "startsInFlight", m_sender.window().inFlight() },
+                        { "startWindow", m_sender.window().size() },
+                        { "answerMs", toMilliseconds(m_answerTimes.mean()) },
                         { "askingSteps", asking },
                         { "waitingSteps", steps[bandOnTime] },
                         { "lateSteps", steps[bandLate] },
@@ -227,6 +233,11 @@
             all = false;
             break;
         }
+        if (!m_sender.mayStart()) {
+            m_windowFull = true;
+            all = false;
+            break;
+        }
         if (!mayStart(*view.job))
             return true;
         const auto number = std::max<std::uint64_t>(task.lastRun, firstRun) + 1;
@@ -254,6 +265,10 @@
     const auto chosen = chooseForGang(workers, demand, count);
     if (chosen.empty())
         return false;
+    if (!m_sender.mayStart()) {
+        m_windowFull = true;
+        return false;
+    }
     if (!mayStart(*view.job))
         return true;
     std::uint64_t last = m_settings.generation * runsPerOwner;
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -77,6 +77,8 @@
 void Scheduler::startAnswered(const std::string &id, std::int64_t born, const RunKey &key,
                               const StartOutcome &outcome)
 {
+    if (m_windowFull)
+        requestPass();
     const auto entry = m_workers.find(id);
     if (entry == m_workers.end() || entry->second.born != born)
         return;
@@ -176,7 +178,7 @@
         return found == entry->second.runs.end() ? nullptr : &found->second;
     };
     m_sender.stop(
-        { worker.entry.id, worker.entry.address }, key, worker.token,
+        { worker.entry.id, worker.entry.address }, { key.first, key.second, worker.token },
         [current] { return current() != nullptr; },
         [this, current, id = worker.entry.id](bool accepted) {
             if (Run *stopped = current(); stopped != nullptr && accepted) {
--- a/libs/cell/src/shard.cpp
+++ b/libs/cell/src/shard.cpp
@@ -56,7 +56,7 @@
 
 void Shard::start()
 {
-    readAllStates();
+    readStates("");
 }
 
 void Shard::retry(void (Shard::*step)())
@@ -70,11 +70,14 @@
 void Shard::readStates(const std::string &after)
 {
     m_store.list(keys::statesPrefix(m_shard), after,
-                 [this, alive = m_alive](const Result<StorePage> &page) {
+                 [this, alive = m_alive, after](const Result<StorePage> &page) {
                      if (!*alive)
                          return;
                      if (!page.has_value()) {
-                         retry(&Shard::readAllStates);
+                         m_ports.timers.after(retryDelay, [this, living = m_alive, after] {
+                             if (*living)
+                                 readStates(after);
+                         });
                          return;
                      }
                      for (const auto &item : page.value().items) {
--- a/libs/cell/src/shard.h
+++ b/libs/cell/src/shard.h
@@ -46,7 +46,6 @@
     void readRoster();
     void jobsListed();
     void retry(void (Shard::*step)());
-    void readAllStates() { readStates(""); }
     void applyJob(const StoreItem &item);
     void applyWorker(const StoreItem &item);
     void removeWorker(const std::string &key);
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -14,6 +14,8 @@
 /// Ends that come close together are gathered into one answer.
 constexpr std::chrono::milliseconds gatherPause{ 15 };
 constexpr std::chrono::milliseconds retryPause{ 250 };
+/// A worker needs this long beside the way, to put its lists together.
+constexpr std::chrono::milliseconds inventoryReserve{ 350 };
 /// Failures in a row after which a worker gets no new tasks.
 constexpr std::uint32_t failuresUntilUnreachable = 2;
 /// A worker's clock may be this much slower than ours (its bound is 2%).
@@ -27,11 +29,12 @@
 } // namespace
 
 WorkerLinks::WorkerLinks(WorkerPort &port, Timers &timers, EventLog &log, WorkerTable &workers,
-                         const Settings &settings, Listener listener)
+                         AnswerTimes &answerTimes, const Settings &settings, Listener listener)
     : m_port(port)
     , m_timers(timers)
     , m_log(log)
     , m_workers(workers)
+    , m_answerTimes(answerTimes)
     , m_settings(settings)
     , m_listener(std::move(listener))
 { }
@@ -144,16 +147,45 @@
         if (!worker.runs.empty() && worker.reachable)
             request.wait = busyWait;
     }
+    request.timeout = std::max<Duration>(m_answerTimes.timeout(), inventoryReserve);
     link.asking = true;
-    const auto asked = m_timers.now();
-    m_port.inventory({ id, worker.entry.address }, request,
-                     [this, alive = m_alive, id, asked](const Result<InventoryOutcome> &outcome) {
-                         if (*alive)
-                             answered(id, asked, outcome);
-                     });
+    m_port.inventory(
+        { id, worker.entry.address }, request,
+        [this, alive = m_alive, id, question = Question{ m_timers.now(), request.wait, false }](
+            const Result<InventoryOutcome> &outcome) mutable {
+            if (!*alive)
+                return;
+            if (std::exchange(question.overdue, true))
+                answeredLate(id, question, outcome);
+            else
+                answered(id, question, outcome);
+        });
 }
 
-void WorkerLinks::answered(const std::string &id, TimePoint asked,
+void WorkerLinks::observe(const Question &question)
+{
+    // The answer to a waiting question comes with an end, at any time until its wait is over.
+    const auto time = m_timers.now() - question.asked;
+    if (time > question.wait)
+        m_answerTimes.observe(time - question.wait);
+}
+
+void WorkerLinks::answeredLate(const std::string &id, const Question &question,
+                               const Result<InventoryOutcome> &outcome)
+{
+    observe(question);
+    const auto entry = m_workers.find(id);
+    const auto link = m_links.find(id);
+    if (entry == m_workers.end() || link == m_links.end() || !outcome.has_value())
+        return;
+    Worker &worker = entry->second;
+    const auto *inventory = std::get_if<Inventory>(&outcome.value());
+    // What a former life says is of no use, and that there is a new one the next answer tells.
+    if (inventory != nullptr && worker.fenced && inventory->born == worker.born)
+        take(worker, link->second, *inventory, question.asked);
+}
+
+void WorkerLinks::answered(const std::string &id, const Question &question,
                            const Result<InventoryOutcome> &outcome)
 {
     const auto entry = m_workers.find(id);
@@ -171,33 +203,47 @@
         refused(worker, link, *refusal);
         return;
     }
-    take(worker, link, std::get<Inventory>(outcome.value()), asked);
+    observe(question);
+    take(worker, link, std::get<Inventory>(outcome.value()), question.asked);
 }
 
 void WorkerLinks::take(Worker &worker, Link &link, const Inventory &inventory, TimePoint asked)
 {
-    const auto now = m_timers.now();
     if (worker.born != 0 && inventory.born != worker.born) {
         beginLife(worker, link, inventory, asked);
         return;
     }
+    const bool outdated = worker.fenced && inventory.clock < worker.inventoryClock;
+    contact(worker, link, inventory);
+    // Answers on different connections overtake each other: a newer list says all that this one
+    // does.
+    if (!outdated)
+        m_listener.inventory(worker, inventory, asked);
+    // Ends that are not durable yet would be returned at once: poke() asks when they are.
+    if (worker.durableEnds == worker.handledEnds && !link.asking)
+        schedule(worker.entry.id, nextDelay(worker));
+}
+
+void WorkerLinks::contact(Worker &worker, Link &link, const Inventory &inventory)
+{
+    const auto now = m_timers.now();
     if (!worker.reachable) {
         m_log.write(
             now, "worker.reachable",
             { { "worker", worker.entry.id }, { "born", worker.born }, { "token", worker.token } });
     }
     worker.born = inventory.born;
-    worker.clock = inventory.clock;
-    worker.clockReadAt = now;
     worker.lastContact = now;
     worker.reachable = true;
     worker.fenced = true;
+    worker.suspect = false;
     link.failures = 0;
     link.answered = true;
-    m_listener.inventory(worker, inventory, asked);
-    // Ends that are not durable yet would be returned at once: poke() asks when they are.
-    if (worker.durableEnds == worker.handledEnds && !link.asking)
-        schedule(worker.entry.id, nextDelay(worker));
+    if (inventory.clock < worker.inventoryClock)
+        return;
+    worker.inventoryClock = inventory.clock;
+    worker.clock = inventory.clock;
+    worker.clockReadAt = now;
 }
 
 Duration WorkerLinks::nextDelay(const Worker &worker) const
@@ -217,6 +263,7 @@
     worker.fenced = false;
     worker.handledEnds = 0;
     worker.durableEnds = 0;
+    worker.inventoryClock = {};
     worker.clock = {};
     // Orders that reached the new life before its token was raised carried the former clock.
     worker.leaseEnds = m_timers.now();
@@ -229,6 +276,7 @@
 {
     const auto now = m_timers.now();
     ++link.failures;
+    worker.suspect = true;
     if (link.failures == failuresUntilUnreachable) {
         worker.reachable = false;
         m_log.write(now, "worker.unreachable",
--- a/libs/cell/src/workerlinks.h
+++ b/libs/cell/src/workerlinks.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answertimes.h"
 #include "workertable.h"
 
 #include <cell/ports.h>
@@ -41,7 +42,7 @@
     };
 
     WorkerLinks(WorkerPort &port, Timers &timers, EventLog &log, WorkerTable &workers,
-                const Settings &settings, Listener listener);
+                AnswerTimes &answerTimes, const Settings &settings, Listener listener);
     ~WorkerLinks();
     WorkerLinks(const WorkerLinks &) = delete;
     WorkerLinks &operator=(const WorkerLinks &) = delete;
@@ -81,8 +82,21 @@
 
     void schedule(const std::string &id, Duration delay);
     void ask(const std::string &id);
-    void answered(const std::string &id, TimePoint asked, const Result<InventoryOutcome> &outcome);
+    /// One request for an inventory.
+    struct Question
+    {
+        TimePoint asked{};
+        Duration wait{};
+        bool overdue = false; ///< Reported as failed; the answer may still come.
+    };
+
+    void answered(const std::string &id, const Question &question,
+                  const Result<InventoryOutcome> &outcome);
+    void answeredLate(const std::string &id, const Question &question,
+                      const Result<InventoryOutcome> &outcome);
+    void observe(const Question &question);
     void take(Worker &worker, Link &link, const Inventory &inventory, TimePoint asked);
+    void contact(Worker &worker, Link &link, const Inventory &inventory);
     void beginLife(Worker &worker, Link &link, const Inventory &inventory, TimePoint asked);
     void failed(Worker &worker, Link &link, const Error &error);
     void refused(Worker &worker, Link &link, const OrderRefused &refusal);
@@ -93,6 +107,7 @@
     Timers &m_timers;
     EventLog &m_log;
     WorkerTable &m_workers;
+    AnswerTimes &m_answerTimes;
     Settings m_settings;
     Listener m_listener;
     std::unordered_map<std::string, Link> m_links;
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -60,9 +60,11 @@
     std::uint64_t durableEnds = 0;          ///< Number of the last end that the worker may forget.
     std::chrono::milliseconds clock{};      ///< Its steady clock ...
     TimePoint clockReadAt{};                ///< ... at this time.
+    std::chrono::milliseconds inventoryClock{}; ///< Its clock in the newest inventory.
     TimePoint leaseEnds{}; ///< Latest time at which everything on it has ended by itself.
     TimePoint lastContact{};
     bool reachable = false;
+    bool suspect = false; ///< An answer is overdue: nothing new until it comes.
     Resources held;
     std::uint32_t runsOfUnknownSize = 0; ///< While there are any, it takes nothing new.
     std::map<RunKey, Run> runs;
--- a/libs/eventloop/include/eventloop/http.h
+++ b/libs/eventloop/include/eventloop/http.h
@@ -33,6 +33,11 @@
     HttpHeaders headers;
     std::string body;
     Duration timeout{ std::chrono::seconds(1) };
+    /// While the answer keeps arriving the call may take this long in all. Zero: the timeout.
+    Duration longest{};
+    /// After its timeout the call is reported as failed, but its connection is kept this long for
+    /// an answer that is only late.
+    Duration lateTime{};
     bool freshConnection = false; ///< Opens a connection even if an idle one exists.
 };
 
@@ -40,6 +45,7 @@
 {
     unsigned status = 0;
     std::string body;
+    bool late = false; ///< The call was reported as failed before.
 };
 
 /// A call that ended without an answer.
@@ -52,4 +58,15 @@
 
 using HttpOutcome = std::variant<HttpAnswer, HttpFailure>;
 
+/// What a client has exchanged with its peers since it was created.
+struct HttpTraffic
+{
+    std::uint64_t calls = 0;
+    std::uint64_t failures = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+    std::uint64_t connectionsOpened = 0;
+    std::uint64_t inFlight = 0; ///< Calls without an answer yet.
+};
+
 } // namespace cowsliprock
--- a/libs/eventloop/include/eventloop/httpclient.h
+++ b/libs/eventloop/include/eventloop/httpclient.h
@@ -2,7 +2,6 @@
 
 #include <eventloop/http.h>
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -22,14 +21,17 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Sends one request. \p done is called exactly once, never from within call().
-    /// A failure closes the idle connections to the peer, since they may be dead as well.
+    /// Sends one request. \p done is called once, never from within call(); a second time if the
+    /// answer comes within HttpCall::lateTime after the timeout.
+    /// A failure closes the idle connections to the peer, since they may be dead as well; after a
+    /// timeout they are only set aside until the late answer shows that the peer is slow.
     void call(HttpCall request, Done done);
 
-    [[nodiscard]] std::uint64_t connectionsOpened() const noexcept;
+    [[nodiscard]] const HttpTraffic &traffic() const noexcept;
 
 private:
     struct State;
+    struct PendingCall;
     std::shared_ptr<State> m_state;
 };
 
--- a/libs/eventloop/src/httpclient.cpp
+++ b/libs/eventloop/src/httpclient.cpp
@@ -12,8 +12,12 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace cowsliprock {
 
@@ -39,7 +43,7 @@
 
     EventLoop &loop;
     std::map<SocketAddress, std::vector<std::shared_ptr<Connection>>> idle;
-    std::uint64_t opened = 0;
+    HttpTraffic traffic;
     bool closed = false;
 
     void release(const SocketAddress &peer, std::shared_ptr<Connection> connection);
@@ -54,14 +58,24 @@
 public:
     Connection(asio::io_context &context, SocketAddress peer)
         : m_stream(context)
+        , m_timeoutTimer(context)
         , m_peer(std::move(peer))
     { }
 
-    using Ended = std::function<void(HttpOutcome, bool reusable)>;
+    /// Called at the end of a call, and before it if the call is reported as failed while its
+    /// answer is still awaited.
+    struct Listener
+    {
+        std::function<void(HttpOutcome, bool reusable)> ended;
+        std::function<void(HttpFailure)> late;
+    };
 
-    void start(HttpCall call, Ended ended)
+    void start(HttpCall call, Listener listener)
     {
-        m_ended = std::move(ended);
+        m_listener = std::move(listener);
+        m_late = false;
+        m_timeout = call.timeout;
+        m_lastByteBy = std::chrono::steady_clock::now() + std::max(call.longest, call.timeout);
         m_request = {};
         m_request.method_string(call.method);
         m_request.target(call.target);
@@ -74,14 +88,42 @@
         m_request.body() = std::move(call.body);
         m_request.prepare_payload();
         m_sent = false;
-        m_stream.expires_after(call.timeout);
+        m_bytesSent = 0;
+        m_bytesReceived = 0;
+        m_stream.expires_after(call.timeout + call.lateTime);
+        if (call.lateTime > Duration::zero())
+            reportWhenLate();
         if (m_connected)
             write();
         else
             connect();
     }
 
+    [[nodiscard]] std::size_t bytesSent() const noexcept { return m_bytesSent; }
+    [[nodiscard]] std::size_t bytesReceived() const noexcept { return m_bytesReceived; }
+
 private:
+    void reportWhenLate()
+    {
+        m_timeoutTimer.expires_after(m_timeout);
+        m_timeoutTimer.async_wait(
+            [self = shared_from_this(), call = ++m_call](const boost::system::error_code &error) {
+                if (error || call != self->m_call || !self->m_listener.ended)
+                    return;
+                // Reported as not sent, it must not be sent later.
+                if (!self->m_sent) {
+                    self->fail(beast::error::timeout);
+                    return;
+                }
+                self->m_late = true;
+                HttpFailure failure;
+                failure.sent = true;
+                failure.timedOut = true;
+                failure.detail = "no answer in time";
+                self->m_listener.late(std::move(failure));
+            });
+    }
+
     void connect()
     {
         boost::system::error_code error;
@@ -108,7 +150,8 @@
         m_sent = true;
         http::async_write(m_stream, m_request,
                           [self = shared_from_this()](const boost::system::error_code &failure,
-                                                      std::size_t /*bytes*/) {
+                                                      std::size_t bytes) {
+                              self->m_bytesSent = bytes;
                               if (failure)
                                   self->fail(failure);
                               else
@@ -120,14 +163,31 @@
     {
         m_parser.emplace();
         m_parser->body_limit(maxAnswerBytes);
-        http::async_read(m_stream, m_buffer, *m_parser,
-                         [self = shared_from_this()](const boost::system::error_code &failure,
-                                                     std::size_t /*bytes*/) {
-                             if (failure)
-                                 self->fail(failure);
-                             else
-                                 self->succeed();
-                         });
+        readSome();
+    }
+
+    void readSome()
+    {
+        http::async_read_some(m_stream, m_buffer, *m_parser,
+                              [self = shared_from_this()](const boost::system::error_code &failure,
+                                                          std::size_t bytes) {
+                                  self->m_bytesReceived += bytes;
+                                  if (failure)
+                                      self->fail(failure);
+                                  else if (self->m_parser->is_done())
+                                      self->succeed();
+                                  else
+                                      self->readMore();
+                              });
+    }
+
+    void readMore()
+    {
+        // A peer that is sending is not silent: only the longest time of the call ends it.
+        const auto now = std::chrono::steady_clock::now();
+        if (now + m_timeout < m_lastByteBy)
+            m_stream.expires_after(m_timeout);
+        readSome();
     }
 
     void succeed()
@@ -136,12 +196,15 @@
         const bool reusable = message.keep_alive();
         // An idle connection has no deadline.
         m_stream.expires_never();
-        HttpAnswer answer{ message.result_int(), std::move(message.body()) };
+        HttpAnswer answer{ message.result_int(), std::move(message.body()), m_late };
         end(std::move(answer), reusable);
     }
 
     void fail(const boost::system::error_code &error)
     {
+        // The timer for a late answer may have ended the call already.
+        if (!m_listener.ended)
+            return;
         HttpFailure failure;
         failure.sent = m_sent;
         failure.timedOut = error == beast::error::timeout;
@@ -153,17 +216,24 @@
 
     void end(HttpOutcome outcome, bool reusable)
     {
-        const Ended ended = std::move(m_ended);
-        m_ended = nullptr;
-        ended(std::move(outcome), reusable);
+        m_timeoutTimer.cancel();
+        const Listener listener = std::exchange(m_listener, {});
+        listener.ended(std::move(outcome), reusable);
     }
 
     beast::tcp_stream m_stream;
+    asio::steady_timer m_timeoutTimer; ///< Until the call is reported as failed.
     SocketAddress m_peer;
     beast::flat_buffer m_buffer;
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
-    Ended m_ended;
+    Listener m_listener;
+    Duration m_timeout{};
+    std::chrono::steady_clock::time_point m_lastByteBy{};
+    std::uint64_t m_call = 0; ///< Number of calls whose answers were awaited beyond the timeout.
+    bool m_late = false;
+    std::size_t m_bytesSent = 0;     ///< By the call that runs.
+    std::size_t m_bytesReceived = 0; ///< By the call that runs.
     bool m_connected = false;
     bool m_sent = false;
 };
@@ -182,6 +252,57 @@
     idle.erase(peer);
 }
 
+/// A call with the connections that its outcome decides about.
+struct HttpClient::PendingCall
+{
+    std::shared_ptr<State> state;
+    SocketAddress peer;
+    std::shared_ptr<Connection> connection;
+    /// Idle connections to the peer, set aside while its answer is late.
+    std::vector<std::shared_ptr<Connection>> setAside;
+    Done done;
+    bool reported = false;
+
+    void late(HttpFailure failure)
+    {
+        reported = true;
+        --state->traffic.inFlight;
+        ++state->traffic.failures;
+        if (auto idle = state->idle.extract(peer); !idle.empty())
+            setAside = std::move(idle.mapped());
+        if (!state->closed)
+            done(std::move(failure));
+    }
+
+    void ended(HttpOutcome &outcome, bool reusable)
+    {
+        state->traffic.bytesSent += connection->bytesSent();
+        state->traffic.bytesReceived += connection->bytesReceived();
+        const bool failed = std::holds_alternative<HttpFailure>(outcome);
+        if (!reported) {
+            --state->traffic.inFlight;
+            state->traffic.failures += failed ? 1 : 0;
+        }
+        if (failed && !reported)
+            state->forget(peer);
+        if (!failed)
+            keepConnections(reusable);
+        setAside.clear();
+        // A call whose failure was reported ends in silence unless its answer came.
+        if (!state->closed && (!failed || !reported))
+            done(std::move(outcome));
+    }
+
+private:
+    void keepConnections(bool reusable)
+    {
+        if (reusable)
+            state->release(peer, connection);
+        for (auto &other : setAside)
+            state->release(peer, std::move(other));
+    }
+};
+
 HttpClient::HttpClient(EventLoop &loop)
     : m_state(std::make_shared<State>(loop))
 { }
@@ -203,24 +324,21 @@
         entry->second.pop_back();
     } else {
         connection = std::make_shared<Connection>(state->loop.context(), peer);
-        ++state->opened;
+        ++state->traffic.connectionsOpened;
     }
-    auto &reference = *connection;
-    reference.start(std::move(request),
-                    [state, peer, connection = std::move(connection),
-                     done = std::move(done)](HttpOutcome outcome, bool reusable) {
-                        if (std::holds_alternative<HttpFailure>(outcome))
-                            state->forget(peer);
-                        else if (reusable)
-                            state->release(peer, connection);
-                        if (!state->closed)
-                            done(std::move(outcome));
-                    });
+    ++state->traffic.calls;
+    ++state->traffic.inFlight;
+    auto pending = std::make_shared<PendingCall>(
+        PendingCall{ state, peer, std::move(connection), {}, std::move(done) });
+    pending->connection->start(
+        std::move(request),
+        { [pending](HttpOutcome outcome, bool reusable) { pending->ended(outcome, reusable); },
+          [pending](HttpFailure failure) { pending->late(std::move(failure)); } });
 }
 
-std::uint64_t HttpClient::connectionsOpened() const noexcept
+const HttpTraffic &HttpClient::traffic() const noexcept
 {
-    return m_state->opened;
+    return m_state->traffic;
 }
 
 } // namespace cowsliprock
--- a/libs/eventloop/tests/http_test.cpp
+++ b/libs/eventloop/tests/http_test.cpp
@@ -68,7 +68,7 @@
     client.call(request("/echo", "hello"), next);
     loop.run();
     BOOST_TEST(answers == 5);
-    BOOST_TEST(client.connectionsOpened() == 1U);
+    BOOST_TEST(client.traffic().connectionsOpened == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(saysThatARequestMayHaveBeenReadWhenNoAnswerComes)
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds callTimeout{ 700 };
-constexpr std::chrono::milliseconds orderTimeout{ 300 };
-constexpr std::chrono::milliseconds inventoryReserve{ 350 };
 constexpr std::chrono::milliseconds lateAfter{ 3000 };
 
 Error timedOut(const char *step)
@@ -150,7 +148,7 @@
     m_time.after(m_world.delay(), [this, lease] { m_store.endLease(lease); });
 }
 
-void NodeWorkers::order(const WorkerTarget &worker,
+void NodeWorkers::order(const WorkerTarget &worker, const OrderCall &call,
                         const std::function<OrderOutcome(WorkerModel &)> &action,
                         const Done<Result<OrderOutcome>> &done)
 {
@@ -165,13 +163,13 @@
             if (auto *slot = m_world.findWorker(id))
                 static_cast<void>(action(*slot->model));
         });
-        answer(orderTimeout, timedOut("worker.order"));
+        answer(call.timeout, timedOut("worker.order"));
         return;
     }
-    m_time.after(m_world.delay(), [this, id = worker.id, action, answer] {
+    m_time.after(m_world.delay(), [this, id = worker.id, call, action, answer] {
         auto *slot = m_world.findWorker(id);
         if (slot == nullptr || slot->cut)
-            answer(orderTimeout, timedOut("worker.order"));
+            answer(call.timeout, timedOut("worker.order"));
         else if (!slot->connected(m_slot.name))
             answer(m_world.delay(), timedOut("worker.order"));
         else
@@ -179,20 +177,20 @@
     });
 }
 
-void NodeWorkers::start(const WorkerTarget &worker, const StartOrder &startOrder, bool /*retry*/,
-                        Done<Result<OrderOutcome>> done)
+void NodeWorkers::start(const WorkerTarget &worker, const StartOrder &startOrder,
+                        const OrderCall &call, Done<Result<OrderOutcome>> done)
 {
     order(
-        worker, [startOrder](WorkerModel &model) { return model.start(startOrder); }, done);
+        worker, call, [startOrder](WorkerModel &model) { return model.start(startOrder); }, done);
 }
 
-void NodeWorkers::stop(const WorkerTarget &worker, const TaskId &task, std::uint32_t run,
-                       std::uint64_t fencingToken, Done<Result<OrderOutcome>> done)
+void NodeWorkers::stop(const WorkerTarget &worker, const StopOrder &stopOrder,
+                       const OrderCall &call, Done<Result<OrderOutcome>> done)
 {
     order(
-        worker,
-        [task, run, fencingToken](WorkerModel &model) {
-            return model.stop(task, run, fencingToken);
+        worker, call,
+        [stopOrder](WorkerModel &model) {
+            return model.stop(stopOrder.task, stopOrder.run, stopOrder.fencingToken);
         },
         done);
 }
@@ -206,7 +204,7 @@
         if (!std::exchange(*answered, true))
             m_slot.timers->deliver(life, [done, outcome] { done(outcome); });
     };
-    m_time.after(request.wait + inventoryReserve,
+    m_time.after(request.wait + request.timeout,
                  [answer] { answer(timedOut("worker.inventory")); });
     m_time.after(m_world.delay(), [this, id = worker.id, request, answer] {
         auto *slot = m_world.findWorker(id);
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -116,15 +116,15 @@
         , m_slot(slot)
     { }
 
-    void start(const cell::WorkerTarget &worker, const cell::StartOrder &order, bool retry,
-               cell::Done<Result<cell::OrderOutcome>> done) override;
-    void stop(const cell::WorkerTarget &worker, const cell::TaskId &task, std::uint32_t run,
-              std::uint64_t fencingToken, cell::Done<Result<cell::OrderOutcome>> done) override;
+    void start(const cell::WorkerTarget &worker, const cell::StartOrder &order,
+               const cell::OrderCall &call, cell::Done<Result<cell::OrderOutcome>> done) override;
+    void stop(const cell::WorkerTarget &worker, const cell::StopOrder &order,
+              const cell::OrderCall &call, cell::Done<Result<cell::OrderOutcome>> done) override;
     void inventory(const cell::WorkerTarget &worker, const cell::InventoryRequest &request,
                    cell::Done<Result<cell::InventoryOutcome>> done) override;
 
 private:
-    void order(const cell::WorkerTarget &worker,
+    void order(const cell::WorkerTarget &worker, const cell::OrderCall &call,
                const std::function<cell::OrderOutcome(WorkerModel &)> &action,
                const cell::Done<Result<cell::OrderOutcome>> &done);
 
