Play a link that is full in the emulator; let an inventory decide about a start without an answer

The emulator's nodes get a link to the workers with a rate and a queue in each direction, and late answers. Now the next inventory decides, or one second.

--- a/libs/cell/src/ordersender.cpp
+++ b/libs/cell/src/ordersender.cpp
@@ -19,10 +19,12 @@
 {
     WorkerTarget worker;
     StartOrder order;
-    Done<StartOutcome> done; ///< Empty when the outcome was told.
+    Done<StartOutcome> done;
     TimePoint begun{};
     int tries = 0;
     bool maybeSent = false; ///< A try without an answer may have reached the worker.
+    bool told = false;      ///< The outcome was told ...
+    bool unknown = false;   ///< ... as unknown.
 };
 
 struct OrderSender::PendingStop
@@ -51,7 +53,7 @@
 {
     m_window.sent();
     tryStart(std::make_shared<PendingStart>(
-        PendingStart{ worker, order, done, m_timers.now(), 0, false }));
+        PendingStart{ worker, order, done, m_timers.now(), 0, false, false, false }));
 }
 
 void OrderSender::tryStart(const std::shared_ptr<PendingStart> &pending)
@@ -87,7 +89,7 @@
 
 void OrderSender::startFailed(const std::shared_ptr<PendingStart> &pending, const Error &error)
 {
-    if (!pending->done)
+    if (pending->told)
         return;
     pending->maybeSent = pending->maybeSent || mayHaveTakenEffect(error);
     if (pending->tries < maxStartTries && m_timers.now() - pending->begun < startTime)
@@ -100,12 +102,14 @@
 
 void OrderSender::finish(PendingStart &pending, const StartOutcome &outcome)
 {
-    // A later answer to another try changes nothing any more.
-    const auto done = std::exchange(pending.done, {});
-    if (!done)
-        return;
-    m_window.ended(m_timers.now(), m_answerTimes.mean());
-    done(outcome);
+    const bool first = !std::exchange(pending.told, true);
+    if (first)
+        m_window.ended(m_timers.now(), m_answerTimes.mean());
+    // A late answer changes only what was not known.
+    const bool resolves = pending.unknown && std::holds_alternative<OrderAccepted>(outcome);
+    pending.unknown = first && std::holds_alternative<StartUnknown>(outcome);
+    if (first || resolves)
+        pending.done(outcome);
 }
 
 void OrderSender::stop(const WorkerTarget &worker, const StopOrder &order,
--- a/libs/cell/src/ordersender.h
+++ b/libs/cell/src/ordersender.h
@@ -36,6 +36,8 @@
     OrderSender(const OrderSender &) = delete;
     OrderSender &operator=(const OrderSender &) = delete;
 
+    /// \p done is called with the outcome; after StartUnknown once more if a late answer shows that
+    /// the start was accepted.
     void start(const WorkerTarget &worker, const StartOrder &order, const Done<StartOutcome> &done);
 
     /// False while as many starts as the link carries have no answer yet.
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -142,6 +142,8 @@
     void startAnswered(const std::string &worker, std::int64_t born, const RunKey &key,
                        const StartOutcome &outcome);
     void startRejected(Worker &worker, const RunKey &key, const StartRejected &rejection);
+    void confirmRunning(Run &run);
+    void giveUpUnknownStart(const std::string &worker, std::int64_t born, const RunKey &key);
     void stopRun(Worker &worker, Run &run, const char *reason);
     void stopAgain(Worker &worker, Run &run);
     void takeInventory(Worker &worker, const Inventory &inventory, TimePoint asked);
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -10,6 +10,8 @@
 
 /// A worker that refuses orders gets no new ones for this long.
 constexpr std::chrono::milliseconds refusalPause{ 1000 };
+/// A start that was not answered is stopped after this time, unless the worker shows that it runs.
+constexpr std::chrono::milliseconds unknownPatience{ 1000 };
 /// A run that is stopped saves its progress within this time.
 constexpr std::chrono::milliseconds stopReserve{ 900 };
 constexpr std::uint32_t hundredPercent = 100;
@@ -89,10 +91,7 @@
     Run &run = found->second;
     if (const auto *accepted = std::get_if<OrderAccepted>(&outcome)) {
         m_links.readClock(worker, accepted->clock);
-        if (run.phase == RunPhase::Starting) {
-            run.phase = RunPhase::Running;
-            run.confirmed = now();
-        }
+        confirmRunning(run);
         if (Job *job = m_jobs.find(key.first.job); job != nullptr && job->active()) {
             job->everStarted = true;
             job->status = JobStatus::Running;
@@ -108,10 +107,37 @@
         quarantine(worker, now(), refusalPause);
         m_links.leaseUnknown(worker);
         run.outcomeUnknown = true;
-        stopRun(worker, run, "the start was not answered");
-        if (run.gang)
-            abortGang(key.first, key.second, "the start of a member was not answered");
+        run.unknownSince = now();
+        // The worker may only be slow to answer: its next inventory tells, if it comes soon.
+        m_links.poke(id);
+        m_ports.timers.after(unknownPatience, [this, alive = m_alive, id, born, key] {
+            if (*alive)
+                giveUpUnknownStart(id, born, key);
+        });
+    }
+}
+
+void Scheduler::confirmRunning(Run &run)
+{
+    if (run.phase != RunPhase::Starting)
+        return;
+    run.phase = RunPhase::Running;
+    run.confirmed = now();
+}
+
+void Scheduler::giveUpUnknownStart(const std::string &id, std::int64_t born, const RunKey &key)
+{
+    const auto entry = m_workers.find(id);
+    if (entry == m_workers.end() || entry->second.born != born)
+        return;
+    const auto run = entry->second.runs.find(key);
+    if (run == entry->second.runs.end() || run->second.phase != RunPhase::Starting
+        || !run->second.outcomeUnknown) {
+        return;
     }
+    stopRun(entry->second, run->second, "the start was not answered");
+    if (run->second.gang)
+        abortGang(key.first, key.second, "the start of a member was not answered");
 }
 
 void Scheduler::startRejected(Worker &worker, const RunKey &key, const StartRejected &rejection)
@@ -225,10 +251,7 @@
     Run &run = found->second;
     run.percent = row.percent;
     run.checkpoint = row.checkpoint;
-    if (run.phase == RunPhase::Starting) {
-        run.phase = RunPhase::Running;
-        run.confirmed = now();
-    }
+    confirmRunning(run);
 }
 
 void Scheduler::adopt(Worker &worker, const RunningTask &row)
@@ -274,15 +297,21 @@
     for (const auto &row : inventory.running)
         listed.emplace(row.task, row.run);
     std::vector<RunKey> missing;
+    std::vector<RunKey> notStarted;
     for (const auto &[key, run] : worker.runs) {
         if (listed.contains(key))
             continue;
+        // It may still come: only a stop makes sure that it does not.
+        if (run.phase == RunPhase::Starting && run.outcomeUnknown && run.unknownSince < asked)
+            notStarted.push_back(key);
         const bool running = run.phase == RunPhase::Running && run.confirmed < asked;
         const bool stopped =
             run.phase == RunPhase::Stopping && run.stopConfirmed && *run.stopConfirmed < asked;
         if (running || stopped)
             missing.push_back(key);
     }
+    for (const auto &key : notStarted)
+        giveUpUnknownStart(worker.entry.id, worker.born, key);
     for (const auto &key : missing) {
         m_ports.log.write(
             now(), "run.missing",
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -35,7 +35,8 @@
     TimePoint ordered{};
     TimePoint confirmed{}; ///< Since when the worker is known to have it.
     std::optional<TimePoint> stopConfirmed;
-    bool outcomeUnknown = false; ///< A start that was never answered.
+    bool outcomeUnknown = false; ///< A start that was never answered ...
+    TimePoint unknownSince{};    ///< ... since its last try was given up.
     std::uint32_t percent = 0;
     std::string checkpoint;
 };
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -36,6 +36,8 @@
         std::vector<cell::QueueSettings> queues;
         cell::PlacementPolicy policy;
         double adviceAllows = 0.6; ///< Share of the workers that a step may use.
+        /// Rate of a node's link to the workers in each direction; 0: without a bound.
+        double linkBytesPerSecond = 0;
     };
 
     struct JobPlan
@@ -68,6 +70,8 @@
     void changeConfiguration();
     void lateOrders(double share) { m_lateOrders = share; }
     void compactStore() { m_store.compact(); }
+    /// Lets the links of all nodes to the workers carry this share of their rate.
+    void linkShare(double share) { m_linkShare = share; }
 
     // Calls of a client through a node.
     void submit(std::uint32_t node, const std::string &id, const JobPlan &plan,
@@ -97,6 +101,10 @@
     [[nodiscard]] Duration delay();
     WorkerSlot *findWorker(const std::string &id);
     NodeSlot *findNode(const std::string &address);
+    [[nodiscard]] double linkRate() const noexcept
+    {
+        return m_settings.linkBytesPerSecond * m_linkShare;
+    }
     [[nodiscard]] bool ordersLate() { return m_chance(m_random) < m_lateOrders; }
     [[nodiscard]] bool allowed(const std::string &step, const std::string &worker) const;
     /// Time that the policy service takes to answer.
@@ -118,6 +126,7 @@
     std::map<cell::TaskId, std::uint32_t> m_startsOfTask;
     std::uint64_t m_version = 0;
     double m_lateOrders = 0;
+    double m_linkShare = 1;
 };
 
 } // namespace cowsliprock::standincell
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -12,6 +12,22 @@
 constexpr std::chrono::milliseconds callTimeout{ 700 };
 constexpr std::chrono::milliseconds lateAfter{ 3000 };
 
+/// Late answers are read this long after the timeout.
+constexpr std::chrono::milliseconds lateTime{ 3000 };
+// Bytes on a link to workers, with all headers.
+constexpr std::size_t requestBytes = 300;
+constexpr std::size_t answerBytes = 200;
+constexpr std::size_t rowBytes = 60;
+constexpr std::size_t resetBytes = 40;
+
+std::size_t bytesOf(const InventoryOutcome &outcome)
+{
+    const auto *inventory = std::get_if<Inventory>(&outcome);
+    const std::size_t rows =
+        inventory == nullptr ? 0 : inventory->running.size() + inventory->finished.size();
+    return answerBytes + rows * rowBytes;
+}
+
 Error timedOut(const char *step)
 {
     return Error{ ErrorKind::Timeout, step, "", "no answer" };
@@ -148,32 +164,89 @@
     m_time.after(m_world.delay(), [this, lease] { m_store.endLease(lease); });
 }
 
-void NodeWorkers::order(const WorkerTarget &worker, const OrderCall &call,
+template <typename T>
+class NodeWorkers::Answer : public std::enable_shared_from_this<Answer<T>>
+{
+public:
+    Answer(VirtualTime &time, World::NodeSlot &slot, Duration timeout, Done<Result<T>> done)
+        : m_time(time)
+        , m_slot(slot)
+        , m_life(slot.life)
+        , m_readUntil(time.now() + timeout + lateTime)
+        , m_done(std::move(done))
+    { }
+
+    void timeOut(const char *step)
+    {
+        if (!std::exchange(m_reported, true))
+            tell(timedOut(step));
+    }
+
+    void give(Duration delay, const Result<T> &result)
+    {
+        m_time.after(delay, [self = this->shared_from_this(), result] {
+            if (std::exchange(self->m_given, true) || self->m_time.now() > self->m_readUntil)
+                return;
+            self->m_reported = true;
+            self->tell(result);
+        });
+    }
+
+private:
+    void tell(const Result<T> &result)
+    {
+        m_slot.timers->deliver(m_life, [done = m_done, result] { done(result); });
+    }
+
+    VirtualTime &m_time;
+    World::NodeSlot &m_slot;
+    std::uint64_t m_life;
+    TimePoint m_readUntil;
+    Done<Result<T>> m_done;
+    bool m_reported = false;
+    bool m_given = false;
+};
+
+template <typename T>
+std::shared_ptr<NodeWorkers::Answer<T>> NodeWorkers::awaitAnswer(Duration timeout, const char *step,
+                                                                 const Done<Result<T>> &done)
+{
+    auto answer = std::make_shared<Answer<T>>(m_time, m_slot, timeout, done);
+    m_time.after(timeout, [answer, step] { answer->timeOut(step); });
+    return answer;
+}
+
+Duration NodeWorkers::wayOut(std::size_t bytes)
+{
+    return m_world.delay() + m_out.pass(m_time.now(), bytes, m_world.linkRate());
+}
+
+Duration NodeWorkers::wayBack(std::size_t bytes)
+{
+    return m_world.delay() + m_back.pass(m_time.now(), bytes, m_world.linkRate());
+}
+
+void NodeWorkers::order(const WorkerTarget &worker, const OrderCall &call, std::size_t bytes,
                         const std::function<OrderOutcome(WorkerModel &)> &action,
                         const Done<Result<OrderOutcome>> &done)
 {
-    const auto life = m_slot.life;
-    const auto answer = [this, life, done](Duration delay, Result<OrderOutcome> result) {
-        m_time.after(delay, [this, life, done, result = std::move(result)] {
-            m_slot.timers->deliver(life, [done, result] { done(result); });
-        });
-    };
+    const auto answer = awaitAnswer(call.timeout, "worker.order", done);
+    const auto way = wayOut(bytes);
     if (m_world.ordersLate()) {
-        m_time.after(lateAfter, [this, id = worker.id, action] {
+        m_time.after(way + lateAfter, [this, id = worker.id, action] {
             if (auto *slot = m_world.findWorker(id))
                 static_cast<void>(action(*slot->model));
         });
-        answer(call.timeout, timedOut("worker.order"));
         return;
     }
-    m_time.after(m_world.delay(), [this, id = worker.id, call, action, answer] {
+    m_time.after(way, [this, id = worker.id, action, answer] {
         auto *slot = m_world.findWorker(id);
         if (slot == nullptr || slot->cut)
-            answer(call.timeout, timedOut("worker.order"));
-        else if (!slot->connected(m_slot.name))
-            answer(m_world.delay(), timedOut("worker.order"));
+            return;
+        if (!slot->connected(m_slot.name))
+            answer->give(wayBack(resetBytes), timedOut("worker.order"));
         else
-            answer(m_world.delay(), action(*slot->model));
+            answer->give(wayBack(answerBytes), action(*slot->model));
     });
 }
 
@@ -181,14 +254,15 @@
                         const OrderCall &call, Done<Result<OrderOutcome>> done)
 {
     order(
-        worker, call, [startOrder](WorkerModel &model) { return model.start(startOrder); }, done);
+        worker, call, requestBytes + startOrder.spec.size(),
+        [startOrder](WorkerModel &model) { return model.start(startOrder); }, done);
 }
 
 void NodeWorkers::stop(const WorkerTarget &worker, const StopOrder &stopOrder,
                        const OrderCall &call, Done<Result<OrderOutcome>> done)
 {
     order(
-        worker, call,
+        worker, call, requestBytes,
         [stopOrder](WorkerModel &model) {
             return model.stop(stopOrder.task, stopOrder.run, stopOrder.fencingToken);
         },
@@ -198,25 +272,18 @@
 void NodeWorkers::inventory(const WorkerTarget &worker, const InventoryRequest &request,
                             Done<Result<InventoryOutcome>> done)
 {
-    const auto life = m_slot.life;
-    auto answered = std::make_shared<bool>(false);
-    const auto answer = [this, life, answered, done](const Result<InventoryOutcome> &outcome) {
-        if (!std::exchange(*answered, true))
-            m_slot.timers->deliver(life, [done, outcome] { done(outcome); });
-    };
-    m_time.after(request.wait + request.timeout,
-                 [answer] { answer(timedOut("worker.inventory")); });
-    m_time.after(m_world.delay(), [this, id = worker.id, request, answer] {
+    const auto answer = awaitAnswer(request.wait + request.timeout, "worker.inventory", done);
+    m_time.after(wayOut(requestBytes), [this, id = worker.id, request, answer] {
         auto *slot = m_world.findWorker(id);
         if (slot == nullptr || slot->cut)
             return;
         if (!slot->connected(m_slot.name)) {
-            answer(timedOut("worker.inventory"));
+            answer->give(wayBack(resetBytes), timedOut("worker.inventory"));
             return;
         }
         slot->model->inventory(request, [this, slot, answer](const InventoryOutcome &outcome) {
             if (!slot->cut)
-                m_time.after(m_world.delay(), [answer, outcome] { answer(outcome); });
+                answer->give(wayBack(bytesOf(outcome)), outcome);
         });
     });
 }
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "link.h"
+
 #include <standincell/world.h>
 
 #include <base/eventlog.h>
@@ -124,13 +126,24 @@
                    cell::Done<Result<cell::InventoryOutcome>> done) override;
 
 private:
-    void order(const cell::WorkerTarget &worker, const cell::OrderCall &call,
+    /// Gives the outcome of one call to the node: the timeout, the answer, or one after the other.
+    template <typename T>
+    class Answer;
+
+    template <typename T>
+    std::shared_ptr<Answer<T>> awaitAnswer(Duration timeout, const char *step,
+                                           const cell::Done<Result<T>> &done);
+    void order(const cell::WorkerTarget &worker, const cell::OrderCall &call, std::size_t bytes,
                const std::function<cell::OrderOutcome(WorkerModel &)> &action,
                const cell::Done<Result<cell::OrderOutcome>> &done);
+    [[nodiscard]] Duration wayOut(std::size_t bytes);
+    [[nodiscard]] Duration wayBack(std::size_t bytes);
 
     World &m_world;
     VirtualTime &m_time;
     World::NodeSlot &m_slot;
+    Link m_out;
+    Link m_back;
 };
 
 /// The policy service as one node reaches it.
--- /dev/null
+++ b/standins/cell/tests/congestion_test.cpp
@@ -0,0 +1,115 @@
+#include "testjobs.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cowsliprock;
+using namespace cowsliprock::standincell;
+using cell::JobStatus;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t workerCount = 24;
+/// Carries the load of these tests at about 70% when nothing is wrong.
+constexpr double linkRate = 60000;
+constexpr milliseconds jobInterval{ 100 };
+constexpr std::uint32_t tasksOfAJob = 4;
+
+World::Settings congested(std::uint32_t seed)
+{
+    World::Settings settings;
+    settings.nodes = 5;
+    settings.workers = workerCount;
+    settings.linkBytesPerSecond = linkRate;
+    settings.seed = seed;
+    return settings;
+}
+
+/// Hands in jobs through one daemon at a steady rate.
+class SteadyLoad
+{
+public:
+    SteadyLoad(World &world, std::uint32_t node)
+        : m_world(world)
+        , m_node(node)
+    { }
+
+    void run(Duration time)
+    {
+        for (Duration passed{}; passed < time; passed += jobInterval) {
+            m_world.submit(m_node, jobId(++m_last), batch(tasksOfAJob, milliseconds(800)));
+            m_world.run(jobInterval);
+        }
+    }
+
+    [[nodiscard]] std::uint32_t last() const noexcept { return m_last; }
+
+private:
+    World &m_world;
+    std::uint32_t m_node;
+    std::uint32_t m_last = 0;
+};
+
+std::size_t linesWith(const World &world, std::uint32_t node, const std::string &text)
+{
+    const auto log = world.logOf(node);
+    std::size_t count = 0;
+    for (auto at = log.find(text); at != std::string::npos; at = log.find(text, at + 1))
+        ++count;
+    return count;
+}
+
+} // namespace
+
+/// A link that is full, or a worker that is slow to answer, is not a worker that is lost.
+BOOST_AUTO_TEST_SUITE(congestion)
+
+BOOST_AUTO_TEST_CASE(serviceIsBackSoonAfterALinkWasSlowForSeconds)
+{
+    for (const std::uint32_t seed : { 1U, 2U, 3U, 4U, 5U }) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            World world(congested(seed));
+            world.run(startTime);
+            const auto owner = *world.owner();
+            SteadyLoad load(world, follower(world));
+            load.run(seconds(4));
+            world.linkShare(0.15);
+            load.run(seconds(3));
+            world.linkShare(1);
+            load.run(seconds(5));
+            const auto firstAfter = load.last() + 1;
+            load.run(seconds(4));
+            world.run(seconds(3));
+            for (std::uint32_t job = firstAfter; job <= load.last(); ++job)
+                BOOST_TEST((world.status(owner, jobId(job)) == JobStatus::Completed));
+            checkPromises(world);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(runsOfAWorkerWhoseAnswersAreLateAreNotBegunElsewhere)
+{
+    for (const std::uint32_t seed : { 1U, 2U, 3U }) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            World world(congested(seed));
+            world.run(startTime);
+            const auto owner = *world.owner();
+            SteadyLoad load(world, follower(world));
+            load.run(seconds(2));
+            world.linkShare(0.3);
+            load.run(seconds(2));
+            world.linkShare(1);
+            world.run(seconds(20));
+            BOOST_TEST(linesWith(world, owner, "run.lost") == 0U);
+            BOOST_TEST(world.promises().starts() == std::size_t{ load.last() } * tasksOfAJob);
+            for (std::uint32_t job = 1; job <= load.last(); ++job)
+                BOOST_TEST((world.status(owner, jobId(job)) == JobStatus::Completed));
+            checkPromises(world);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
