Call the workers of a large cell through daemons in their data centres

Weighed: shards by workers (the large cell is 80% full with gangs of up to 130 tasks, which a part of the workers does not fit), agents that poll by themselves (a second place that decides about leases). Change: the owner decides as before; above 100 workers its calls go in batches to one daemon for 256 workers of a data centre, which makes them and returns the answers. A relayed call is as good as a direct one: unknown if its daemon fails, made directly if it was certainly not sent; repetitions go directly.

--- a/libs/base/include/base/readjson.h
+++ b/libs/base/include/base/readjson.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <exception>
 #include <optional>
 #include <string>
 #include <utility>
@@ -10,14 +11,14 @@
 
 using Json = nlohmann::json;
 
-/// Calls \p read; nothing if the JSON lacks a member or has another type there. The caller reports
-/// where the malformed text came from.
+/// Calls \p read; nothing if it throws, since the JSON lacks a member, has another type there or a
+/// value out of range. The caller reports where the malformed text came from.
 template <typename Read>
 auto readJson(const Json &json, const Read &read) -> std::optional<decltype(read(json))>
 {
     try {
         return read(json);
-    } catch (const Json::exception &) {
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
--- a/libs/cell/include/cell/node.h
+++ b/libs/cell/include/cell/node.h
@@ -10,6 +10,7 @@
 #include <base/metrics.h>
 #include <eventloop/timers.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -46,6 +47,8 @@
         Duration longestLease{ std::chrono::seconds(10) }; ///< That a worker grants at all.
         Duration statusKept{ std::chrono::seconds(130) };  ///< State of an ended job.
         PlacementPolicy policy;
+        /// A cell with fewer workers is called by its owner alone, which costs less there.
+        std::size_t fewestWorkersToRelay = 100;
     };
 
     Node(const Ports &ports, Settings settings, PlatformRecords records);
--- a/libs/cell/include/cell/ports.h
+++ b/libs/cell/include/cell/ports.h
@@ -117,6 +117,7 @@
 {
     std::string id;
     std::string address;
+    std::string dataCentre;
 };
 
 struct StartOrder
@@ -173,8 +174,9 @@
     std::uint64_t fencingToken = 0;
     std::uint64_t acknowledged = 0; ///< Number of the last end that is durable.
     std::optional<std::chrono::milliseconds> leaseUntil; ///< On the worker's clock.
-    Duration wait{};    ///< The worker answers when a task ends, or after this time.
-    Duration timeout{}; ///< Beyond the wait.
+    Duration wait{};              ///< The worker answers when a task ends, or after this time.
+    Duration timeout{};           ///< Beyond the wait.
+    bool freshConnection = false; ///< Not over a connection that may have died unnoticed.
 };
 
 using InventoryOutcome = std::variant<Inventory, OrderRefused>;
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -8,7 +8,10 @@
 #include "measuredports.h"
 #include "membership.h"
 #include "peermessages.h"
+#include "relayagent.h"
+#include "relaymessages.h"
 #include "shard.h"
+#include "workerrouter.h"
 
 #include <base/parsenumber.h>
 
@@ -41,11 +44,13 @@
     struct Slot
     {
         std::unique_ptr<Election> election;
+        std::unique_ptr<WorkerRouter> workers; ///< While this daemon owns the shard.
         std::unique_ptr<Shard> shard;
     };
 
     void start();
     void won(std::uint32_t number, const Ownership &ownership);
+    void lost(std::uint32_t number);
     void configurationChanged(const CellConfiguration &configuration);
     void shutdown(Duration limit, std::function<void()> done);
     [[nodiscard]] const Shard *loadedShard(std::uint32_t number) const;
@@ -55,6 +60,7 @@
     void peerPost(const std::string &path, const std::string &body, const Done<PeerAnswer> &done);
     void peerPending(const std::string &rest, const Done<PeerAnswer> &done);
     void peerAdvise(const std::string &body, const Done<PeerAnswer> &done);
+    void peerRelay(const std::string &body, const Done<PeerAnswer> &done);
     void peerSubmit(const std::string &body, const Done<PeerAnswer> &done);
 
     CallMeter meter;
@@ -68,6 +74,7 @@
     Membership membership;
     ConfigurationFollower configuration;
     AdviceQueue advice;
+    RelayAgent agent;
     FrontDesk desk;
     std::vector<Slot> slots;
     bool stopping = false;
@@ -89,6 +96,7 @@
                                settings.dataCentre, settings.weight })
     , configuration(ports.store, ports.peers, ports.timers, ports.log, membership, records)
     , advice(ports.advice, ports.peers, ports.timers, membership)
+    , agent(ports.workers, ports.timers, membership)
     , desk(
           { ports.store, ports.peers, ports.timers, ports.log, ports.metrics }, membership,
           settings.shards,
@@ -112,7 +120,7 @@
             ports.store, ports.timers, ports.log, membership, number,
             Election::Listener{
                 [this, number](const Ownership &ownership) { won(number, ownership); },
-                [this, number] { slots[number].shard.reset(); } });
+                [this, number] { lost(number); } });
     }
 }
 
@@ -136,8 +144,13 @@
     shardSettings.statusKept = settings.statusKept;
     shardSettings.policy = settings.policy;
     auto &slot = slots[number];
+    slot.shard.reset();
+    slot.workers = std::make_unique<WorkerRouter>(
+        WorkerRouter::Ports{ ports.workers, ports.peers, ports.timers, ports.log, ports.metrics },
+        membership,
+        WorkerRouter::Settings{ number, ownership.revision, settings.fewestWorkersToRelay });
     slot.shard = std::make_unique<Shard>(
-        Scheduler::Ports{ ports.workers, advice, ports.timers, ports.log, ports.metrics },
+        Scheduler::Ports{ *slot.workers, advice, ports.timers, ports.log, ports.metrics },
         ports.store, records, shardSettings,
         StoreCondition{ keys::owner(number), ownership.revision },
         [&slot] { slot.election->deposed(); });
@@ -146,6 +159,12 @@
     slot.shard->start();
 }
 
+void Node::State::lost(std::uint32_t number)
+{
+    slots[number].shard.reset();
+    slots[number].workers.reset();
+}
+
 void Node::State::configurationChanged(const CellConfiguration &newest)
 {
     for (auto &slot : slots) {
@@ -250,6 +269,8 @@
 {
     if (path == "/peer/advise") {
         peerAdvise(body, done);
+    } else if (path == "/peer/relay") {
+        peerRelay(body, done);
     } else if (path == "/peer/submit") {
         peerSubmit(body, done);
     } else if (const auto cancelled = pathAfter(path, "/peer/cancelled/")) {
@@ -282,6 +303,14 @@
                         });
 }
 
+void Node::State::peerRelay(const std::string &body, const Done<PeerAnswer> &done)
+{
+    if (const auto batch = decodeRelayBatch(body))
+        agent.handle(*batch, done);
+    else
+        done({ statusBadRequest, "{}" });
+}
+
 void Node::State::peerSubmit(const std::string &body, const Done<PeerAnswer> &done)
 {
     const auto record = decodeJob(body);
--- a/libs/cell/src/ordersender.cpp
+++ b/libs/cell/src/ordersender.cpp
@@ -34,6 +34,7 @@
     std::function<bool()> wanted;
     Done<bool> done; ///< Empty when the outcome was told.
     Duration retryDelay{ stopRetryDelay };
+    bool repeated = false;
     bool retrying = false; ///< The next try is scheduled.
 };
 
@@ -115,13 +116,14 @@
 void OrderSender::stop(const WorkerTarget &worker, const StopOrder &order,
                        std::function<bool()> wanted, Done<bool> done)
 {
-    tryStop(std::make_shared<PendingStop>(
-        PendingStop{ worker, order, std::move(wanted), std::move(done), stopRetryDelay, false }));
+    tryStop(std::make_shared<PendingStop>(PendingStop{
+        worker, order, std::move(wanted), std::move(done), stopRetryDelay, false, false }));
 }
 
 void OrderSender::tryStop(const std::shared_ptr<PendingStop> &pending)
 {
-    m_port.stop(pending->worker, pending->order, { m_answerTimes.timeout(), false },
+    const OrderCall call{ m_answerTimes.timeout(), std::exchange(pending->repeated, true) };
+    m_port.stop(pending->worker, pending->order, call,
                 [this, alive = m_alive, pending](const Result<OrderOutcome> &result) {
                     if (!*alive || !pending->done)
                         return;
--- a/libs/cell/src/peermessages.h
+++ b/libs/cell/src/peermessages.h
@@ -15,6 +15,7 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusConflict = 409;
 constexpr unsigned statusUnavailable = 503;
 
 /// Bodies of the calls between daemons, as JSON. Decoders return nothing for malformed text.
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -71,7 +71,7 @@
         order.ticket = ticket->second.value;
     }
     m_ports.metrics.count("starts.sent");
-    m_sender.start({ worker.entry.id, worker.entry.address }, order,
+    m_sender.start(targetOf(worker), order,
                    [this, id = worker.entry.id, born = worker.born,
                     key](const StartOutcome &outcome) { startAnswered(id, born, key, outcome); });
 }
@@ -204,7 +204,7 @@
         return found == entry->second.runs.end() ? nullptr : &found->second;
     };
     m_sender.stop(
-        { worker.entry.id, worker.entry.address }, { key.first, key.second, worker.token },
+        targetOf(worker), { key.first, key.second, worker.token },
         [current] { return current() != nullptr; },
         [this, current, id = worker.entry.id](bool accepted) {
             if (Run *stopped = current(); stopped != nullptr && accepted) {
@@ -249,6 +249,7 @@
         return;
     }
     Run &run = found->second;
+    run.listed = true;
     run.percent = row.percent;
     run.checkpoint = row.checkpoint;
     confirmRunning(run);
@@ -265,6 +266,7 @@
     run.number = row.run;
     run.ordered = now();
     run.confirmed = now();
+    run.listed = true;
     run.percent = row.percent;
     run.checkpoint = row.checkpoint;
     run.phase = RunPhase::Running;
@@ -336,9 +338,10 @@
     for (auto &[key, run] : worker.runs) {
         if (listed.contains(key))
             continue;
-        // An order without an answer, or one sent since, may still reach the new life.
-        const bool mayCome =
-            run.phase == RunPhase::Starting || run.outcomeUnknown || run.ordered >= asked;
+        // An order without an answer, or one sent since, may still reach the new life; one that
+        // the former life never listed may have been accepted by the new one.
+        const bool mayCome = run.phase == RunPhase::Starting || run.outcomeUnknown || !run.listed
+            || run.ordered >= asked;
         if (!mayCome)
             lost.push_back(key);
         else if (run.phase == RunPhase::Stopping)
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -148,9 +148,10 @@
             request.wait = busyWait;
     }
     request.timeout = std::max<Duration>(m_answerTimes.timeout(), inventoryReserve);
+    request.freshConnection = link.failures > 0;
     link.asking = true;
     m_port.inventory(
-        { id, worker.entry.address }, request,
+        targetOf(worker), request,
         [this, alive = m_alive, id, question = Question{ m_timers.now(), request.wait, false }](
             const Result<InventoryOutcome> &outcome) mutable {
             if (!*alive)
--- a/libs/cell/src/workertable.cpp
+++ b/libs/cell/src/workertable.cpp
@@ -20,6 +20,11 @@
     return clock + std::chrono::duration_cast<std::chrono::milliseconds>(now - clockReadAt);
 }
 
+WorkerTarget targetOf(const Worker &worker)
+{
+    return { worker.entry.id, worker.entry.address, worker.entry.dataCentre };
+}
+
 Resources heldBy(const StepSpec &step) noexcept
 {
     Resources amount = step.amount;
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cell/model.h>
+#include <cell/ports.h>
 
 #include <base/resources.h>
 #include <base/time.h>
@@ -34,6 +35,7 @@
     bool gang = false;
     TimePoint ordered{};
     TimePoint confirmed{}; ///< Since when the worker is known to have it.
+    bool listed = false;   ///< An inventory of the worker's present life has shown it.
     std::optional<TimePoint> stopConfirmed;
     bool outcomeUnknown = false; ///< A start that was never answered ...
     TimePoint unknownSince{};    ///< ... since its last try was given up.
@@ -75,6 +77,8 @@
     [[nodiscard]] std::chrono::milliseconds clockAt(TimePoint now) const;
 };
 
+[[nodiscard]] WorkerTarget targetOf(const Worker &worker);
+
 /// Capacity that a run of a task takes.
 [[nodiscard]] Resources heldBy(const StepSpec &step) noexcept;
 
--- a/libs/eventloop/src/httpclient.cpp
+++ b/libs/eventloop/src/httpclient.cpp
@@ -13,7 +13,6 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
-#include <chrono>
 #include <map>
 #include <optional>
 #include <utility>
@@ -56,9 +55,10 @@
 class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(asio::io_context &context, SocketAddress peer)
-        : m_stream(context)
-        , m_timeoutTimer(context)
+    Connection(EventLoop &loop, SocketAddress peer)
+        : m_loop(loop)
+        , m_stream(loop.context())
+        , m_timeoutTimer(loop.context())
         , m_peer(std::move(peer))
     { }
 
@@ -75,7 +75,8 @@
         m_listener = std::move(listener);
         m_late = false;
         m_timeout = call.timeout;
-        m_lastByteBy = std::chrono::steady_clock::now() + std::max(call.longest, call.timeout);
+        m_sendBy = m_loop.now() + call.timeout;
+        m_lastByteBy = m_loop.now() + std::max(call.longest, call.timeout);
         m_request = {};
         m_request.method_string(call.method);
         m_request.target(call.target);
@@ -147,6 +148,11 @@
 
     void write()
     {
+        // After a pause of this process the request may be older than its caller waits for it.
+        if (m_loop.now() > m_sendBy) {
+            fail(beast::error::timeout);
+            return;
+        }
         m_sent = true;
         http::async_write(m_stream, m_request,
                           [self = shared_from_this()](const boost::system::error_code &failure,
@@ -184,8 +190,7 @@
     void readMore()
     {
         // A peer that is sending is not silent: only the longest time of the call ends it.
-        const auto now = std::chrono::steady_clock::now();
-        if (now + m_timeout < m_lastByteBy)
+        if (m_loop.now() + m_timeout < m_lastByteBy)
             m_stream.expires_after(m_timeout);
         readSome();
     }
@@ -221,6 +226,7 @@
         listener.ended(std::move(outcome), reusable);
     }
 
+    EventLoop &m_loop;
     beast::tcp_stream m_stream;
     asio::steady_timer m_timeoutTimer; ///< Until the call is reported as failed.
     SocketAddress m_peer;
@@ -229,7 +235,8 @@
     std::optional<http::response_parser<http::string_body>> m_parser;
     Listener m_listener;
     Duration m_timeout{};
-    std::chrono::steady_clock::time_point m_lastByteBy{};
+    TimePoint m_lastByteBy{};
+    TimePoint m_sendBy{};
     std::uint64_t m_call = 0; ///< Number of calls whose answers were awaited beyond the timeout.
     bool m_late = false;
     std::size_t m_bytesSent = 0;     ///< By the call that runs.
@@ -323,7 +330,7 @@
         connection = std::move(entry->second.back());
         entry->second.pop_back();
     } else {
-        connection = std::make_shared<Connection>(state->loop.context(), peer);
+        connection = std::make_shared<Connection>(state->loop, peer);
         ++state->traffic.connectionsOpened;
     }
     ++state->traffic.calls;
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -36,6 +36,7 @@
         std::vector<cell::QueueSettings> queues;
         cell::PlacementPolicy policy;
         double adviceAllows = 0.6; ///< Share of the workers that a step may use.
+        std::size_t fewestWorkersToRelay = 100;
         /// Rate of a node's link to the workers in each direction; 0: without a bound.
         double linkBytesPerSecond = 0;
     };
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -231,23 +231,24 @@
                         const Done<Result<OrderOutcome>> &done)
 {
     const auto answer = awaitAnswer(call.timeout, "worker.order", done);
-    const auto way = wayOut(bytes);
-    if (m_world.ordersLate()) {
-        m_time.after(way + lateAfter, [this, id = worker.id, action] {
-            if (auto *slot = m_world.findWorker(id))
-                static_cast<void>(action(*slot->model));
-        });
-        return;
-    }
-    m_time.after(way, [this, id = worker.id, action, answer] {
-        auto *slot = m_world.findWorker(id);
-        if (slot == nullptr || slot->cut)
-            return;
-        if (!slot->connected(m_slot.name))
-            answer->give(wayBack(resetBytes), timedOut("worker.order"));
-        else
-            answer->give(wayBack(answerBytes), action(*slot->model));
-    });
+    m_time.after(wayOut(bytes),
+                 [this, id = worker.id, late = m_world.ordersLate(), action, answer] {
+                     auto *slot = m_world.findWorker(id);
+                     if (slot == nullptr || slot->cut)
+                         return;
+                     if (late) {
+                         // The life that took the order carries it out, or nobody does.
+                         m_time.after(lateAfter, [slot, born = slot->model->born(), action] {
+                             if (slot->model->born() == born)
+                                 static_cast<void>(action(*slot->model));
+                         });
+                         return;
+                     }
+                     if (!slot->connected(m_slot.name))
+                         answer->give(wayBack(resetBytes), timedOut("worker.order"));
+                     else
+                         answer->give(wayBack(answerBytes), action(*slot->model));
+                 });
 }
 
 void NodeWorkers::start(const WorkerTarget &worker, const StartOrder &startOrder,
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -155,6 +155,7 @@
     settings.dataCentre = "z";
     settings.address = slot.name;
     settings.policy = m_settings.policy;
+    settings.fewestWorkersToRelay = m_settings.fewestWorkersToRelay;
     slot.node =
         std::make_unique<Node>(Node::Ports{ *slot.store, *slot.workers, *slot.advice, *slot.peers,
                                             *slot.timers, slot.log, slot.metrics },
--- a/standins/cell/tests/exploration_test.cpp
+++ b/standins/cell/tests/exploration_test.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t nodes = 4;
 constexpr std::uint32_t workers = 8;
 constexpr std::uint32_t steps = 60;
+/// Carries the load of an exploration about twice, in bytes a second.
+constexpr double thinLink = 40000;
 
 std::uint32_t seedCount()
 {
@@ -57,6 +59,9 @@
         result.workers = workers;
         result.seed = seed;
         result.advice = seed % 3 == 0;
+        // Every second cell lets other daemons call its workers, and some links are thin.
+        result.fewestWorkersToRelay = seed % 2 == 1 ? 1 : result.fewestWorkersToRelay;
+        result.linkBytesPerSecond = seed % 5 == 0 ? thinLink : 0;
         return result;
     }
 
@@ -87,7 +92,7 @@
     {
         const auto node = pick(0, nodes - 1);
         const auto worker = pick(0, workers - 1);
-        switch (pick(0, 17)) {
+        switch (pick(0, 21)) {
         case 0:
             m_world.kill(node);
             break;
@@ -128,6 +133,15 @@
         case 13:
             m_world.storeFaultForAll(StoreFault::None);
             break;
+        case 14:
+            m_world.linkShare(0.1 * pick(1, 10));
+            break;
+        case 15:
+            m_world.lateOrders(0.1 * pick(1, 5));
+            break;
+        case 16:
+            m_world.lateOrders(0);
+            break;
         default:
             for (std::uint32_t index = 0; index < nodes; ++index)
                 m_world.start(index);
@@ -138,6 +152,8 @@
     void repair()
     {
         m_world.storeFaultForAll(StoreFault::None);
+        m_world.linkShare(1);
+        m_world.lateOrders(0);
         for (std::uint32_t index = 0; index < nodes; ++index)
             m_world.start(index);
         for (std::uint32_t index = 0; index < workers; ++index)
