Survive exceptions in handlers; do not avoid daemons when the own link is slow

An exception that escaped from a handler ended the daemon (operators' story: one malformed message took a process down). The loop goes on, the daemon gives its shards up and claims them anew, a watch whose listener threw lists again, an unreadable answer to a commit counts as unknown, signals and accepting go on. Tests: eventloop_test (handlers, signals, requests), exploration (case 17). Now time-outs follow the answers there too, and if most daemons failed none is avoided.

--- a/libs/cell/src/advicequeue.cpp
+++ b/libs/cell/src/advicequeue.cpp
@@ -12,6 +12,9 @@
 constexpr std::uint32_t maxTries = 3;
 /// Beyond the expected time of an answer, and the questions of the daemon before it.
 constexpr std::chrono::milliseconds timeoutReserve{ 450 };
+/// An answer that did not come in time would have taken half as long again, as far as is known.
+constexpr int backoffNumerator = 3;
+constexpr int backoffDenominator = 2;
 /// A daemon gets its next question this long before the last one is answered.
 constexpr std::chrono::milliseconds overlap{ 25 };
 /// One daemon in this many takes no slow questions.
@@ -56,32 +59,43 @@
         line.push_back(std::move(entry));
 }
 
+std::vector<std::string> AdviceQueue::askers() const
+{
+    const auto now = m_timers.now();
+    const auto &self = m_membership.self().name;
+    std::vector<std::string> all{ self };
+    for (const auto &[name, member] : m_membership.members()) {
+        if (name != self)
+            all.push_back(name);
+    }
+    std::vector<std::string> trusted;
+    for (const auto &name : all) {
+        const auto asker = m_askers.find(name);
+        if (asker == m_askers.end() || asker->second.avoidUntil <= now)
+            trusted.push_back(name);
+    }
+    // If most of them failed, this daemon's own link is what is slow.
+    return 2 * trusted.size() >= all.size() ? trusted : all;
+}
+
 std::string AdviceQueue::freeAsker(bool slow)
 {
     const auto now = m_timers.now();
-    std::size_t usable = 0;
+    const auto usable = askers();
     std::size_t slowNow = 0;
     const std::string *best = nullptr;
     TimePoint bestFree = now + overlap;
-    const auto consider = [&](const std::string &name) {
+    for (const auto &name : usable) {
         const auto &asker = m_askers[name];
-        if (asker.avoidUntil > now)
-            return;
-        ++usable;
         slowNow += asker.slowUntil > now ? 1 : 0;
         if (asker.busyUntil < bestFree || (best == nullptr && asker.busyUntil == bestFree)) {
             best = &name;
             bestFree = asker.busyUntil;
         }
-    };
-    const auto &self = m_membership.self().name;
-    consider(self);
-    for (const auto &[name, member] : m_membership.members()) {
-        if (name != self)
-            consider(name);
     }
-    const std::size_t quick = usable > 1 ? std::max<std::size_t>(1, usable / quickShare) : 0;
-    if (slow && slowNow + quick >= usable && usable > 1)
+    const std::size_t quick =
+        usable.size() > 1 ? std::max<std::size_t>(1, usable.size() / quickShare) : 0;
+    if (slow && slowNow + quick >= usable.size() && usable.size() > 1)
         return {};
     return best == nullptr ? std::string() : *best;
 }
@@ -137,11 +151,17 @@
         asker.slowUntil = asker.busyUntil;
     ++entry.tries;
     const AdviceRequest request = entry.request;
-    const Duration timeout = before + request.expected + timeoutReserve;
-    auto done = [this, alive = m_alive, entry = std::move(entry),
-                 name](const Result<Advice> &answer) {
-        if (*alive)
-            answered(entry, name, answer);
+    const Duration reserve = std::max<Duration>(m_delays.timeout(), timeoutReserve);
+    const Duration timeout = before + request.expected + reserve;
+    auto done = [this, alive = m_alive, entry = std::move(entry), name, reserve,
+                 due = now + before + request.expected](const Result<Advice> &answer) {
+        if (!*alive)
+            return;
+        if (answer.has_value())
+            m_delays.observe(std::max(m_timers.now() - due, Duration::zero()));
+        else
+            noteFailure(m_askers[name], reserve, answer.error());
+        answered(entry, name, answer);
     };
     const auto member = m_membership.members().find(name);
     if (name == m_membership.self().name || member == m_membership.members().end())
@@ -152,24 +172,27 @@
 
 void AdviceQueue::answered(Entry entry, const std::string &name, const Result<Advice> &answer)
 {
-    const auto now = m_timers.now();
-    auto &asker = m_askers[name];
     if (answer.has_value()) {
-        asker.failures = 0;
-    } else {
-        const auto doublings = std::min(asker.failures, maxDoublings);
-        asker.avoidUntil = now + avoidTime * (1U << doublings);
-        ++asker.failures;
-        if (entry.tries < maxTries) {
-            enqueue(std::move(entry));
-            dispatch();
-            return;
-        }
+        m_askers[name].failures = 0;
+    } else if (entry.tries < maxTries) {
+        enqueue(std::move(entry));
+        dispatch();
+        return;
     }
     entry.done(answer);
     dispatch();
 }
 
+void AdviceQueue::noteFailure(Asker &asker, Duration reserve, const Error &error)
+{
+    const auto doublings = std::min(asker.failures, maxDoublings);
+    asker.avoidUntil = m_timers.now() + avoidTime * (1U << doublings);
+    ++asker.failures;
+    // The answer may only be late, as with a full link: the next ones are waited for longer.
+    if (error.kind == ErrorKind::Timeout)
+        m_delays.observe(reserve * backoffNumerator / backoffDenominator);
+}
+
 void AdviceQueue::askPeer(const MemberRecord &member, const AdviceRequest &request,
                           Duration timeout, Done<Result<Advice>> done)
 {
--- a/libs/cell/src/advicequeue.h
+++ b/libs/cell/src/advicequeue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answertimes.h"
 #include "membership.h"
 
 #include <cell/ports.h>
@@ -71,6 +72,8 @@
     void dispatch();
     void scheduleDispatch(Duration delay);
     [[nodiscard]] std::string freeAsker(bool slow);
+    [[nodiscard]] std::vector<std::string> askers() const;
+    void noteFailure(Asker &asker, Duration reserve, const Error &error);
     void send(Entry entry, const std::string &asker);
     void answered(Entry entry, const std::string &asker, const Result<Advice> &answer);
     void askPeer(const MemberRecord &member, const AdviceRequest &request, Duration timeout,
@@ -80,6 +83,7 @@
     PeerPort &m_peers;
     Timers &m_timers;
     Membership &m_membership;
+    AnswerTimes m_delays; ///< Of answers, beyond the time that the service needs.
     std::unordered_map<std::string, Asker> m_askers;
     std::map<std::uint32_t, std::list<Entry>> m_waiting; ///< By priority, in the order of arrival.
     TimePoint m_nextDispatch{};
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -334,6 +334,12 @@
     m_state->start();
 }
 
+void Node::recover()
+{
+    for (auto &slot : m_state->slots)
+        slot.election->deposed();
+}
+
 bool Node::ready() const noexcept
 {
     return !m_state->stopping && m_state->configuration.current() != nullptr
--- a/libs/cell/src/prefixwatch.cpp
+++ b/libs/cell/src/prefixwatch.cpp
@@ -36,6 +36,7 @@
     Duration retryDelay = firstRetryDelay;
     bool closed = false;
     bool synchronized = false;
+    bool applied = true; ///< All of the last events.
     bool reachable = true;
 
     void beginList();
@@ -127,6 +128,17 @@
         beginList();
         return;
     }
+    // A listener that throws must not end the watch: what is left is listed again.
+    applied = false;
+    const Duration pause = events.events.empty() ? Duration::zero() : options.coalesce;
+    timers.after(pause, [self = shared_from_this()] {
+        if (self->closed)
+            return;
+        if (self->applied)
+            self->watch();
+        else
+            self->beginList();
+    });
     for (const auto &event : events.events) {
         if (event.removed)
             remove(event.item.key, event.item.revision);
@@ -136,11 +148,7 @@
             return;
     }
     position = std::max(position, events.asOf);
-    const Duration pause = events.events.empty() ? Duration::zero() : options.coalesce;
-    timers.after(pause, [self = shared_from_this()] {
-        if (!self->closed)
-            self->watch();
-    });
+    applied = true;
 }
 
 void PrefixWatch::State::apply(const StoreItem &item)
--- a/libs/cell/src/workerrouter.cpp
+++ b/libs/cell/src/workerrouter.cpp
@@ -21,10 +21,8 @@
 constexpr std::chrono::milliseconds overdueInterval{ 200 };
 /// Calls that come close together go in one batch.
 constexpr std::chrono::milliseconds gatherTime{ 8 };
-/// Beyond the time for which a batch is held.
+/// Beyond the time for which a batch is held, and beyond that of a call at the other daemon.
 constexpr std::chrono::milliseconds batchReserve{ 650 };
-/// Beyond the time of a call at the daemon that makes it.
-constexpr std::chrono::milliseconds callReserve{ 700 };
 /// Answers that are only late are taken for this long.
 constexpr std::chrono::seconds lateTime{ 4 };
 /// A daemon that failed relays nothing for this long, doubled with each failure in a row.
@@ -147,7 +145,7 @@
 {
     const auto number = ++m_lastCall;
     std::visit([number](auto &each) { each.call = number; }, call);
-    const auto due = m_ports.timers.now() + time + callReserve;
+    const auto due = m_ports.timers.now() + time + reserve();
     agent.pending.emplace(number, Pending{ std::move(done), std::move(call), due, false });
     ++agent.open;
     agent.outbox.push_back(number);
@@ -189,14 +187,32 @@
     }
     ++agent.batches;
     m_ports.metrics.count("relay.batches");
+    const Duration time = relayHoldTime + reserve();
     m_ports.peers.call(
-        { agent.address, "POST", "/peer/relay", encode(batch), relayHoldTime + batchReserve },
-        [this, alive = m_alive, &agent, sent](const Result<PeerAnswer> &answer) {
-            if (*alive)
-                answered(agent, sent, answer);
+        { agent.address, "POST", "/peer/relay", encode(batch), time },
+        [this, alive = m_alive, &agent, sent, time,
+         begun = m_ports.timers.now()](const Result<PeerAnswer> &answer) {
+            if (!*alive)
+                return;
+            observe(m_ports.timers.now() - begun, time, answer);
+            answered(agent, sent, answer);
         });
 }
 
+void WorkerRouter::observe(Duration taken, Duration limit, const Result<PeerAnswer> &answer)
+{
+    if (answer.has_value())
+        m_delays.observe(std::max<Duration>(taken - relayHoldTime, Duration::zero()));
+    else if (taken >= limit)
+        // It would have taken longer, as with a full link: the next ones are waited for longer.
+        m_delays.observe(limit);
+}
+
+Duration WorkerRouter::reserve() const
+{
+    return std::max<Duration>(m_delays.timeout(), batchReserve);
+}
+
 void WorkerRouter::answered(Agent &agent, const std::vector<std::uint64_t> &sent,
                             const Result<PeerAnswer> &answer)
 {
--- a/libs/cell/src/workerrouter.h
+++ b/libs/cell/src/workerrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answertimes.h"
 #include "membership.h"
 #include "relaymessages.h"
 
@@ -110,6 +111,8 @@
     void send(Agent &agent, const std::vector<std::uint64_t> &sent);
     void answered(Agent &agent, const std::vector<std::uint64_t> &sent,
                   const Result<PeerAnswer> &answer);
+    void observe(Duration taken, Duration limit, const Result<PeerAnswer> &answer);
+    [[nodiscard]] Duration reserve() const;
     void deliver(Agent &agent, const RelayReply &reply);
     void failed(Agent &agent, const std::vector<std::uint64_t> &sent, const Error &error);
     void callDirectly(Agent &agent, std::uint64_t number);
@@ -119,6 +122,7 @@
     Ports m_ports;
     const Membership &m_membership;
     Settings m_settings;
+    AnswerTimes m_delays; ///< Of answers to batches, beyond the time for which they are held.
     std::uint64_t m_lastCall = 0;
     std::map<std::string, Agent> m_agents; ///< By name.
     std::map<std::string, Group> m_groups; ///< By data centre.
--- a/libs/eventloop/include/eventloop/eventloop.h
+++ b/libs/eventloop/include/eventloop/eventloop.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace boost::asio {
 class io_context;
@@ -27,6 +28,10 @@
     /// Calls \p action each time the process receives \p signalNumber.
     void onSignal(int signalNumber, const std::function<void()> &action);
 
+    /// \p action is called with the text of an exception that escaped from the handler of an event;
+    /// the loop goes on afterwards. Without an action, run() lets the exception through.
+    void onUnexpectedError(std::function<void(const std::string &)> action);
+
     /// Runs until stop(). Handles all events in the calling thread. May be called again.
     void run();
     void stop();
--- a/libs/eventloop/src/eventloop.cpp
+++ b/libs/eventloop/src/eventloop.cpp
@@ -2,7 +2,9 @@
 
 #include <eventloop/asio.h>
 
+#include <exception>
 #include <map>
+#include <utility>
 
 namespace cowsliprock {
 
@@ -13,6 +15,7 @@
     asio::io_context context{ 1 };
     Clock clock;
     std::map<int, asio::signal_set> signals;
+    std::function<void(const std::string &)> unexpectedError;
 };
 
 namespace {
@@ -22,8 +25,8 @@
     signals.async_wait([&signals, action](const boost::system::error_code &error, int /*signal*/) {
         if (error)
             return;
-        action();
         waitForSignal(signals, action);
+        action();
     });
 }
 
@@ -72,7 +75,20 @@
 {
     const auto work = asio::make_work_guard(m_state->context);
     m_state->context.restart();
-    m_state->context.run();
+    while (!m_state->context.stopped()) {
+        try {
+            m_state->context.run();
+        } catch (const std::exception &exception) {
+            if (!m_state->unexpectedError)
+                throw;
+            m_state->unexpectedError(exception.what());
+        }
+    }
+}
+
+void EventLoop::onUnexpectedError(std::function<void(const std::string &)> action)
+{
+    m_state->unexpectedError = std::move(action);
 }
 
 void EventLoop::stop()
--- a/libs/eventloop/src/httpserver.cpp
+++ b/libs/eventloop/src/httpserver.cpp
@@ -172,9 +172,9 @@
                 state->loop.after(acceptRetryDelay, [state] { acceptNext(state); });
                 return;
             }
+            acceptNext(state);
             configureSocket(socket);
             std::make_shared<Session<State>>(state, std::move(socket))->read();
-            acceptNext(state);
         });
 }
 
--- a/libs/eventloop/tests/eventloop_test.cpp
+++ b/libs/eventloop/tests/eventloop_test.cpp
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
+#include <stdexcept>
+#include <string>
 #include <vector>
 
 using namespace cowsliprock;
@@ -37,4 +39,38 @@
     BOOST_TEST(received == 2);
 }
 
+BOOST_AUTO_TEST_CASE(goesOnAfterAnExceptionInAHandler)
+{
+    EventLoop loop;
+    std::vector<std::string> errors;
+    loop.onUnexpectedError([&errors](const std::string &error) { errors.push_back(error); });
+    bool later = false;
+    loop.after(Duration::zero(), [] { throw std::runtime_error("first"); });
+    loop.after(milliseconds(5), [] { throw std::out_of_range("second"); });
+    loop.after(milliseconds(10), [&] {
+        later = true;
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST(later);
+    BOOST_TEST(errors == (std::vector<std::string>{ "first", "second" }),
+               boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(handlesASignalAgainAfterAnExceptionInItsHandler)
+{
+    EventLoop loop;
+    loop.onUnexpectedError([](const std::string &) { std::raise(SIGHUP); });
+    int received = 0;
+    loop.onSignal(SIGHUP, [&] {
+        if (++received == 2)
+            loop.stop();
+        else
+            throw std::runtime_error("not now");
+    });
+    loop.after(milliseconds(1), [] { std::raise(SIGHUP); });
+    loop.run();
+    BOOST_TEST(received == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/eventloop/tests/http_test.cpp
+++ b/libs/eventloop/tests/http_test.cpp
@@ -1,12 +1,18 @@
+#include <eventloop/asio.h>
 #include <eventloop/eventloop.h>
 #include <eventloop/httpclient.h>
 #include <eventloop/httpserver.h>
 
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+#include <stdexcept>
+#include <string>
 #include <variant>
 #include <vector>
 
+namespace asio = boost::asio;
 using namespace cowsliprock;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -43,6 +49,8 @@
     HttpServer server{ loop, [this](const HttpRequest &request, HttpServer::Respond respond) {
                           if (request.target == "/hold")
                               held.push_back(std::move(respond));
+                          else if (request.target == "/throw")
+                              throw std::runtime_error("a handler failed");
                           else
                               respond({ 200, {}, request.target + request.body });
                       } };
@@ -71,6 +79,85 @@
     BOOST_TEST(client.traffic().connectionsOpened == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(servesOthersAfterAHandlerHasThrown)
+{
+    int errors = 0;
+    loop.onUnexpectedError([&errors](const std::string &) { ++errors; });
+    client.call(request("/throw"), [&](const HttpOutcome &outcome) {
+        // The caller cannot know what became of its request.
+        const auto *failure = std::get_if<HttpFailure>(&outcome);
+        BOOST_REQUIRE(failure != nullptr);
+        BOOST_TEST(failure->sent);
+        client.call(request("/echo", "after"), [&](const HttpOutcome &next) {
+            BOOST_REQUIRE(std::holds_alternative<HttpAnswer>(next));
+            BOOST_TEST(std::get<HttpAnswer>(next).body == "/echoafter");
+            loop.stop();
+        });
+    });
+    loop.run();
+    BOOST_TEST(errors == 1);
+}
+
+BOOST_AUTO_TEST_CASE(answerThatIsOnlyLateIsToldAndKeepsItsConnection)
+{
+    std::vector<bool> late;
+    auto call = request("/hold");
+    call.timeout = milliseconds(50);
+    call.lateTime = seconds(2);
+    client.call(call, [&](const HttpOutcome &outcome) {
+        if (const auto *failure = std::get_if<HttpFailure>(&outcome)) {
+            BOOST_TEST(failure->timedOut);
+            BOOST_TEST(failure->sent);
+            BOOST_TEST(late.empty());
+            late.push_back(false);
+            held.front()({ 200, {}, "late" });
+            return;
+        }
+        BOOST_TEST(std::get<HttpAnswer>(outcome).late);
+        late.push_back(true);
+        client.call(request("/echo", "next"), [&](const HttpOutcome &next) {
+            BOOST_TEST(std::holds_alternative<HttpAnswer>(next));
+            loop.stop();
+        });
+    });
+    loop.run();
+    BOOST_TEST(late == (std::vector<bool>{ false, true }), boost::test_tools::per_element());
+    BOOST_TEST(client.traffic().connectionsOpened == 1U);
+    BOOST_TEST(client.traffic().inFlight == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(answerThatKeepsArrivingIsReadBeyondTheTimeout)
+{
+    // A server that writes its answer in pieces, each well before the timeout.
+    asio::io_context &context = loop.context();
+    asio::ip::tcp::acceptor acceptor(
+        context, asio::ip::tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0));
+    asio::ip::tcp::socket peer(context);
+    const std::string piece(1000, 'x');
+    int pieces = 0;
+    std::function<void()> writePiece = [&] {
+        asio::write(peer, asio::buffer(piece));
+        if (++pieces < 8)
+            loop.after(milliseconds(40), writePiece);
+    };
+    acceptor.async_accept(peer, [&](const boost::system::error_code &error) {
+        BOOST_REQUIRE(!error);
+        asio::write(peer,
+                    asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 8000\r\n\r\n")));
+        writePiece();
+    });
+    auto call = request("/list");
+    call.peer.port = acceptor.local_endpoint().port();
+    call.timeout = milliseconds(150);
+    call.longest = seconds(5);
+    client.call(call, [&](const HttpOutcome &outcome) {
+        BOOST_REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
+        BOOST_TEST(std::get<HttpAnswer>(outcome).body.size() == 8000U);
+        loop.stop();
+    });
+    loop.run();
+}
+
 BOOST_AUTO_TEST_CASE(saysThatARequestMayHaveBeenReadWhenNoAnswerComes)
 {
     client.call(request("/hold"), [&](const HttpOutcome &outcome) {
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -60,6 +60,8 @@
     void kill(std::uint32_t node);
     void start(std::uint32_t node);
     void freeze(std::uint32_t node, Duration time);
+    /// An unexpected error in the middle of a decision.
+    void upset(std::uint32_t node);
     void terminate(std::uint32_t node); ///< Orderly end; the node is started again later.
     void storeFault(std::uint32_t node, StoreFault fault);
     void storeFaultForAll(StoreFault fault);
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -175,6 +175,12 @@
     m_nodes.at(index)->frozenUntil = m_time.now() + time;
 }
 
+void World::upset(std::uint32_t index)
+{
+    if (auto &slot = *m_nodes.at(index); slot.node)
+        slot.node->recover();
+}
+
 void World::terminate(std::uint32_t index)
 {
     auto &slot = *m_nodes.at(index);
--- a/standins/cell/tests/exploration_test.cpp
+++ b/standins/cell/tests/exploration_test.cpp
@@ -142,6 +142,9 @@
         case 16:
             m_world.lateOrders(0);
             break;
+        case 17:
+            m_world.upset(m_world.owner().value_or(node));
+            break;
         default:
             for (std::uint32_t index = 0; index < nodes; ++index)
                 m_world.start(index);
