--- a/libs/cell/include/cell/node.h
+++ b/libs/cell/include/cell/node.h
@@ -61,8 +61,8 @@
     /// True if calls of clients can be handled.
     [[nodiscard]] bool ready() const noexcept;
 
-    /// After an error in the middle of a decision: gives up its shards and claims them anew, so that
-    /// their state comes from the store and the workers again.
+    /// After an error in the middle of a decision: gives up its shards and claims them anew, so
+    /// that their state comes from the store and the workers again.
     void recover();
 
     /// Hands over all shards. \p done is called once, after at most \p limit.
--- a/libs/cell/src/advicequeue.h
+++ b/libs/cell/src/advicequeue.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "answertimes.h"
 #include "membership.h"
 
 #include <cell/ports.h>
 
+#include <eventloop/answertimes.h>
 #include <eventloop/timers.h>
 
 #include <cstdint>
--- a/libs/cell/src/membership.cpp
+++ b/libs/cell/src/membership.cpp
@@ -120,6 +120,7 @@
 
 void Membership::keepLease(std::uint64_t lease)
 {
+    // At a steady rate, whether the last renewal was answered or not: it may only be slow.
     m_timers.after(renewInterval, [this, lease, alive = m_alive] {
         if (!*alive || m_leaving || lease != m_lease)
             return;
@@ -129,9 +130,8 @@
             // Without an answer the lease may go on: only the store can say that it has ended.
             if (kept.has_value() && !kept.value())
                 leaseLost("lease has ended");
-            else
-                keepLease(lease);
         });
+        keepLease(lease);
     });
 }
 
--- a/libs/cell/src/ordersender.h
+++ b/libs/cell/src/ordersender.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "answertimes.h"
 #include "sendwindow.h"
 #include "workertable.h"
 
 #include <cell/ports.h>
 
+#include <eventloop/answertimes.h>
 #include <eventloop/timers.h>
 
 #include <functional>
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -2,7 +2,6 @@
 
 #include "advicechoice.h"
 #include "advicequeue.h"
-#include "answertimes.h"
 #include "fencedwriter.h"
 #include "jobtable.h"
 #include "ordersender.h"
@@ -16,6 +15,7 @@
 
 #include <base/eventlog.h>
 #include <base/metrics.h>
+#include <eventloop/answertimes.h>
 #include <eventloop/timers.h>
 
 #include <cstdint>
--- a/libs/cell/src/workerlinks.h
+++ b/libs/cell/src/workerlinks.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "answertimes.h"
 #include "workertable.h"
 
 #include <cell/ports.h>
 
 #include <base/eventlog.h>
+#include <eventloop/answertimes.h>
 #include <eventloop/timers.h>
 
 #include <cstdint>
--- a/libs/cell/src/workerrouter.cpp
+++ b/libs/cell/src/workerrouter.cpp
@@ -188,15 +188,14 @@
     ++agent.batches;
     m_ports.metrics.count("relay.batches");
     const Duration time = relayHoldTime + reserve();
-    m_ports.peers.call(
-        { agent.address, "POST", "/peer/relay", encode(batch), time },
-        [this, alive = m_alive, &agent, sent, time,
-         begun = m_ports.timers.now()](const Result<PeerAnswer> &answer) {
-            if (!*alive)
-                return;
-            observe(m_ports.timers.now() - begun, time, answer);
-            answered(agent, sent, answer);
-        });
+    m_ports.peers.call({ agent.address, "POST", "/peer/relay", encode(batch), time },
+                       [this, alive = m_alive, &agent, sent, time,
+                        begun = m_ports.timers.now()](const Result<PeerAnswer> &answer) {
+                           if (!*alive)
+                               return;
+                           observe(m_ports.timers.now() - begun, time, answer);
+                           answered(agent, sent, answer);
+                       });
 }
 
 void WorkerRouter::observe(Duration taken, Duration limit, const Result<PeerAnswer> &answer)
--- a/libs/cell/src/workerrouter.h
+++ b/libs/cell/src/workerrouter.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "answertimes.h"
 #include "membership.h"
 #include "relaymessages.h"
 
@@ -8,6 +7,7 @@
 
 #include <base/eventlog.h>
 #include <base/metrics.h>
+#include <eventloop/answertimes.h>
 #include <eventloop/timers.h>
 
 #include <cstdint>
--- a/libs/cell/src/answertimes.h
+++ b/libs/eventloop/include/eventloop/answertimes.h
@@ -2,10 +2,10 @@
 
 #include <base/time.h>
 
-namespace cowsliprock::cell {
+namespace cowsliprock {
 
-/// How soon the workers of a cell answer, as smoothed mean and deviation of all of them (RFC 6298).
-/// All calls share this daemon's link, so that a full link shows in every answer.
+/// How soon peers of one kind answer, as smoothed mean and deviation (RFC 6298). All calls share
+/// this daemon's link, so that a full link shows in every answer.
 class AnswerTimes
 {
 public:
@@ -23,4 +23,4 @@
     bool m_observed = false;
 };
 
-} // namespace cowsliprock::cell
+} // namespace cowsliprock
--- a/libs/eventloop/include/eventloop/http.h
+++ b/libs/eventloop/include/eventloop/http.h
@@ -32,7 +32,10 @@
     std::string target = "/";
     HttpHeaders headers;
     std::string body;
-    Duration timeout{ std::chrono::seconds(1) };
+    Duration wait{};                             ///< The peer may hold its answer back this long.
+    Duration timeout{ std::chrono::seconds(1) }; ///< Beyond the wait.
+    /// The timeout is the least one: it grows with the time that answers to such calls take.
+    bool adaptive = false;
     /// While the answer keeps arriving the call may take this long in all. Zero: the timeout.
     Duration longest{};
     /// After its timeout the call is reported as failed, but its connection is kept this long for
--- a/libs/cell/src/answertimes.cpp
+++ b/libs/eventloop/src/answertimes.cpp
@@ -1,15 +1,15 @@
-#include "answertimes.h"
+#include <eventloop/answertimes.h>
 
 #include <algorithm>
 #include <chrono>
 
-namespace cowsliprock::cell {
+namespace cowsliprock {
 
 namespace {
 
 /// A silent connection is given up soon while answers come fast ...
 constexpr std::chrono::milliseconds shortestTimeout{ 300 };
-/// ... and an order that has waited this long is no use any more.
+/// ... and what has waited this long is no use any more.
 constexpr std::chrono::milliseconds longestTimeout{ 2000 };
 constexpr int meanWeight = 8;
 constexpr int deviationWeight = 4;
@@ -36,4 +36,4 @@
                                 longestTimeout);
 }
 
-} // namespace cowsliprock::cell
+} // namespace cowsliprock
--- a/libs/eventloop/src/httpclient.cpp
+++ b/libs/eventloop/src/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "socketoptions.h"
 
+#include <eventloop/answertimes.h>
 #include <eventloop/asio.h>
 #include <eventloop/eventloop.h>
 
@@ -43,8 +44,15 @@
     EventLoop &loop;
     std::map<SocketAddress, std::vector<std::shared_ptr<Connection>>> idle;
     HttpTraffic traffic;
+    AnswerTimes answerTimes; ///< Of adaptive calls.
     bool closed = false;
 
+    [[nodiscard]] Duration timeoutOf(const HttpCall &call) const
+    {
+        return call.wait
+            + (call.adaptive ? std::max(call.timeout, answerTimes.timeout()) : call.timeout);
+    }
+
     void release(const SocketAddress &peer, std::shared_ptr<Connection> connection);
     void forget(const SocketAddress &peer);
 };
@@ -265,6 +273,9 @@
     std::shared_ptr<State> state;
     SocketAddress peer;
     std::shared_ptr<Connection> connection;
+    bool measured = false; ///< The time of the answer says how fast the peer is.
+    Duration timeout{};
+    TimePoint begun{};
     /// Idle connections to the peer, set aside while its answer is late.
     std::vector<std::shared_ptr<Connection>> setAside;
     Done done;
@@ -285,7 +296,12 @@
     {
         state->traffic.bytesSent += connection->bytesSent();
         state->traffic.bytesReceived += connection->bytesReceived();
-        const bool failed = std::holds_alternative<HttpFailure>(outcome);
+        const auto *failure = std::get_if<HttpFailure>(&outcome);
+        const bool failed = failure != nullptr;
+        if (measured && !failed)
+            state->answerTimes.observe(state->loop.now() - begun);
+        else if (measured && failure->timedOut)
+            state->answerTimes.observe(timeout);
         if (!reported) {
             --state->traffic.inFlight;
             state->traffic.failures += failed ? 1 : 0;
@@ -335,8 +351,15 @@
     }
     ++state->traffic.calls;
     ++state->traffic.inFlight;
-    auto pending = std::make_shared<PendingCall>(
-        PendingCall{ state, peer, std::move(connection), {}, std::move(done) });
+    request.timeout = state->timeoutOf(request);
+    auto pending = std::make_shared<PendingCall>();
+    pending->state = state;
+    pending->peer = peer;
+    pending->connection = std::move(connection);
+    pending->measured = request.adaptive && request.wait == Duration::zero();
+    pending->timeout = request.timeout;
+    pending->begun = state->loop.now();
+    pending->done = std::move(done);
     pending->connection->start(
         std::move(request),
         { [pending](HttpOutcome outcome, bool reusable) { pending->ended(outcome, reusable); },
