Emulator: a request reaches the life of a worker that it was sent to, or none

No TCP connection passes from one process to the next; the emulator knew connections only by node, so that the second of two requests under way passed. Now each request belongs to the life at its sending.

--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -226,28 +226,38 @@
     return m_world.delay() + m_back.pass(m_time.now(), bytes, m_world.linkRate());
 }
 
+NodeWorkers::Connection NodeWorkers::connect(const WorkerTarget &worker)
+{
+    auto *slot = m_world.findWorker(worker.id);
+    return { slot, slot == nullptr ? 0 : slot->model->born() };
+}
+
+bool NodeWorkers::reset(const Connection &connection) const
+{
+    const bool known = connection.slot->connected(m_slot.name);
+    return !known || connection.slot->model->born() != connection.born;
+}
+
 void NodeWorkers::order(const WorkerTarget &worker, const OrderCall &call, std::size_t bytes,
                         const std::function<OrderOutcome(WorkerModel &)> &action,
                         const Done<Result<OrderOutcome>> &done)
 {
     const auto answer = awaitAnswer(call.timeout, "worker.order", done);
     m_time.after(wayOut(bytes),
-                 [this, id = worker.id, late = m_world.ordersLate(), action, answer] {
-                     auto *slot = m_world.findWorker(id);
+                 [this, connection = connect(worker), late = m_world.ordersLate(), action, answer] {
+                     auto *slot = connection.slot;
                      if (slot == nullptr || slot->cut)
                          return;
-                     if (late) {
-                         // The life that took the order carries it out, or nobody does.
-                         m_time.after(lateAfter, [slot, born = slot->model->born(), action] {
+                     if (reset(connection)) {
+                         answer->give(wayBack(resetBytes), timedOut("worker.order"));
+                     } else if (late) {
+                         m_time.after(lateAfter, [slot, born = connection.born, action] {
                              if (slot->model->born() == born)
                                  static_cast<void>(action(*slot->model));
                          });
-                         return;
-                     }
-                     if (!slot->connected(m_slot.name))
-                         answer->give(wayBack(resetBytes), timedOut("worker.order"));
-                     else
+                     } else {
                          answer->give(wayBack(answerBytes), action(*slot->model));
+                     }
                  });
 }
 
@@ -274,11 +284,11 @@
                             Done<Result<InventoryOutcome>> done)
 {
     const auto answer = awaitAnswer(request.wait + request.timeout, "worker.inventory", done);
-    m_time.after(wayOut(requestBytes), [this, id = worker.id, request, answer] {
-        auto *slot = m_world.findWorker(id);
+    m_time.after(wayOut(requestBytes), [this, connection = connect(worker), request, answer] {
+        auto *slot = connection.slot;
         if (slot == nullptr || slot->cut)
             return;
-        if (!slot->connected(m_slot.name)) {
+        if (reset(connection)) {
             answer->give(wayBack(resetBytes), timedOut("worker.inventory"));
             return;
         }
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -126,6 +126,17 @@
                    cell::Done<Result<cell::InventoryOutcome>> done) override;
 
 private:
+    /// A request reaches the life of the worker that it was sent to, or none.
+    struct Connection
+    {
+        World::WorkerSlot *slot = nullptr;
+        std::int64_t born = 0;
+    };
+
+    [[nodiscard]] Connection connect(const cell::WorkerTarget &worker);
+    /// True if a former life of the worker was at the other end.
+    [[nodiscard]] bool reset(const Connection &connection) const;
+
     /// Gives the outcome of one call to the node: the timeout, the answer, or one after the other.
     template <typename T>
     class Answer;
