--- a/standins/cell/include/standincell/promises.h
+++ b/standins/cell/include/standincell/promises.h
@@ -36,6 +36,11 @@
     /// One line for each broken promise.
     [[nodiscard]] const std::vector<std::string> &broken() const noexcept { return m_broken; }
     [[nodiscard]] std::size_t starts() const noexcept { return m_starts; }
+    [[nodiscard]] std::size_t startsOn(const std::string &worker) const
+    {
+        const auto entry = m_startsOf.find(worker);
+        return entry == m_startsOf.end() ? 0 : entry->second;
+    }
 
     /// Accepted jobs whose end was not shown yet.
     [[nodiscard]] std::size_t unfinishedJobs() const;
@@ -76,6 +81,7 @@
     std::map<std::pair<cell::TaskId, std::uint32_t>, TimePoint> m_endTimes;
     std::vector<std::string> m_broken;
     std::size_t m_starts = 0;
+    std::map<std::string, std::size_t> m_startsOf; ///< By worker.
 };
 
 } // namespace cowsliprock::standincell
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -83,6 +83,17 @@
     /// Asks for the state until the job has ended.
     [[nodiscard]] std::optional<cell::JobStatus> status(std::uint32_t node, const std::string &id);
 
+    /// Lets a node handle a call of another daemon, and waits for the answer.
+    cell::PeerAnswer callPeer(std::uint32_t node, const std::string &path, const std::string &body);
+
+    /// Clock of all nodes.
+    [[nodiscard]] std::chrono::milliseconds clock() const
+    {
+        return std::chrono::milliseconds(toMilliseconds(m_time.now().time_since_epoch()));
+    }
+    /// Revision under which the shard is owned.
+    [[nodiscard]] std::uint64_t revision() const;
+
     [[nodiscard]] Promises &promises() noexcept { return m_promises; }
     [[nodiscard]] StoreModel &store() noexcept { return m_store; }
     [[nodiscard]] VirtualTime &time() noexcept { return m_time; }
--- a/standins/cell/src/promises.cpp
+++ b/standins/cell/src/promises.cpp
@@ -109,6 +109,7 @@
                        const Resources &heldBefore, const Resources &capacity)
 {
     ++m_starts;
+    ++m_startsOf[worker];
     auto &job = m_jobs[task.job];
     if (task.step >= job.spec.steps.size()) {
         fail("UNASKED", task, "nobody submitted it");
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -304,6 +304,21 @@
     return std::nullopt;
 }
 
+std::uint64_t World::revision() const
+{
+    const auto item = m_store.read(ownerKey);
+    return item ? item->revision : 0;
+}
+
+PeerAnswer World::callPeer(std::uint32_t node, const std::string &path, const std::string &body)
+{
+    auto answer = std::make_shared<PeerAnswer>();
+    m_nodes.at(node)->node->peerCall("POST", path, body,
+                                     [answer](const PeerAnswer &given) { *answer = given; });
+    run(std::chrono::milliseconds(600));
+    return *answer;
+}
+
 WorkerModel &World::worker(std::uint32_t index)
 {
     return *m_workers.at(index)->model;
--- /dev/null
+++ b/standins/cell/tests/relay_test.cpp
@@ -0,0 +1,232 @@
+#include "testjobs.h"
+
+#include <relaymessages.h>
+
+#include <base/id.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace cowsliprock;
+using namespace cowsliprock::standincell;
+using cell::JobStatus;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t nodeCount = 5;
+
+/// A cell whose owner calls its workers through another node.
+World::Settings relayed()
+{
+    World::Settings settings;
+    settings.nodes = nodeCount;
+    settings.workers = 8;
+    settings.fewestWorkersToRelay = 1;
+    return settings;
+}
+
+/// The node that relays: the first by the hash of its name, since all weigh the same.
+std::uint32_t relayOf(const World &world)
+{
+    std::uint32_t first = 0;
+    const auto rank = [](std::uint32_t node) { return stableHash("node-" + std::to_string(node)); };
+    for (std::uint32_t node = 1; node < nodeCount; ++node)
+        first = rank(node) < rank(first) ? node : first;
+    BOOST_REQUIRE(world.owner());
+    BOOST_REQUIRE(*world.owner() != first);
+    return first;
+}
+
+std::uint32_t bystander(const World &world)
+{
+    std::uint32_t node = 0;
+    while (node == *world.owner() || node == relayOf(world))
+        ++node;
+    return node;
+}
+
+cell::StartOrder orderFor(const World &world, const std::string &job)
+{
+    cell::StartOrder order;
+    order.task = *cell::parseTaskId(job + ".0.0.0");
+    order.run = 1;
+    order.spec = "text";
+    order.leaseUntil = std::chrono::hours(1);
+    order.fencingToken = world.revision() * 2048;
+    return order;
+}
+
+cell::RelayBatch batchOf(const World &world, std::uint64_t revision,
+                         std::optional<milliseconds> clock)
+{
+    cell::RelayBatch batch;
+    batch.ownershipRevision = revision;
+    batch.clock = clock;
+    batch.calls.push_back(cell::RelayedStart{ 1,
+                                              { "worker-0", "worker-0", "z" },
+                                              orderFor(world, jobId(1)),
+                                              { milliseconds(300), false } });
+    return batch;
+}
+
+/// Submits jobs, disturbs the cell in the middle, and expects all of them to complete.
+template <typename Disturb>
+void jobsSurvive(Disturb disturb)
+{
+    World world(relayed());
+    world.run(startTime);
+    const auto node = bystander(world);
+    for (std::uint32_t job = 1; job <= 10; ++job)
+        world.submit(node, jobId(job),
+                     job % 2 == 0 ? gang(4, seconds(1)) : chain(3, milliseconds(700)));
+    world.run(milliseconds(400));
+    BOOST_TEST(world.callsOf(*world.owner(), "relay") > 0U);
+    disturb(world);
+    world.run(seconds(15));
+    for (std::uint32_t job = 1; job <= 10; ++job)
+        BOOST_TEST((world.status(node, jobId(job)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
+} // namespace
+
+/// The owner's calls of workers go through other daemons, which fail like any process.
+BOOST_AUTO_TEST_SUITE(relay)
+
+BOOST_AUTO_TEST_CASE(callsGoThroughAnotherDaemonInALargeCell)
+{
+    World world(relayed());
+    world.run(startTime);
+    const auto owner = *world.owner();
+    const auto relay = relayOf(world);
+    for (std::uint32_t job = 1; job <= 10; ++job)
+        world.submit(bystander(world), jobId(job), batch(4));
+    world.run(seconds(3));
+    for (std::uint32_t job = 1; job <= 10; ++job)
+        BOOST_TEST((world.status(owner, jobId(job)) == JobStatus::Completed));
+    BOOST_TEST(world.callsOf(relay, "worker.start") == 40U);
+    BOOST_TEST(world.callsOf(owner, "worker.start") == 0U);
+    checkPromises(world);
+}
+
+BOOST_AUTO_TEST_CASE(smallCellIsCalledByItsOwner)
+{
+    auto settings = relayed();
+    settings.fewestWorkersToRelay = settings.workers + 1;
+    World world(settings);
+    world.run(startTime);
+    world.submit(bystander(world), jobId(1), batch(4));
+    world.run(seconds(2));
+    BOOST_TEST(world.callsOf(*world.owner(), "worker.start") == 4U);
+    BOOST_TEST(world.callsOf(*world.owner(), "relay") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(jobsSurviveTheDeathOfTheRelay)
+{
+    jobsSurvive([](World &world) { world.kill(relayOf(world)); });
+}
+
+BOOST_AUTO_TEST_CASE(jobsSurviveAPausedRelay)
+{
+    jobsSurvive([](World &world) { world.freeze(relayOf(world), seconds(4)); });
+}
+
+BOOST_AUTO_TEST_CASE(jobsSurviveARelayThatStopsInOrder)
+{
+    jobsSurvive([](World &world) { world.terminate(relayOf(world)); });
+}
+
+BOOST_AUTO_TEST_CASE(jobsSurviveTheDeathOfOwnerAndRelay)
+{
+    jobsSurvive([](World &world) {
+        world.kill(relayOf(world));
+        world.kill(*world.owner());
+    });
+}
+
+BOOST_AUTO_TEST_CASE(batchThatWasUnderWayForSecondsIsNotCarriedOut)
+{
+    World world(relayed());
+    world.run(startTime);
+    const auto relay = relayOf(world);
+    const auto revision = world.revision();
+    const auto before = world.callsOf(relay, "worker.start");
+    const auto old = world.clock() - seconds(2);
+    const auto text = world.callPeer(relay, "/peer/relay", encode(batchOf(world, revision, old)));
+    const auto answer = cell::decodeRelayAnswer(text.body);
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer->stale);
+    // Nor is one whose age is not known.
+    const auto other = cell::decodeRelayAnswer(
+        world.callPeer(relay, "/peer/relay", encode(batchOf(world, revision, {}))).body);
+    BOOST_REQUIRE(other);
+    BOOST_TEST(other->stale);
+    BOOST_TEST(world.callsOf(relay, "worker.start") == before);
+}
+
+BOOST_AUTO_TEST_CASE(batchOfADeposedOwnerIsRefused)
+{
+    World world(relayed());
+    world.run(startTime);
+    const auto relay = relayOf(world);
+    const auto before = world.callsOf(relay, "worker.start");
+    // Lower than the revision of any owner.
+    const auto batch = batchOf(world, 1, world.clock());
+    BOOST_TEST(world.callPeer(relay, "/peer/relay", encode(batch)).status == 409U);
+    BOOST_TEST(world.callsOf(relay, "worker.start") == before);
+}
+
+BOOST_AUTO_TEST_CASE(malformedBatchIsRefusedAndHarmsNothing)
+{
+    World world(relayed());
+    world.run(startTime);
+    const auto relay = relayOf(world);
+    const std::string good = encode(batchOf(world, world.revision(), world.clock()));
+    BOOST_TEST(cell::decodeRelayBatch(good).has_value());
+    for (const std::string text :
+         { "", "[]", "{}", "{\"shard\":0,\"revision\":5,\"texts\":[],\"calls\":[[0,1]]}",
+           "{\"shard\":0,\"revision\":5,\"texts\":[],\"calls\":[[9,1,\"w\",\"a\",5,\"t\",1,0]]}",
+           "{\"shard\":0,\"revision\":5,\"texts\":3,\"calls\":{}}" })
+        BOOST_TEST(world.callPeer(relay, "/peer/relay", text).status == 400U);
+    // Every truncation of a good one, too.
+    for (std::size_t length = 0; length < good.size(); ++length)
+        BOOST_TEST(!cell::decodeRelayBatch(good.substr(0, length)).has_value());
+    world.submit(bystander(world), jobId(1), batch(4));
+    world.run(seconds(2));
+    BOOST_TEST((world.status(bystander(world), jobId(1)) == JobStatus::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(messagesKeepWhatTheySay)
+{
+    cell::Inventory inventory;
+    inventory.born = 77;
+    inventory.clock = milliseconds(1234);
+    inventory.running.push_back({ *cell::parseTaskId(jobId(1) + ".0.1.2"), 3, "saved", 41 });
+    inventory.finished.push_back(
+        { 9, *cell::parseTaskId(jobId(1) + ".0.1.3"), 2, cell::EndKind::Broken, "point" });
+    cell::RelayAnswer answer;
+    answer.clock = milliseconds(5);
+    answer.replies = {
+        cell::OrderReply{ 1, cell::OrderOutcome(cell::OrderAccepted{ milliseconds(8) }) },
+        cell::OrderReply{
+            2,
+            cell::OrderOutcome(cell::OrderRefused{ cell::OrderRefusal::NoRoom, milliseconds(9) }) },
+        cell::OrderReply{ 3, Error{ ErrorKind::Timeout, "step", "peer", "detail" } },
+        cell::InventoryReply{ 4, cell::InventoryOutcome(inventory) },
+        cell::InventoryReply{
+            5, cell::InventoryOutcome(cell::OrderRefused{ cell::OrderRefusal::Fenced, {} }) },
+    };
+    const auto text = encode(answer);
+    const auto decoded = cell::decodeRelayAnswer(text);
+    BOOST_REQUIRE(decoded);
+    BOOST_TEST(encode(*decoded) == text);
+    const auto &list = std::get<cell::Inventory>(std::get<cell::InventoryOutcome>(
+        std::get<cell::InventoryReply>(decoded->replies.at(3)).outcome));
+    BOOST_TEST(list.running.at(0).checkpoint == "saved");
+    BOOST_TEST((list.finished.at(0).kind == cell::EndKind::Broken));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
