Tell refused callers to come back after as long as the outage has lasted

Change: 1 to 4 s, as long as the outage has been. A decision of its own (comeback.h). The check of REFUSED in the emulator counted a job as refused although a later try was under way; it is as strict as the promise now (every try refused), and also finds a start that came before the refusal.

--- a/libs/cell/include/cell/node.h
+++ b/libs/cell/include/cell/node.h
@@ -74,6 +74,8 @@
     /// Accepts a job of a queue. \p done is called by \p deadline.
     void submit(const std::string &id, const QueueSettings &queue, JobSpec spec, TimePoint deadline,
                 const Done<SubmitResult> &done);
+    /// When a caller that is refused now should try again.
+    [[nodiscard]] std::chrono::seconds comeBackAfter() const noexcept;
     void status(const std::string &id, const Done<StatusAnswer> &done);
     void cancel(const std::string &id, TimePoint deadline, const Done<CancelResult> &done);
 
--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -1,5 +1,7 @@
 #include "frontdesk.h"
 
+#include "comeback.h"
+
 #include "keys.h"
 #include "peermessages.h"
 #include "records.h"
@@ -115,6 +117,11 @@
         });
 }
 
+std::chrono::seconds FrontDesk::comeBackAfter() const noexcept
+{
+    return cell::comeBackAfter(m_submissions.outage());
+}
+
 void FrontDesk::logSubmission(const std::string &id, TimePoint begun, const char *asker,
                               SubmitResult result)
 {
--- a/libs/cell/src/frontdesk.h
+++ b/libs/cell/src/frontdesk.h
@@ -52,6 +52,9 @@
                 const Done<CancelResult> &done);
     void pending(const std::string &queue, const Done<std::optional<std::uint64_t>> &done);
 
+    /// When a caller that is refused now should try again.
+    [[nodiscard]] std::chrono::seconds comeBackAfter() const noexcept;
+
     [[nodiscard]] std::uint32_t shardOf(const std::string &id) const noexcept;
 
 private:
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -367,6 +367,11 @@
     m_state->desk.submit(record, deadline, false, done);
 }
 
+std::chrono::seconds Node::comeBackAfter() const noexcept
+{
+    return m_state->desk.comeBackAfter();
+}
+
 void Node::status(const std::string &id, const Done<StatusAnswer> &done)
 {
     m_state->desk.status(id, false, done);
--- a/libs/cell/src/submissions.cpp
+++ b/libs/cell/src/submissions.cpp
@@ -49,6 +49,11 @@
     return m_failures >= failuresUntilFailing;
 }
 
+Duration Submissions::outage() const noexcept
+{
+    return m_failures == 0 ? Duration::zero() : m_timers.now() - m_failingSince;
+}
+
 void Submissions::again(Entry entry)
 {
     m_waiting.push_back(std::move(entry));
@@ -104,7 +109,8 @@
 void Submissions::finished(std::vector<Entry> batch, const Result<TransactionOutcome> &outcome)
 {
     if (!outcome.has_value()) {
-        ++m_failures;
+        if (m_failures++ == 0)
+            m_failingSince = m_timers.now();
         const bool unknown = mayHaveTakenEffect(outcome.error());
         for (auto &entry : batch) {
             entry.uncertain = entry.uncertain || unknown;
--- a/libs/cell/src/submissions.h
+++ b/libs/cell/src/submissions.h
@@ -34,6 +34,9 @@
     /// True if the last calls of the store failed and none has succeeded since.
     [[nodiscard]] bool storeFailing() const noexcept;
 
+    /// How long the calls of the store have failed; zero while they succeed.
+    [[nodiscard]] Duration outage() const noexcept;
+
 private:
     struct Entry
     {
@@ -57,6 +60,7 @@
     std::deque<Entry> m_waiting;
     std::size_t m_inFlight = 0;
     std::uint32_t m_failures = 0;
+    TimePoint m_failingSince{}; ///< While there are failures.
     TimePoint m_nextProbe{};
     bool m_scheduled = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/standins/cell/include/standincell/promises.h
+++ b/standins/cell/include/standincell/promises.h
@@ -66,6 +66,7 @@
         std::map<std::string, std::set<std::uint32_t>> failedRuns; ///< As listed.
         std::map<std::string, AcknowledgedEnds> acknowledged;
         std::map<std::string, TimePoint> lastStart;
+        cell::TaskId lastStartOf; ///< The task that was started last.
     };
 
     void fail(const char *promise, const cell::TaskId &task, const std::string &detail);
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -79,6 +79,8 @@
     // Calls of a client through a node.
     void submit(std::uint32_t node, const std::string &id, const JobPlan &plan,
                 std::optional<cell::SubmitResult> *result = nullptr);
+    /// When a caller that the node refuses now should try again.
+    [[nodiscard]] std::chrono::seconds comeBackAfter(std::uint32_t node) const;
     void cancel(std::uint32_t node, const std::string &id);
     /// Asks for the state until the job has ended.
     [[nodiscard]] std::optional<cell::JobStatus> status(std::uint32_t node, const std::string &id);
--- a/standins/cell/src/promises.cpp
+++ b/standins/cell/src/promises.cpp
@@ -22,6 +22,8 @@
     auto &view = m_jobs[job];
     view.spec = spec;
     view.maxAttempts = maxAttempts;
+    // The promise is about jobs of which every try was refused: this one is not decided yet.
+    view.refused = false;
 }
 
 void Promises::accepted(const std::string &job)
@@ -31,7 +33,12 @@
 
 void Promises::refused(const std::string &job)
 {
-    m_jobs[job].refused = true;
+    auto &view = m_jobs[job];
+    if (view.accepted)
+        return;
+    view.refused = true;
+    if (!view.lastStart.empty())
+        fail("REFUSED", view.lastStartOf, "its job was refused after a start");
 }
 
 void Promises::cancelRequested(const std::string &job)
@@ -136,6 +143,7 @@
     if (job.cancelledAt != TimePoint() && m_timers.now() - job.cancelledAt > cancelTime)
         fail("UNASKED", task, "after its job was cancelled");
     job.lastStart[attemptKey(job, task)] = m_timers.now();
+    job.lastStartOf = task;
     checkEnds(job, task);
 }
 
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -250,6 +250,11 @@
                       });
 }
 
+std::chrono::seconds World::comeBackAfter(std::uint32_t node) const
+{
+    return m_nodes.at(node)->node->comeBackAfter();
+}
+
 void World::cancel(std::uint32_t node, const std::string &id)
 {
     auto &slot = *m_nodes.at(node);
