--- a/libs/cell/src/workerrouter.cpp
+++ b/libs/cell/src/workerrouter.cpp
@@ -100,7 +100,7 @@
         return nullptr;
     const auto &name = group.agents[stableHash(worker.id) % group.agents.size()];
     const auto member = m_membership.members().find(name);
-    if (name == m_membership.self().name || member == m_membership.members().end())
+    if (member == m_membership.members().end())
         return nullptr;
     Agent &agent = m_agents[name];
     agent.name = name;
@@ -122,7 +122,9 @@
     using Rank = std::tuple<double, std::uint64_t, std::string>;
     std::vector<Rank> ranks;
     for (const auto &[name, member] : m_membership.members()) {
-        if (member.dataCentre == dataCentre && !avoided(name))
+        // The owner has enough to do.
+        const bool self = name == m_membership.self().name;
+        if (member.dataCentre == dataCentre && !self && !avoided(name))
             ranks.emplace_back(-member.weight, stableHash(name), name);
     }
     std::sort(ranks.begin(), ranks.end());
