Tell nobody of a lost ownership once the writer is gone

The writer's notice of a failed fence was a timer that called into the shard, without a check whether the shard was still there: a newer owner seen by the membership in the same moment destroyed it first.

--- a/libs/cell/src/fencedwriter.cpp
+++ b/libs/cell/src/fencedwriter.cpp
@@ -270,7 +270,11 @@
         return;
     }
     closed = true;
-    timers.after(Duration::zero(), std::exchange(lost, {}));
+    // The writer may be gone when the timer fires, and with it whoever is to be told.
+    timers.after(Duration::zero(), [self = shared_from_this()] {
+        if (const auto tell = std::exchange(self->lost, {}))
+            tell();
+    });
 }
 
 void FencedWriter::State::committed(const Batch &batch, std::uint64_t revision)
@@ -352,6 +356,7 @@
 FencedWriter::~FencedWriter()
 {
     m_state->closed = true;
+    m_state->lost = {};
 }
 
 void FencedWriter::known(const std::string &key, std::uint64_t revision)
--- a/standins/cell/tests/fencedwriter_test.cpp
+++ b/standins/cell/tests/fencedwriter_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <optional>
 
 using namespace cowsliprock;
@@ -30,6 +31,8 @@
         ++commits;
         m_time.after(m_delay, [this, transaction, done = std::move(done)] {
             done(m_model.commit(transaction));
+            if (afterAnswer)
+                afterAnswer();
         });
     }
 
@@ -42,6 +45,7 @@
     void endLease(std::uint64_t) override { }
 
     std::uint32_t commits = 0;
+    std::function<void()> afterAnswer; ///< Called when an answer was handled.
 
 private:
     VirtualTime &m_time;
@@ -123,4 +127,15 @@
     BOOST_TEST(!model.read("k").has_value());
 }
 
+BOOST_FIXTURE_TEST_CASE(tellsNobodyOfALossOnceItIsGone, Fixture)
+{
+    // Another owner has taken over; in the same moment this one learns of it in another way.
+    model.put("owner", "other");
+    store.afterAnswer = [this] { writer.reset(); };
+    writer->write("key", "value", Urgency::Now);
+    time.run(seconds(1));
+    BOOST_TEST(store.commits == 1U);
+    BOOST_TEST(!lost);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
