After the loss of all daemons, let the strong ones claim first

The new owner was edge-sofia-a-23, with 0.12 of a core for 1,100 workers: it was back first, and ranked itself among the members that it saw. The owner record names the owner's weight now; a weaker daemon waits 0.8 s longer. Test: strongestDaemonOwnsTheCellAgainAfterAllWereLost, which fails without the wait.

--- a/libs/cell/src/election.cpp
+++ b/libs/cell/src/election.cpp
@@ -18,6 +18,8 @@
 /// After an outage of the store, presence that has lapsed meanwhile is renewed within this time.
 constexpr std::chrono::milliseconds presenceReturnTime{ 2000 };
 constexpr std::chrono::milliseconds claimRetryDelay{ 150 };
+/// Daemons that start together appear within this time.
+constexpr std::chrono::milliseconds strongerReturnTime{ 800 };
 
 } // namespace
 
@@ -86,6 +88,9 @@
     Duration delay = rankDelay * rank;
     if (!view)
         return delay + firstStartDelay;
+    // After all daemons were lost the weak ones may be back first, and could not carry the cell.
+    if (m_membership.self().weight < view->record.weight)
+        delay += strongerReturnTime;
     // A daemon that was started again has ended; any other may only have lost its presence.
     const bool startedAgain = members.contains(view->record.name);
     if (view->record.name.empty() || startedAgain || !m_membership.storeReachableSince())
@@ -120,7 +125,7 @@
     const auto view = m_membership.owner(m_shard);
     const auto &self = m_membership.self();
     OwnerRecord record{ self.name, self.incarnation, self.address,
-                        view ? view->record.generation + 1 : 0 };
+                        view ? view->record.generation + 1 : 0, self.weight };
     Transaction transaction;
     transaction.conditions.push_back({ keys::owner(m_shard), view ? view->revision : 0 });
     transaction.writes.push_back({ keys::owner(m_shard), encode(record), 0 });
@@ -194,8 +199,8 @@
     }
     Transaction transaction;
     transaction.conditions.push_back({ keys::owner(m_shard), m_ownership->revision });
-    transaction.writes.push_back(
-        { keys::owner(m_shard), encode(OwnerRecord{ "", 0, "", m_ownership->generation }), 0 });
+    const OwnerRecord nobody{ "", 0, "", m_ownership->generation, m_membership.self().weight };
+    transaction.writes.push_back({ keys::owner(m_shard), encode(nobody), 0 });
     loseOwnership("handed over");
     m_store.commit(transaction,
                    [done = std::move(done)](const Result<TransactionOutcome> &) { done(); });
--- a/libs/cell/src/records.cpp
+++ b/libs/cell/src/records.cpp
@@ -150,7 +150,8 @@
         { "name", record.name },
         { "incarnation", record.incarnation },
         { "address", record.address },
-        { "generation", record.generation }
+        { "generation", record.generation },
+        { "weight", record.weight }
     }.dump();
 }
 
@@ -228,6 +229,7 @@
         record.incarnation = json.at("incarnation");
         record.address = json.at("address");
         record.generation = json.at("generation");
+        record.weight = json.value("weight", 0.0);
         return record;
     });
 }
--- a/libs/cell/src/records.h
+++ b/libs/cell/src/records.h
@@ -26,6 +26,7 @@
     std::uint64_t incarnation = 0;
     std::string address;
     std::uint64_t generation = 0; ///< Rises by one with each owner.
+    double weight = 0;            ///< Processor share of the owner.
 };
 
 /// Failed runs of one task. Workers list an end until it is acknowledged, and in any order, so the
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -37,6 +37,7 @@
         cell::PlacementPolicy policy;
         double adviceAllows = 0.6; ///< Share of the workers that a step may use.
         std::size_t fewestWorkersToRelay = 100;
+        std::vector<double> weights; ///< Of the nodes; those without one weigh 1.
         /// Rate of a node's link to the workers in each direction; 0: without a bound.
         double linkBytesPerSecond = 0;
     };
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -155,6 +155,8 @@
     settings.dataCentre = "z";
     settings.address = slot.name;
     settings.policy = m_settings.policy;
+    if (index < m_settings.weights.size())
+        settings.weight = m_settings.weights[index];
     settings.fewestWorkersToRelay = m_settings.fewestWorkersToRelay;
     slot.node =
         std::make_unique<Node>(Node::Ports{ *slot.store, *slot.workers, *slot.advice, *slot.peers,
--- a/standins/cell/tests/failures_test.cpp
+++ b/standins/cell/tests/failures_test.cpp
@@ -287,4 +287,36 @@
     checkPromises(world);
 }
 
+BOOST_AUTO_TEST_CASE(strongestDaemonOwnsTheCellAgainAfterAllWereLost)
+{
+    World::Settings settings;
+    settings.nodes = 5;
+    settings.weights = { 0.12, 0.12, 0.5, 0.12, 0.12 };
+    World world(settings);
+    world.run(startTime);
+    BOOST_TEST(*world.owner() == 2U);
+    for (int round = 0; round < 3; ++round) {
+        for (std::uint32_t node = 0; node < settings.nodes; ++node)
+            world.kill(node);
+        // Longer than their presence lasts.
+        world.run(seconds(3));
+        // The strong one is the last to come back.
+        for (const std::uint32_t node : { 0U, 1U, 3U, 4U, 2U }) {
+            world.start(node);
+            world.run(milliseconds(60));
+        }
+        world.submit(0, jobId(static_cast<std::uint32_t>(round + 1)), batch(3));
+        world.run(seconds(3));
+        BOOST_TEST(*world.owner() == 2U);
+    }
+    // Without it a weak one has to do.
+    world.kill(2);
+    world.run(seconds(5));
+    BOOST_TEST(*world.owner() != 2U);
+    world.submit(0, jobId(9), batch(3));
+    world.run(seconds(10));
+    BOOST_TEST((world.status(0, jobId(9)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
