--- a/standins/cellhttp/tests/cellhttp_test.cpp
+++ b/standins/cellhttp/tests/cellhttp_test.cpp
@@ -148,7 +148,7 @@
     WorkerServer server(loop, model, 1, [](const auto &, const auto &) { return true; });
     HttpClient http(loop);
     platform::WorkerClient client(http);
-    const WorkerTarget target{ "w1", server.listen(anyPort).value().text() };
+    const WorkerTarget target{ "w1", server.listen(anyPort).value().text(), "z" };
     const auto start = [&](std::uint64_t token) {
         StartOrder order;
         order.task = { "00000000000000aa", 0, 0, static_cast<std::uint32_t>(token) };
@@ -156,7 +156,7 @@
         order.leaseUntil = 5s;
         order.fencingToken = token;
         Answer<Result<OrderOutcome>> answer(loop);
-        client.start(target, order, false, answer.done());
+        client.start(target, order, { 300ms, false }, answer.done());
         return answer.wait().value();
     };
     BOOST_TEST(std::holds_alternative<OrderAccepted>(start(7)));
@@ -168,6 +168,7 @@
     Answer<Result<InventoryOutcome>> answer(loop);
     InventoryRequest request;
     request.fencingToken = 7;
+    request.timeout = 350ms;
     client.inventory(target, request, answer.done());
     const auto &listed = answer.wait().value();
     BOOST_REQUIRE(std::holds_alternative<Inventory>(listed));
