A deposed owner that a relay refuses calls nobody any more

Found while reading the change: a relay that knows a newer owner answered 409, the router took that for a batch that was certainly not sent, and made its calls directly, as a deposed owner, to workers that the new one might not have fenced yet (operators' story: both acted for a moment). Now it tells the election, which ends the shard, and makes no further call.

--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -148,7 +148,8 @@
     slot.workers = std::make_unique<WorkerRouter>(
         WorkerRouter::Ports{ ports.workers, ports.peers, ports.timers, ports.log, ports.metrics },
         membership,
-        WorkerRouter::Settings{ number, ownership.revision, settings.fewestWorkersToRelay });
+        WorkerRouter::Settings{ number, ownership.revision, settings.fewestWorkersToRelay },
+        [this, number] { slots[number].election->deposed(); });
     slot.shard = std::make_unique<Shard>(
         Scheduler::Ports{ *slot.workers, advice, ports.timers, ports.log, ports.metrics },
         ports.store, records, shardSettings,
--- a/libs/cell/src/workerrouter.cpp
+++ b/libs/cell/src/workerrouter.cpp
@@ -45,10 +45,11 @@
 } // namespace
 
 WorkerRouter::WorkerRouter(const Ports &ports, const Membership &membership,
-                           const Settings &settings)
+                           const Settings &settings, std::function<void()> deposed)
     : m_ports(ports)
     , m_membership(membership)
     , m_settings(settings)
+    , m_deposed(std::move(deposed))
 { }
 
 WorkerRouter::~WorkerRouter()
@@ -222,6 +223,10 @@
         failed(agent, sent, answer.error());
         return;
     }
+    if (answer.value().status == statusConflict) {
+        stopCalling();
+        return;
+    }
     const auto decoded = answer.value().status == statusOk ? decodeRelayAnswer(answer.value().body)
                                                            : std::optional<RelayAnswer>();
     if (!decoded) {
@@ -242,6 +247,20 @@
         flushSoon(agent);
 }
 
+void WorkerRouter::stopCalling()
+{
+    // What was refused is the next owner's matter; calling directly would act beside it.
+    m_ports.log.write(
+        m_ports.timers.now(), "relay.deposed",
+        { { "shard", m_settings.shard }, { "revision", m_settings.ownershipRevision } });
+    m_ports.timers.after(Duration::zero(), [alive = m_alive, this] {
+        if (!*alive)
+            return;
+        if (const auto tell = std::exchange(m_deposed, {}))
+            tell();
+    });
+}
+
 void WorkerRouter::deliver(Agent &agent, const RelayReply &reply)
 {
     const auto number = std::visit([](const auto &each) { return each.call; }, reply);
--- a/libs/cell/src/workerrouter.h
+++ b/libs/cell/src/workerrouter.h
@@ -11,7 +11,7 @@
 #include <eventloop/timers.h>
 
 #include <cstdint>
-#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,7 +48,10 @@
         std::size_t fewestWorkersToRelay = 0;
     };
 
-    WorkerRouter(const Ports &ports, const Membership &membership, const Settings &settings);
+    /// \p deposed is called when a daemon shows that there is a newer owner; not from within a
+    /// call.
+    WorkerRouter(const Ports &ports, const Membership &membership, const Settings &settings,
+                 std::function<void()> deposed);
     ~WorkerRouter() override;
     WorkerRouter(const WorkerRouter &) = delete;
     WorkerRouter &operator=(const WorkerRouter &) = delete;
@@ -114,6 +117,7 @@
     void observe(Duration taken, Duration limit, const Result<PeerAnswer> &answer);
     [[nodiscard]] Duration reserve() const;
     void deliver(Agent &agent, const RelayReply &reply);
+    void stopCalling();
     void failed(Agent &agent, const std::vector<std::uint64_t> &sent, const Error &error);
     void callDirectly(Agent &agent, std::uint64_t number);
     void reportUnknown(Agent &agent, std::uint64_t number);
@@ -122,6 +126,7 @@
     Ports m_ports;
     const Membership &m_membership;
     Settings m_settings;
+    std::function<void()> m_deposed;
     AnswerTimes m_delays; ///< Of answers to batches, beyond the time for which they are held.
     std::uint64_t m_lastCall = 0;
     std::map<std::string, Agent> m_agents; ///< By name.
--- a/standins/cell/tests/relay_test.cpp
+++ b/standins/cell/tests/relay_test.cpp
@@ -182,6 +182,40 @@
     BOOST_TEST(world.callsOf(relay, "worker.start") == before);
 }
 
+BOOST_AUTO_TEST_CASE(ownerThatARelayRefusesCallsNobodyAnyMore)
+{
+    World world(relayed());
+    world.run(startTime);
+    const auto owner = *world.owner();
+    const auto node = bystander(world);
+    for (std::uint32_t job = 1; job <= 12; ++job) {
+        auto plan = chain(2, milliseconds(600));
+        for (std::uint32_t step = 2; step < 8; ++step) {
+            plan.spec.steps.push_back(plan.spec.steps.front());
+            plan.spec.steps.back().after = { step - 1 };
+        }
+        world.submit(node, jobId(job), plan);
+    }
+    world.run(seconds(1));
+    // It goes on with what it knows, until another one owns the cell.
+    world.storeFault(owner, StoreFault::Silent);
+    for (int step = 0; *world.owner() == owner && step < 200; ++step)
+        world.run(milliseconds(50));
+    BOOST_REQUIRE(*world.owner() != owner);
+    const auto directCalls = [&] {
+        return world.callsOf(owner, "worker.start") + world.callsOf(owner, "worker.stop")
+            + world.callsOf(owner, "worker.inventory");
+    };
+    const auto before = directCalls();
+    world.run(seconds(3));
+    BOOST_TEST(directCalls() == before);
+    world.storeFault(owner, StoreFault::None);
+    world.run(seconds(25));
+    for (std::uint32_t job = 1; job <= 12; ++job)
+        BOOST_TEST((world.status(node, jobId(job)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
 BOOST_AUTO_TEST_CASE(malformedBatchIsRefusedAndHarmsNothing)
 {
     World world(relayed());
