Ask for the free askers without copying names; one reply callback in the relay

Found when reading the whole change. The choice of an asker, made for each question to the policy service by the owner, whose processor binds, copied the names of all daemons twice (294 strings at 147 daemons); it holds pointers to them now. Ruled out: merging the order and inventory callbacks of the router, whose types differ. Behaviour as before; the saving was not measured.

--- a/libs/cell/src/advicequeue.cpp
+++ b/libs/cell/src/advicequeue.cpp
@@ -59,18 +59,18 @@
         line.push_back(std::move(entry));
 }
 
-std::vector<std::string> AdviceQueue::askers() const
+std::vector<const std::string *> AdviceQueue::askers() const
 {
     const auto now = m_timers.now();
     const auto &self = m_membership.self().name;
-    std::vector<std::string> all{ self };
+    std::vector<const std::string *> all{ &self };
     for (const auto &[name, member] : m_membership.members()) {
         if (name != self)
-            all.push_back(name);
+            all.push_back(&name);
     }
-    std::vector<std::string> trusted;
-    for (const auto &name : all) {
-        const auto asker = m_askers.find(name);
+    std::vector<const std::string *> trusted;
+    for (const auto *name : all) {
+        const auto asker = m_askers.find(*name);
         if (asker == m_askers.end() || asker->second.avoidUntil <= now)
             trusted.push_back(name);
     }
@@ -85,11 +85,11 @@
     std::size_t slowNow = 0;
     const std::string *best = nullptr;
     TimePoint bestFree = now + overlap;
-    for (const auto &name : usable) {
-        const auto &asker = m_askers[name];
+    for (const auto *name : usable) {
+        const auto &asker = m_askers[*name];
         slowNow += asker.slowUntil > now ? 1 : 0;
         if (asker.busyUntil < bestFree || (best == nullptr && asker.busyUntil == bestFree)) {
-            best = &name;
+            best = name;
             bestFree = asker.busyUntil;
         }
     }
--- a/libs/cell/src/advicequeue.h
+++ b/libs/cell/src/advicequeue.h
@@ -72,7 +72,8 @@
     void dispatch();
     void scheduleDispatch(Duration delay);
     [[nodiscard]] std::string freeAsker(bool slow);
-    [[nodiscard]] std::vector<std::string> askers() const;
+    /// Names of the daemons to ask; they belong to the membership.
+    [[nodiscard]] std::vector<const std::string *> askers() const;
     void noteFailure(Asker &asker, Duration reserve, const Error &error);
     void send(Entry entry, const std::string &asker);
     void answered(Entry entry, const std::string &asker, const Result<Advice> &answer);
--- a/libs/cell/src/relayagent.cpp
+++ b/libs/cell/src/relayagent.cpp
@@ -61,41 +61,38 @@
             answer(m_sessions[shard]);
     });
     if (!session.replies.empty())
-        answerSoon(batch.shard, gatherTime);
+        answerSoon(batch.shard);
     for (const auto &call : batch.calls)
         std::visit([&](const auto &each) { begin(batch.shard, batch.ownershipRevision, each); },
                    call);
 }
 
+template <typename Reply, typename Outcome>
+Done<Result<Outcome>> RelayAgent::replyTo(std::uint32_t shard, std::uint64_t revision,
+                                          std::uint64_t call)
+{
+    return [this, alive = m_alive, shard, revision, call](const Result<Outcome> &outcome) {
+        if (*alive)
+            reply(shard, revision, Reply{ call, toVariant(outcome) });
+    };
+}
+
 void RelayAgent::begin(std::uint32_t shard, std::uint64_t revision, const RelayedStart &call)
 {
     m_workers.start(call.worker, call.order, call.options,
-                    [this, alive = m_alive, shard, revision,
-                     number = call.call](const Result<OrderOutcome> &outcome) {
-                        if (*alive)
-                            reply(shard, revision, OrderReply{ number, toVariant(outcome) });
-                    });
+                    replyTo<OrderReply, OrderOutcome>(shard, revision, call.call));
 }
 
 void RelayAgent::begin(std::uint32_t shard, std::uint64_t revision, const RelayedStop &call)
 {
     m_workers.stop(call.worker, call.order, call.options,
-                   [this, alive = m_alive, shard, revision,
-                    number = call.call](const Result<OrderOutcome> &outcome) {
-                       if (*alive)
-                           reply(shard, revision, OrderReply{ number, toVariant(outcome) });
-                   });
+                   replyTo<OrderReply, OrderOutcome>(shard, revision, call.call));
 }
 
 void RelayAgent::begin(std::uint32_t shard, std::uint64_t revision, const RelayedInventory &call)
 {
-    m_workers.inventory(
-        call.worker, call.request,
-        [this, alive = m_alive, shard, revision,
-         number = call.call](const Result<InventoryOutcome> &outcome) {
-            if (*alive)
-                reply(shard, revision, InventoryReply{ number, toVariant(outcome) });
-        });
+    m_workers.inventory(call.worker, call.request,
+                        replyTo<InventoryReply, InventoryOutcome>(shard, revision, call.call));
 }
 
 void RelayAgent::reply(std::uint32_t shard, std::uint64_t revision, RelayReply reply)
@@ -105,15 +102,15 @@
     if (session.ownershipRevision != revision)
         return;
     session.replies.push_back(std::move(reply));
-    answerSoon(shard, gatherTime);
+    answerSoon(shard);
 }
 
-void RelayAgent::answerSoon(std::uint32_t shard, Duration delay)
+void RelayAgent::answerSoon(std::uint32_t shard)
 {
     auto &session = m_sessions[shard];
     if (!session.waiting || std::exchange(session.answering, true))
         return;
-    m_timers.after(delay, [this, alive = m_alive, shard] {
+    m_timers.after(gatherTime, [this, alive = m_alive, shard] {
         if (*alive)
             answer(m_sessions[shard]);
     });
--- a/libs/cell/src/relayagent.h
+++ b/libs/cell/src/relayagent.h
@@ -43,8 +43,12 @@
     void begin(std::uint32_t shard, std::uint64_t revision, const RelayedStart &call);
     void begin(std::uint32_t shard, std::uint64_t revision, const RelayedStop &call);
     void begin(std::uint32_t shard, std::uint64_t revision, const RelayedInventory &call);
+    /// Takes the outcome of a call that was begun for an owner.
+    template <typename Reply, typename Outcome>
+    [[nodiscard]] Done<Result<Outcome>> replyTo(std::uint32_t shard, std::uint64_t revision,
+                                                std::uint64_t call);
     void reply(std::uint32_t shard, std::uint64_t revision, RelayReply reply);
-    void answerSoon(std::uint32_t shard, Duration delay);
+    void answerSoon(std::uint32_t shard);
     void answer(Session &session);
     [[nodiscard]] std::chrono::milliseconds clock() const;
     [[nodiscard]] bool stale(const RelayBatch &batch) const;
