Reach the store through another daemon while it does not answer this one

Each submission there waited 0.9 to 2.1 s for the daemon's own call before it was passed on, some of them to the other daemon without the store, which held them for 2 s more; an owner without the store lost its presence and the cell changed its owner. The timeout of calls had grown to 2 s by the silence itself, and one submission in 250 ms was used as a probe and waited for it. Change: StoreRouter makes every call of the store, directly or through a daemon that the store answers; StoreHealth tells a silent or refusing store from a slow one or a lost answer (600 ms without anything, or two refusals in a row). With no way left, calls fail at once and are not carried out. A daemon that reaches neither store nor peers is not ready. Ruled out: passing submissions to the owner only (leaves the owner itself, the configuration and presence without a way).

--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -8,8 +8,6 @@
 
 #include <base/id.h>
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace cowsliprock::cell {
@@ -20,8 +18,6 @@
 constexpr std::chrono::milliseconds ownerTimeout{ 300 };
 constexpr std::chrono::milliseconds peerTimeout{ 700 };
 constexpr std::chrono::milliseconds cancelRetryDelay{ 100 };
-/// Time for the store before another daemon is asked to store a job.
-constexpr std::chrono::milliseconds ownStoreTime{ 900 };
 
 const char *submissionEvent(SubmitResult result) noexcept
 {
@@ -46,7 +42,6 @@
     , m_localStatus(std::move(localStatus))
     , m_localPending(std::move(localPending))
     , m_submissions(ports.store, ports.timers, ports.metrics)
-    , m_random(static_cast<std::mt19937::result_type>(stableHash(membership.self().name)))
 { }
 
 FrontDesk::~FrontDesk()
@@ -77,140 +72,76 @@
     return owner->record.address;
 }
 
-std::optional<MemberRecord> FrontDesk::otherMember()
+void FrontDesk::submit(const JobRecord &record, TimePoint deadline, const Done<SubmitResult> &done)
 {
-    const auto &members = m_membership.members();
-    if (members.empty())
-        return std::nullopt;
-    std::uniform_int_distribution<std::size_t> pick(0, members.size() - 1);
-    auto member = std::next(members.begin(), static_cast<std::ptrdiff_t>(pick(m_random)));
-    if (member->first == m_membership.self().name && ++member == members.end())
-        member = members.begin();
-    if (member->first == m_membership.self().name)
-        return std::nullopt;
-    return member->second;
-}
-
-void FrontDesk::submit(const JobRecord &record, TimePoint deadline, bool relayed,
-                       const Done<SubmitResult> &done)
-{
-    const auto begun = m_ports.timers.now();
-    const auto ownDeadline = relayed ? deadline : std::min(deadline, begun + ownStoreTime);
-    m_submissions.submit(
-        jobKey(record.id), endedKey(record.id), encode(record), ownDeadline,
-        [this, alive = m_alive, record, begun, deadline, relayed, done](SubmitResult result) {
-            if (!*alive)
-                return;
-            const bool timeLeft = m_ports.timers.now() + peerTimeout < deadline;
-            if (result == SubmitResult::Accepted || relayed || !timeLeft) {
-                logSubmission(record.id, begun, relayed ? "peer" : "client", result);
-                done(result);
-                return;
-            }
-            submitThroughPeer(record, deadline, result == SubmitResult::Unknown,
-                              [this, alive, id = record.id, begun, done](SubmitResult last) {
-                                  if (!*alive)
-                                      return;
-                                  logSubmission(id, begun, "client", last);
-                                  done(last);
-                              });
-        });
+    m_submissions.submit(jobKey(record.id), endedKey(record.id), encode(record), deadline,
+                         [this, alive = m_alive, id = record.id, begun = m_ports.timers.now(),
+                          done](SubmitResult result) {
+                             if (!*alive)
+                                 return;
+                             logSubmission(id, begun, result);
+                             done(result);
+                         });
 }
 
 std::chrono::seconds FrontDesk::comeBackAfter() const noexcept
 {
-    return cell::comeBackAfter(m_submissions.outage());
+    return cell::comeBackAfter(m_ports.store.outage());
 }
 
-void FrontDesk::logSubmission(const std::string &id, TimePoint begun, const char *asker,
-                              SubmitResult result)
+void FrontDesk::logSubmission(const std::string &id, TimePoint begun, SubmitResult result)
 {
     const auto now = m_ports.timers.now();
     m_ports.log.write(now, submissionEvent(result),
                       { { "job", id },
-                        { "asker", asker },
                         { "ms", toMilliseconds(now - begun) },
-                        { "storeFailing", m_submissions.storeFailing() } });
+                        { "storeFailing", !m_ports.store.direct() } });
 }
 
-void FrontDesk::submitThroughPeer(const JobRecord &record, TimePoint deadline, bool uncertain,
-                                  const Done<SubmitResult> &done)
-{
-    const auto fallback = uncertain ? SubmitResult::Unknown : SubmitResult::NotStored;
-    const auto peer = otherMember();
-    if (!peer) {
-        done(fallback);
-        return;
-    }
-    m_ports.log.write(m_ports.timers.now(), "job.relayed",
-                      { { "job", record.id }, { "peer", peer->name } });
-    const auto timeout = std::min<Duration>(peerTimeout, deadline - m_ports.timers.now());
-    m_ports.peers.call({ peer->address, "POST", "/peer/submit", encode(record), timeout },
-                       [fallback, done](const Result<PeerAnswer> &answer) {
-                           if (!answer.has_value()) {
-                               done(mayHaveTakenEffect(answer.error()) ? SubmitResult::Unknown
-                                                                       : fallback);
-                               return;
-                           }
-                           const auto reply = decodeSubmitReply(answer.value().body);
-                           if (!reply)
-                               done(SubmitResult::Unknown);
-                           else if (reply->result == SubmitResult::NotStored)
-                               done(fallback);
-                           else
-                               done(reply->result);
-                       });
-}
-
-void FrontDesk::status(const std::string &id, bool relayed, const Done<StatusAnswer> &done)
+void FrontDesk::status(const std::string &id, const Done<StatusAnswer> &done)
 {
     const auto shard = shardOf(id);
     if (const auto local = m_localStatus(shard, id)) {
         if (*local)
             done({ true, *local });
         else
-            statusFromStore(id, relayed, done);
+            statusFromStore(id, done);
         return;
     }
     if (const auto address = otherOwner(shard))
-        statusFromOwner(id, *address, relayed, done);
+        statusFromOwner(id, *address, done);
     else
-        statusFromStore(id, relayed, done);
+        statusFromStore(id, done);
 }
 
-void FrontDesk::statusFromOwner(const std::string &id, const std::string &address, bool relayed,
+void FrontDesk::statusFromOwner(const std::string &id, const std::string &address,
                                 const Done<StatusAnswer> &done)
 {
-    m_ports.peers.call(
-        { address, "GET", "/peer/job/" + id, "", ownerTimeout },
-        [this, alive = m_alive, id, relayed, done](const Result<PeerAnswer> &answer) {
-            if (!*alive)
-                return;
-            if (answer.has_value() && answer.value().status == statusOk) {
-                const auto status = decodeStatus(answer.value().body);
-                if (status && *status) {
-                    done({ true, *status });
-                    return;
-                }
-            }
-            // A job that was just accepted may not have reached its owner.
-            statusFromStore(id, relayed, done);
-        });
+    m_ports.peers.call({ address, "GET", "/peer/job/" + id, "", ownerTimeout },
+                       [this, alive = m_alive, id, done](const Result<PeerAnswer> &answer) {
+                           if (!*alive)
+                               return;
+                           if (answer.has_value() && answer.value().status == statusOk) {
+                               const auto status = decodeStatus(answer.value().body);
+                               if (status && *status) {
+                                   done({ true, *status });
+                                   return;
+                               }
+                           }
+                           // A job that was just accepted may not have reached its owner.
+                           statusFromStore(id, done);
+                       });
 }
 
-void FrontDesk::statusFromStore(const std::string &id, bool relayed, const Done<StatusAnswer> &done)
+void FrontDesk::statusFromStore(const std::string &id, const Done<StatusAnswer> &done)
 {
     const auto key = keys::state(shardOf(id), id);
     m_ports.store.read(
-        key,
-        [this, alive = m_alive, id, relayed, done](const Result<std::optional<StoreItem>> &item) {
+        key, [this, alive = m_alive, id, done](const Result<std::optional<StoreItem>> &item) {
             if (!*alive)
                 return;
             if (!item.has_value()) {
-                if (relayed)
-                    done({});
-                else
-                    statusThroughPeer(id, done);
+                done({});
                 return;
             }
             if (!item.value()) {
@@ -264,42 +195,23 @@
     });
 }
 
-void FrontDesk::statusThroughPeer(const std::string &id, const Done<StatusAnswer> &done)
+void FrontDesk::cancel(const std::string &id, TimePoint deadline, const Done<CancelResult> &done)
 {
-    const auto peer = otherMember();
-    if (!peer) {
-        done({});
-        return;
-    }
-    m_ports.peers.call({ peer->address, "GET", "/peer/find/" + id, "", peerTimeout },
-                       [done](const Result<PeerAnswer> &answer) {
-                           if (!answer.has_value() || answer.value().status != statusOk) {
-                               done({});
-                               return;
-                           }
-                           const auto status = decodeStatus(answer.value().body);
-                           done({ status.has_value(), status.value_or(std::nullopt) });
-                       });
-}
-
-void FrontDesk::cancel(const std::string &id, TimePoint deadline, bool relayed,
-                       const Done<CancelResult> &done)
-{
-    m_ports.store.read(jobKey(id),
-                       [this, alive = m_alive, id, deadline, relayed,
-                        done](const Result<std::optional<StoreItem>> &item) {
-                           if (!*alive)
-                               return;
-                           if (!item.has_value()) {
-                               cancelAgain(id, deadline, relayed, done);
-                               return;
-                           }
-                           if (!item.value()) {
-                               cancelEnded(id, done);
-                               return;
-                           }
-                           cancelWrite(id, *item.value(), deadline, relayed, done);
-                       });
+    m_ports.store.read(
+        jobKey(id),
+        [this, alive = m_alive, id, deadline, done](const Result<std::optional<StoreItem>> &item) {
+            if (!*alive)
+                return;
+            if (!item.has_value()) {
+                cancelAgain(id, deadline, done);
+                return;
+            }
+            if (!item.value()) {
+                cancelEnded(id, done);
+                return;
+            }
+            cancelWrite(id, *item.value(), deadline, done);
+        });
 }
 
 void FrontDesk::cancelEnded(const std::string &id, const Done<CancelResult> &done)
@@ -314,7 +226,7 @@
 }
 
 void FrontDesk::cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline,
-                            bool relayed, const Done<CancelResult> &done)
+                            const Done<CancelResult> &done)
 {
     auto record = decodeJob(item.value);
     if (!record) {
@@ -332,8 +244,7 @@
     transaction.writes.push_back({ item.key, encode(*record), 0 });
     m_ports.store.commit(
         transaction,
-        [this, alive = m_alive, id, deadline, relayed,
-         done](const Result<TransactionOutcome> &outcome) {
+        [this, alive = m_alive, id, deadline, done](const Result<TransactionOutcome> &outcome) {
             if (!*alive)
                 return;
             if (outcome.has_value() && std::holds_alternative<Committed>(outcome.value())) {
@@ -344,7 +255,7 @@
                 return;
             }
             // Reading again also settles a write without an answer.
-            cancelAgain(id, deadline, relayed, done);
+            cancelAgain(id, deadline, done);
         });
 }
 
@@ -358,46 +269,19 @@
                        [](const Result<PeerAnswer> &) {});
 }
 
-void FrontDesk::cancelAgain(const std::string &id, TimePoint deadline, bool relayed,
+void FrontDesk::cancelAgain(const std::string &id, TimePoint deadline,
                             const Done<CancelResult> &done)
 {
     if (m_ports.timers.now() + cancelRetryDelay >= deadline) {
         done(CancelResult::Unavailable);
         return;
     }
-    m_ports.timers.after(cancelRetryDelay, [this, alive = m_alive, id, deadline, relayed, done] {
-        if (!*alive)
-            return;
-        if (!relayed && m_ports.timers.now() + peerTimeout < deadline)
-            cancelThroughPeer(id, deadline, done);
-        else
-            cancel(id, deadline, relayed, done);
+    m_ports.timers.after(cancelRetryDelay, [this, alive = m_alive, id, deadline, done] {
+        if (*alive)
+            cancel(id, deadline, done);
     });
 }
 
-void FrontDesk::cancelThroughPeer(const std::string &id, TimePoint deadline,
-                                  const Done<CancelResult> &done)
-{
-    const auto peer = otherMember();
-    if (!peer) {
-        cancel(id, deadline, true, done);
-        return;
-    }
-    m_ports.peers.call(
-        { peer->address, "POST", "/peer/cancel/" + id, "", peerTimeout },
-        [this, alive = m_alive, id, deadline, done](const Result<PeerAnswer> &answer) {
-            if (!*alive)
-                return;
-            std::optional<CancelReply> reply;
-            if (answer.has_value())
-                reply = decodeCancelReply(answer.value().body);
-            if (reply && reply->result != CancelResult::Unavailable)
-                done(reply->result);
-            else
-                cancel(id, deadline, true, done);
-        });
-}
-
 void FrontDesk::pending(const std::string &queue, const Done<std::optional<std::uint64_t>> &done)
 {
     struct Sum
--- a/libs/cell/src/frontdesk.h
+++ b/libs/cell/src/frontdesk.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership.h"
+#include "storerouter.h"
 #include "submissions.h"
 
 #include <cell/clientresults.h>
@@ -13,19 +14,17 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 
 namespace cowsliprock::cell {
 
-/// Handles calls of clients: asks the owner of a job's shard, the store, or another daemon if the
-/// store does not answer this one.
+/// Handles calls of clients: asks the owner of a job's shard, or the store.
 class FrontDesk
 {
 public:
     struct Ports
     {
-        StorePort &store;
+        StoreRouter &store;
         PeerPort &peers;
         Timers &timers;
         EventLog &log;
@@ -44,12 +43,9 @@
     FrontDesk(const FrontDesk &) = delete;
     FrontDesk &operator=(const FrontDesk &) = delete;
 
-    /// \p relayed: the call comes from another daemon and is not passed on again.
-    void submit(const JobRecord &record, TimePoint deadline, bool relayed,
-                const Done<SubmitResult> &done);
-    void status(const std::string &id, bool relayed, const Done<StatusAnswer> &done);
-    void cancel(const std::string &id, TimePoint deadline, bool relayed,
-                const Done<CancelResult> &done);
+    void submit(const JobRecord &record, TimePoint deadline, const Done<SubmitResult> &done);
+    void status(const std::string &id, const Done<StatusAnswer> &done);
+    void cancel(const std::string &id, TimePoint deadline, const Done<CancelResult> &done);
     void pending(const std::string &queue, const Done<std::optional<std::uint64_t>> &done);
 
     /// When a caller that is refused now should try again.
@@ -60,28 +56,19 @@
 private:
     /// Address of the owner of a shard, if that is another daemon.
     [[nodiscard]] std::optional<std::string> otherOwner(std::uint32_t shard) const;
-    [[nodiscard]] std::optional<MemberRecord> otherMember();
     [[nodiscard]] std::string jobKey(const std::string &id) const;
     [[nodiscard]] std::string endedKey(const std::string &id) const;
-    /// \p asker says whether a client or another daemon gets the answer.
-    void logSubmission(const std::string &id, TimePoint begun, const char *asker,
-                       SubmitResult result);
-    void submitThroughPeer(const JobRecord &record, TimePoint deadline, bool uncertain,
-                           const Done<SubmitResult> &done);
-    void statusFromOwner(const std::string &id, const std::string &address, bool relayed,
+    void logSubmission(const std::string &id, TimePoint begun, SubmitResult result);
+    void statusFromOwner(const std::string &id, const std::string &address,
                          const Done<StatusAnswer> &done);
-    void statusFromStore(const std::string &id, bool relayed, const Done<StatusAnswer> &done);
+    void statusFromStore(const std::string &id, const Done<StatusAnswer> &done);
     void statusFromJob(const std::string &id, bool begun, const Done<StatusAnswer> &done);
     void statusFromEnd(const std::string &id, const Done<StatusAnswer> &done);
-    void statusThroughPeer(const std::string &id, const Done<StatusAnswer> &done);
     void cancelEnded(const std::string &id, const Done<CancelResult> &done);
-    void cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline, bool relayed,
+    void cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline,
                      const Done<CancelResult> &done);
     void tellOwner(const std::string &id);
-    void cancelAgain(const std::string &id, TimePoint deadline, bool relayed,
-                     const Done<CancelResult> &done);
-    void cancelThroughPeer(const std::string &id, TimePoint deadline,
-                           const Done<CancelResult> &done);
+    void cancelAgain(const std::string &id, TimePoint deadline, const Done<CancelResult> &done);
 
     Ports m_ports;
     Membership &m_membership;
@@ -89,7 +76,6 @@
     LocalStatus m_localStatus;
     LocalPending m_localPending;
     Submissions m_submissions;
-    std::mt19937 m_random;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/libs/cell/src/keys.h
+++ b/libs/cell/src/keys.h
@@ -51,6 +51,9 @@
     return endedPrefix(shard) + id;
 }
 
+/// Read to see whether the store answers; it is never written.
+inline const std::string probe = "cowsliprock/probe";
+
 /// Workers that the owner of a shard uses, for its successor.
 inline std::string roster(std::uint32_t shard)
 {
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -11,10 +11,13 @@
 #include "relayagent.h"
 #include "relaymessages.h"
 #include "shard.h"
+#include "storerouter.h"
 #include "workerrouter.h"
 
+#include <base/id.h>
 #include <base/parsenumber.h>
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -23,9 +26,6 @@
 
 namespace {
 
-/// Calls that a daemon makes for another one end before that one gives up.
-constexpr std::chrono::milliseconds relayedCallTime{ 600 };
-
 /// The rest of \p path after \p prefix, or nothing.
 std::optional<std::string> pathAfter(const std::string &path, std::string_view prefix)
 {
@@ -61,14 +61,16 @@
     void peerPending(const std::string &rest, const Done<PeerAnswer> &done);
     void peerAdvise(const std::string &body, const Done<PeerAnswer> &done);
     void peerRelay(const std::string &body, const Done<PeerAnswer> &done);
-    void peerSubmit(const std::string &body, const Done<PeerAnswer> &done);
+    void peerStore(const std::string &body, const Done<PeerAnswer> &done);
+    [[nodiscard]] std::vector<std::string> otherDaemons() const;
 
     CallMeter meter;
     MeasuredStore store;
     MeasuredWorkers workers;
     MeasuredAdvice adviceService;
     MeasuredPeers peers;
-    Ports ports; ///< Those that are measured.
+    StoreRouter router;
+    Ports ports; ///< Those that are measured; the store is reached through the router.
     Settings settings;
     PlatformRecords records;
     Membership membership;
@@ -87,18 +89,20 @@
     , workers(nodePorts.workers, meter)
     , adviceService(nodePorts.advice, meter)
     , peers(nodePorts.peers, meter)
-    , ports{ store,         workers,          adviceService, peers, nodePorts.timers,
-             nodePorts.log, nodePorts.metrics }
+    , router({ store, peers, nodePorts.timers, nodePorts.log, nodePorts.metrics },
+             [this] { return otherDaemons(); })
+    , ports{ router,           workers,       adviceService,    peers,
+             nodePorts.timers, nodePorts.log, nodePorts.metrics }
     , settings(std::move(nodeSettings))
     , records(std::move(platformRecords))
     , membership(ports.store, ports.timers, ports.log,
                  MemberRecord{ settings.name, settings.incarnation, settings.address,
                                settings.dataCentre, settings.weight })
-    , configuration(ports.store, ports.peers, ports.timers, ports.log, membership, records)
+    , configuration(ports.store, ports.timers, ports.log, records)
     , advice(ports.advice, ports.peers, ports.timers, membership)
     , agent(ports.workers, ports.timers, membership)
     , desk(
-          { ports.store, ports.peers, ports.timers, ports.log, ports.metrics }, membership,
+          { router, ports.peers, ports.timers, ports.log, ports.metrics }, membership,
           settings.shards,
           [this](std::uint32_t shard,
                  const std::string &id) -> std::optional<std::optional<JobStatus>> {
@@ -237,16 +241,8 @@
             done({ statusUnavailable, "{}" });
         else
             done({ statusOk, encodeStatus(shard->scheduler().status(*id)) });
-    } else if (const auto sought = pathAfter(path, "/peer/find/")) {
-        desk.status(*sought, true, [done](const StatusAnswer &answer) {
-            done({ answer.available ? statusOk : statusUnavailable, encodeStatus(answer.status) });
-        });
     } else if (const auto rest = pathAfter(path, "/peer/pending/")) {
         peerPending(*rest, done);
-    } else if (const auto version = pathAfter(path, "/peer/configuration/")) {
-        const auto newer =
-            configuration.newerThan(parseNumber<std::uint64_t>(*version).value_or(0));
-        done({ newer ? statusOk : statusNotFound, newer.value_or("{}") });
     } else {
         done({ statusNotFound, "{}" });
     }
@@ -272,17 +268,13 @@
         peerAdvise(body, done);
     } else if (path == "/peer/relay") {
         peerRelay(body, done);
-    } else if (path == "/peer/submit") {
-        peerSubmit(body, done);
+    } else if (path == "/peer/store") {
+        peerStore(body, done);
     } else if (const auto cancelled = pathAfter(path, "/peer/cancelled/")) {
         const auto number = desk.shardOf(*cancelled);
         if (loadedShard(number) != nullptr)
             slots[number].shard->jobCancelled(*cancelled);
         done({ statusOk, "{}" });
-    } else if (const auto id = pathAfter(path, "/peer/cancel/")) {
-        desk.cancel(*id, ports.timers.now() + relayedCallTime, true, [done](CancelResult result) {
-            done({ statusOk, encode(CancelReply{ result }) });
-        });
     } else {
         done({ statusNotFound, "{}" });
     }
@@ -312,18 +304,41 @@
         done({ statusBadRequest, "{}" });
 }
 
-void Node::State::peerSubmit(const std::string &body, const Done<PeerAnswer> &done)
+void Node::State::peerStore(const std::string &body, const Done<PeerAnswer> &done)
 {
-    const auto record = decodeJob(body);
-    if (!record) {
+    const auto call = decodeStoreCall(body);
+    if (!call) {
         done({ statusBadRequest, "{}" });
         return;
     }
-    desk.submit(*record, ports.timers.now() + relayedCallTime, true, [done](SubmitResult result) {
-        done({ statusOk, encode(SubmitReply{ result }) });
+    router.serve(*call, [done](const Result<StoreReply> &reply) {
+        if (reply.has_value())
+            done({ statusOk, encode(reply.value()) });
+        else
+            done({ mayHaveTakenEffect(reply.error()) ? statusTimeout : statusUnavailable, "{}" });
     });
 }
 
+std::vector<std::string> Node::State::otherDaemons() const
+{
+    std::vector<const MemberRecord *> others;
+    for (const auto &[name, member] : membership.members()) {
+        if (name != settings.name)
+            others.push_back(&member);
+    }
+    // Each daemon has its own order, so that those without the store do not all choose one.
+    const auto rank = [this](const MemberRecord *member) {
+        return std::pair(member->dataCentre != settings.dataCentre,
+                         stableHash(settings.name + "/" + member->name));
+    };
+    std::sort(others.begin(), others.end(),
+              [&rank](const auto *left, const auto *right) { return rank(left) < rank(right); });
+    std::vector<std::string> addresses;
+    for (const auto *member : others)
+        addresses.push_back(member->address);
+    return addresses;
+}
+
 Node::Node(const Ports &ports, Settings settings, PlatformRecords records)
     : m_state(std::make_unique<State>(ports, std::move(settings), std::move(records)))
 { }
@@ -344,7 +359,7 @@
 bool Node::ready() const noexcept
 {
     return !m_state->stopping && m_state->configuration.current() != nullptr
-        && m_state->membership.synchronized();
+        && m_state->membership.synchronized() && !m_state->router.isolated();
 }
 
 void Node::shutdown(Duration limit, std::function<void()> done)
@@ -365,7 +380,7 @@
     record.queue = queue;
     record.configurationVersion = configuration()->version;
     record.spec = std::move(spec);
-    m_state->desk.submit(record, deadline, false, done);
+    m_state->desk.submit(record, deadline, done);
 }
 
 std::chrono::seconds Node::comeBackAfter() const noexcept
@@ -375,12 +390,12 @@
 
 void Node::status(const std::string &id, const Done<StatusAnswer> &done)
 {
-    m_state->desk.status(id, false, done);
+    m_state->desk.status(id, done);
 }
 
 void Node::cancel(const std::string &id, TimePoint deadline, const Done<CancelResult> &done)
 {
-    m_state->desk.cancel(id, deadline, false, done);
+    m_state->desk.cancel(id, deadline, done);
 }
 
 void Node::pending(const std::string &queue, const Done<std::optional<std::uint64_t>> &done)
--- a/libs/cell/src/peermessages.cpp
+++ b/libs/cell/src/peermessages.cpp
@@ -23,16 +23,6 @@
     }.dump();
 }
 
-std::string encode(const SubmitReply &reply)
-{
-    return Json{ { "result", static_cast<int>(reply.result) } }.dump();
-}
-
-std::string encode(const CancelReply &reply)
-{
-    return Json{ { "result", static_cast<int>(reply.result) } }.dump();
-}
-
 std::string encodeStatus(const std::optional<JobStatus> &status)
 {
     Json json = Json::object();
@@ -65,25 +55,6 @@
     });
 }
 
-std::optional<SubmitReply> decodeSubmitReply(const std::string &text)
-{
-    return decodeJson(text, [](const Json &json) {
-        // An unknown number promises nothing.
-        const int number = json.at("result");
-        const bool known = number >= 0 && number <= static_cast<int>(SubmitResult::Unknown);
-        return SubmitReply{ known ? static_cast<SubmitResult>(number) : SubmitResult::Unknown };
-    });
-}
-
-std::optional<CancelReply> decodeCancelReply(const std::string &text)
-{
-    return decodeJson(text, [](const Json &json) {
-        const int number = json.at("result");
-        const bool known = number >= 0 && number <= static_cast<int>(CancelResult::Unavailable);
-        return CancelReply{ known ? static_cast<CancelResult>(number) : CancelResult::Unavailable };
-    });
-}
-
 std::optional<std::optional<JobStatus>> decodeStatus(const std::string &text)
 {
     return decodeJson(text, [](const Json &json) -> std::optional<JobStatus> {
--- a/libs/cell/src/peermessages.h
+++ b/libs/cell/src/peermessages.h
@@ -17,6 +17,7 @@
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusConflict = 409;
 constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusTimeout = 504;
 
 /// Bodies of the calls between daemons, as JSON. Decoders return nothing for malformed text.
 
@@ -27,28 +28,13 @@
     Duration timeout{};
 };
 
-/// What became of a call that another daemon makes on this one's behalf.
-struct SubmitReply
-{
-    SubmitResult result = SubmitResult::Unknown;
-};
-
-struct CancelReply
-{
-    CancelResult result = CancelResult::Unavailable;
-};
-
 [[nodiscard]] std::string encode(const AdviceQuestion &question);
 [[nodiscard]] std::string encode(const Advice &advice);
-[[nodiscard]] std::string encode(const SubmitReply &reply);
-[[nodiscard]] std::string encode(const CancelReply &reply);
 [[nodiscard]] std::string encodeStatus(const std::optional<JobStatus> &status);
 [[nodiscard]] std::string encodeCount(std::uint64_t count);
 
 [[nodiscard]] std::optional<AdviceQuestion> decodeAdviceQuestion(const std::string &text);
 [[nodiscard]] std::optional<Advice> decodeAdvice(const std::string &text);
-[[nodiscard]] std::optional<SubmitReply> decodeSubmitReply(const std::string &text);
-[[nodiscard]] std::optional<CancelReply> decodeCancelReply(const std::string &text);
 /// The outer value is empty if the text is malformed, the inner one if the job is not known.
 [[nodiscard]] std::optional<std::optional<JobStatus>> decodeStatus(const std::string &text);
 [[nodiscard]] std::optional<std::uint64_t> decodeCount(const std::string &text);
--- /dev/null
+++ b/libs/cell/src/storecalls.cpp
@@ -0,0 +1,302 @@
+#include "storecalls.h"
+
+#include <base/readjson.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// Turns the result of one kind of call into a reply.
+template <typename Reply, typename T>
+Done<Result<T>> replying(const Done<Result<StoreReply>> &done)
+{
+    return [done](const Result<T> &result) {
+        if (result.has_value())
+            done(StoreReply(Reply{ result.value() }));
+        else
+            done(result.error());
+    };
+}
+
+struct Performer
+{
+    StorePort &store;
+    const Done<Result<StoreReply>> &done;
+
+    void operator()(const StoreReadCall &call) const
+    {
+        using Item = std::optional<StoreItem>;
+        store.read(call.key, replying<Item, Item>(done));
+    }
+    void operator()(const StoreListCall &call) const
+    {
+        store.list(call.prefix, call.after, replying<StorePage, StorePage>(done));
+    }
+    void operator()(const StoreWatchCall &call) const
+    {
+        store.watch(call.prefix, call.after, call.wait, replying<StoreEvents, StoreEvents>(done));
+    }
+    void operator()(const StoreCommitCall &call) const
+    {
+        store.commit(call.transaction, replying<TransactionOutcome, TransactionOutcome>(done));
+    }
+    void operator()(const StoreGrantCall &call) const
+    {
+        store.grantLease(call.timeToLive, replying<LeaseGranted, std::uint64_t>(done));
+    }
+    void operator()(const StoreKeepCall &call) const
+    {
+        store.keepLease(call.lease, replying<LeaseKept, bool>(done));
+    }
+};
+
+Json toJson(const StoreItem &item)
+{
+    return Json::array({ item.key, item.value, item.revision, item.created, item.lease });
+}
+
+StoreItem itemOf(const Json &json)
+{
+    return { json.at(0), json.at(1), json.at(2), json.at(3), json.at(4) };
+}
+
+Json toJson(const std::vector<StoreItem> &items)
+{
+    Json rows = Json::array();
+    for (const auto &item : items)
+        rows.push_back(toJson(item));
+    return rows;
+}
+
+std::vector<StoreItem> itemsOf(const Json &json)
+{
+    std::vector<StoreItem> items;
+    for (const auto &row : json)
+        items.push_back(itemOf(row));
+    return items;
+}
+
+Json toJson(const Transaction &transaction)
+{
+    Json conditions = Json::array();
+    for (const auto &condition : transaction.conditions)
+        conditions.push_back(Json::array({ condition.key, condition.revision }));
+    Json writes = Json::array();
+    for (const auto &write : transaction.writes)
+        writes.push_back(Json::array({ write.key, write.value, write.lease }));
+    return Json::array({ std::move(conditions), std::move(writes), transaction.removals });
+}
+
+Transaction transactionOf(const Json &json)
+{
+    Transaction transaction;
+    for (const auto &row : json.at(0))
+        transaction.conditions.push_back({ row.at(0), row.at(1) });
+    for (const auto &row : json.at(1))
+        transaction.writes.push_back({ row.at(0), row.at(1), row.at(2) });
+    transaction.removals = json.at(2).get<std::vector<std::string>>();
+    return transaction;
+}
+
+// Members of the messages after the number of the alternative.
+
+Json membersOf(const StoreReadCall &call)
+{
+    return Json::array({ call.key });
+}
+
+Json membersOf(const StoreListCall &call)
+{
+    return Json::array({ call.prefix, call.after });
+}
+
+Json membersOf(const StoreWatchCall &call)
+{
+    return Json::array({ call.prefix, call.after, call.wait.count() });
+}
+
+Json membersOf(const StoreCommitCall &call)
+{
+    return Json::array({ toJson(call.transaction) });
+}
+
+Json membersOf(const StoreGrantCall &call)
+{
+    return Json::array({ call.timeToLive.count() });
+}
+
+Json membersOf(const StoreKeepCall &call)
+{
+    return Json::array({ call.lease });
+}
+
+Json membersOf(const std::optional<StoreItem> &item)
+{
+    return item ? Json::array({ toJson(*item) }) : Json::array();
+}
+
+Json membersOf(const StorePage &page)
+{
+    return Json::array({ toJson(page.items), page.more, page.asOf });
+}
+
+Json membersOf(const StoreEvents &events)
+{
+    Json rows = Json::array();
+    for (const auto &event : events.events)
+        rows.push_back(Json::array({ toJson(event.item), event.removed }));
+    return Json::array({ std::move(rows), events.asOf, events.historyLost });
+}
+
+Json membersOf(const TransactionOutcome &outcome)
+{
+    if (const auto *committed = std::get_if<Committed>(&outcome))
+        return Json::array({ outcome.index(), committed->revision });
+    if (const auto *failed = std::get_if<ConditionFailed>(&outcome))
+        return Json::array({ outcome.index(), toJson(failed->present) });
+    return Json::array({ outcome.index() });
+}
+
+Json membersOf(const LeaseGranted &granted)
+{
+    return Json::array({ granted.lease });
+}
+
+Json membersOf(const LeaseKept &kept)
+{
+    return Json::array({ kept.kept });
+}
+
+template <typename Message>
+std::string encodeMessage(const Message &message)
+{
+    const Json members =
+        std::visit([](const auto &alternative) { return membersOf(alternative); }, message);
+    const auto bytes = Json::to_cbor(Json::array({ message.index(), members }));
+    return { bytes.begin(), bytes.end() };
+}
+
+/// Numbers of the alternatives.
+enum class Kind { Read, List, Watch, Commit, Grant, Keep };
+
+Kind kindOf(const Json &json)
+{
+    const int number = json;
+    if (number < 0 || number > static_cast<int>(Kind::Keep))
+        throw std::out_of_range("unknown number of a call of the store");
+    return static_cast<Kind>(number);
+}
+
+StoreCall callOf(Kind kind, const Json &members)
+{
+    switch (kind) {
+    case Kind::Read:
+        return StoreReadCall{ members.at(0) };
+    case Kind::List:
+        return StoreListCall{ members.at(0), members.at(1) };
+    case Kind::Watch:
+        return StoreWatchCall{ members.at(0), members.at(1),
+                               Duration(members.at(2).get<std::int64_t>()) };
+    case Kind::Commit:
+        return StoreCommitCall{ transactionOf(members.at(0)) };
+    case Kind::Grant:
+        return StoreGrantCall{ Duration(members.at(0).get<std::int64_t>()) };
+    case Kind::Keep:
+        break;
+    }
+    return StoreKeepCall{ members.at(0) };
+}
+
+StoreEvents eventsOf(const Json &members)
+{
+    StoreEvents events;
+    for (const auto &row : members.at(0))
+        events.events.push_back({ itemOf(row.at(0)), row.at(1) });
+    events.asOf = members.at(1);
+    events.historyLost = members.at(2);
+    return events;
+}
+
+TransactionOutcome outcomeOf(const Json &members)
+{
+    switch (members.at(0).get<std::size_t>()) {
+    case 0:
+        return Committed{ members.at(1) };
+    case 1:
+        return ConditionFailed{ itemsOf(members.at(1)) };
+    case 2:
+        return LeaseMissing{};
+    default:
+        throw std::out_of_range("unknown number of an outcome");
+    }
+}
+
+StoreReply replyOf(Kind kind, const Json &members)
+{
+    switch (kind) {
+    case Kind::Read:
+        return members.empty() ? std::nullopt : std::optional(itemOf(members.at(0)));
+    case Kind::List:
+        return StorePage{ itemsOf(members.at(0)), members.at(1), members.at(2) };
+    case Kind::Watch:
+        return eventsOf(members);
+    case Kind::Commit:
+        return outcomeOf(members);
+    case Kind::Grant:
+        return LeaseGranted{ members.at(0) };
+    case Kind::Keep:
+        break;
+    }
+    return LeaseKept{ members.at(0) };
+}
+
+template <typename Read>
+auto decodeMessage(const std::string &bytes, const Read &read)
+{
+    const Json json = Json::from_cbor(bytes, true, false);
+    return readJson(
+        json, [&read](const Json &message) { return read(kindOf(message.at(0)), message.at(1)); });
+}
+
+} // namespace
+
+void perform(const StoreCall &call, StorePort &store, const Done<Result<StoreReply>> &done)
+{
+    std::visit(Performer{ store, done }, call);
+}
+
+Duration waitOf(const StoreCall &call) noexcept
+{
+    const auto *watch = std::get_if<StoreWatchCall>(&call);
+    return watch == nullptr ? Duration::zero() : watch->wait;
+}
+
+bool isIdempotent(const StoreCall &call) noexcept
+{
+    return !std::holds_alternative<StoreCommitCall>(call);
+}
+
+std::string encode(const StoreCall &call)
+{
+    return encodeMessage(call);
+}
+
+std::string encode(const StoreReply &reply)
+{
+    return encodeMessage(reply);
+}
+
+std::optional<StoreCall> decodeStoreCall(const std::string &bytes)
+{
+    return decodeMessage(bytes, callOf);
+}
+
+std::optional<StoreReply> decodeStoreReply(const std::string &bytes)
+{
+    return decodeMessage(bytes, replyOf);
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/storehealth.cpp
@@ -0,0 +1,84 @@
+#include "storehealth.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cowsliprock::cell {
+
+namespace {
+
+/// Nothing comes from a store that works for this long only if the link is full.
+constexpr std::chrono::milliseconds shortestSilence{ 600 };
+constexpr std::uint32_t refusalsUntilFailing = 2;
+
+} // namespace
+
+StoreHealth::CallNumber StoreHealth::sent(TimePoint now, bool waits)
+{
+    const auto call = ++m_lastCall;
+    m_open.emplace(call, OpenCall{ now, waits });
+    return call;
+}
+
+void StoreHealth::answered(CallNumber call, TimePoint now)
+{
+    m_lastHeard = now;
+    m_silent = false;
+    const auto open = m_open.extract(call);
+    if (open.empty())
+        return;
+    const auto &[sent, waits] = open.mapped();
+    if (!waits)
+        m_answerTimes.observe(now - sent);
+    if (sent >= m_lastRefused)
+        m_refusals = 0;
+}
+
+void StoreHealth::refused(CallNumber call, TimePoint now)
+{
+    ++m_refusals;
+    m_lastRefused = now;
+    endInSilence(call, now);
+}
+
+void StoreHealth::unanswered(CallNumber call, TimePoint now)
+{
+    endInSilence(call, now);
+}
+
+void StoreHealth::endInSilence(CallNumber call, TimePoint now)
+{
+    const auto open = m_open.extract(call);
+    if (open.empty() || open.mapped().waits)
+        return;
+    // Answers that came meanwhile show that only this one was lost.
+    const auto sent = open.mapped().sent;
+    m_silent = m_silent || (sent >= m_lastHeard && now - sent >= shortestSilence);
+}
+
+bool StoreHealth::failing(TimePoint now) const
+{
+    return m_refusals >= refusalsUntilFailing || silent(now);
+}
+
+bool StoreHealth::silent(TimePoint now) const
+{
+    const auto silence = silentAt();
+    return m_silent || (silence && now >= *silence);
+}
+
+std::optional<TimePoint> StoreHealth::silentAt() const
+{
+    const auto oldest = std::find_if(m_open.begin(), m_open.end(),
+                                     [](const auto &entry) { return !entry.second.waits; });
+    if (oldest == m_open.end())
+        return std::nullopt;
+    return std::max(oldest->second.sent, m_lastHeard) + silenceLimit();
+}
+
+Duration StoreHealth::silenceLimit() const noexcept
+{
+    return std::max<Duration>(shortestSilence, m_answerTimes.timeout());
+}
+
+} // namespace cowsliprock::cell
--- /dev/null
+++ b/libs/cell/src/storehealth.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <base/time.h>
+#include <eventloop/answertimes.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace cowsliprock::cell {
+
+/// Judges from all calls of the store whether it answers this daemon. A store that answers slowly
+/// works; one that refuses call after call, or from which nothing at all comes, does not.
+/// Load it answers: an outage in which each call would otherwise wait for its own timeout.
+class StoreHealth
+{
+public:
+    using CallNumber = std::uint64_t;
+
+    /// A call was sent. \p waits: its answer may take long, as that of a watch does.
+    CallNumber sent(TimePoint now, bool waits);
+
+    /// The store answered a call, also a late one. An answer to a call that was sent before the
+    /// last refusal does not end the refusals.
+    void answered(CallNumber call, TimePoint now);
+
+    /// The store, or the way to it, refused a call.
+    void refused(CallNumber call, TimePoint now);
+
+    /// The call ended without an answer.
+    void unanswered(CallNumber call, TimePoint now);
+
+    [[nodiscard]] bool failing(TimePoint now) const;
+
+    /// True if nothing comes from the store at all.
+    [[nodiscard]] bool silent(TimePoint now) const;
+
+    /// When the calls that are open will show that the store is silent, if nothing comes until
+    /// then; nothing if no answer is awaited.
+    [[nodiscard]] std::optional<TimePoint> silentAt() const;
+
+private:
+    struct OpenCall
+    {
+        TimePoint sent{};
+        bool waits = false;
+    };
+
+    void endInSilence(CallNumber call, TimePoint now);
+    [[nodiscard]] Duration silenceLimit() const noexcept;
+
+    std::map<CallNumber, OpenCall> m_open;
+    AnswerTimes m_answerTimes;
+    CallNumber m_lastCall = 0;
+    TimePoint m_lastHeard{};
+    TimePoint m_lastRefused{};
+    std::uint32_t m_refusals = 0; ///< In a row.
+    bool m_silent = false;        ///< A call waited in vain, and nothing has come since.
+};
+
+} // namespace cowsliprock::cell
--- a/libs/cell/src/submissions.cpp
+++ b/libs/cell/src/submissions.cpp
@@ -11,13 +11,10 @@
 constexpr std::size_t maxJobsPerTransaction = maxTransactionEntries / 3;
 constexpr std::size_t maxInFlight = 4;
 constexpr std::chrono::milliseconds retryDelay{ 100 };
-constexpr std::uint32_t failuresUntilFailing = 2;
-/// Pause between two submissions that try a failing store.
-constexpr std::chrono::milliseconds probeInterval{ 250 };
 
 } // namespace
 
-Submissions::Submissions(StorePort &store, Timers &timers, Metrics &metrics)
+Submissions::Submissions(StoreRouter &store, Timers &timers, Metrics &metrics)
     : m_store(store)
     , m_timers(timers)
     , m_metrics(metrics)
@@ -31,29 +28,14 @@
 void Submissions::submit(const std::string &key, const std::string &endedKey, std::string value,
                          TimePoint deadline, Done<SubmitResult> done)
 {
-    if (storeFailing()) {
-        // One submission at a time finds out whether the store is back. The others are refused
-        // before anything is sent, so that "not stored" is certain and the client may return.
-        if (m_timers.now() < m_nextProbe) {
-            m_metrics.count("submissions.refusedAtOnce");
-            done(SubmitResult::NotStored);
-            return;
-        }
-        m_nextProbe = m_timers.now() + probeInterval;
+    if (!m_store.available()) {
+        m_metrics.count("submissions.refusedAtOnce");
+        done(SubmitResult::NotStored);
+        return;
     }
     again({ key, endedKey, std::move(value), deadline, false, std::move(done) });
 }
 
-bool Submissions::storeFailing() const noexcept
-{
-    return m_failures >= failuresUntilFailing;
-}
-
-Duration Submissions::outage() const noexcept
-{
-    return m_failures == 0 ? Duration::zero() : m_timers.now() - m_failingSince;
-}
-
 void Submissions::again(Entry entry)
 {
     m_waiting.push_back(std::move(entry));
@@ -109,23 +91,9 @@
 void Submissions::finished(std::vector<Entry> batch, const Result<TransactionOutcome> &outcome)
 {
     if (!outcome.has_value()) {
-        if (m_failures++ == 0)
-            m_failingSince = m_timers.now();
-        const bool unknown = mayHaveTakenEffect(outcome.error());
-        for (auto &entry : batch) {
-            entry.uncertain = entry.uncertain || unknown;
-            if (m_timers.now() + retryDelay >= entry.deadline) {
-                finish(entry, entry.uncertain ? SubmitResult::Unknown : SubmitResult::NotStored);
-                continue;
-            }
-            m_timers.after(retryDelay, [this, alive = m_alive, entry = std::move(entry)] {
-                if (*alive)
-                    again(entry);
-            });
-        }
+        failed(std::move(batch), mayHaveTakenEffect(outcome.error()));
         return;
     }
-    m_failures = 0;
     if (std::holds_alternative<Committed>(outcome.value())) {
         for (auto &entry : batch)
             finish(entry, SubmitResult::Accepted);
@@ -146,6 +114,24 @@
     }
 }
 
+void Submissions::failed(std::vector<Entry> batch, bool mayHaveTakenEffect)
+{
+    const auto now = m_timers.now();
+    for (auto &entry : batch) {
+        entry.uncertain = entry.uncertain || mayHaveTakenEffect;
+        if (now + retryDelay >= entry.deadline) {
+            finish(entry, entry.uncertain ? SubmitResult::Unknown : SubmitResult::NotStored);
+        } else if (!entry.uncertain && !m_store.available()) {
+            finish(entry, SubmitResult::NotStored);
+        } else {
+            m_timers.after(retryDelay, [this, alive = m_alive, entry = std::move(entry)] {
+                if (*alive)
+                    again(entry);
+            });
+        }
+    }
+}
+
 void Submissions::finish(Entry &entry, SubmitResult result)
 {
     m_metrics.count(result == SubmitResult::Accepted ? "submissions.accepted"
--- /dev/null
+++ b/standins/cell/tests/storepaths_test.cpp
@@ -0,0 +1,153 @@
+#include "testjobs.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <vector>
+
+using namespace cowsliprock;
+using namespace cowsliprock::standincell;
+using cell::JobStatus;
+using cell::SubmitResult;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// By then a node has noticed that the store does not answer it, and has found another way.
+constexpr milliseconds noticeTime{ 1300 };
+
+/// Jobs that a node accepts within a time.
+struct Acceptance
+{
+    std::uint32_t accepted = 0;
+    std::uint32_t refused = 0;
+    std::uint32_t open = 0;
+};
+
+Acceptance submitMany(World &world, std::uint32_t node, std::uint32_t first, std::uint32_t count,
+                      Duration time)
+{
+    std::vector<std::optional<SubmitResult>> results(count);
+    for (std::uint32_t job = 0; job < count; ++job)
+        world.submit(node, jobId(first + job), batch(1), &results[job]);
+    world.run(time);
+    Acceptance acceptance;
+    for (const auto &result : results) {
+        acceptance.accepted += result == SubmitResult::Accepted ? 1 : 0;
+        acceptance.refused += result == SubmitResult::NotStored ? 1 : 0;
+        acceptance.open += result ? 0 : 1;
+    }
+    // Nobody is told of a result after the vector is gone.
+    world.run(seconds(4));
+    return acceptance;
+}
+
+} // namespace
+
+/// Partial and whole outages of the store, and what callers get meanwhile.
+BOOST_AUTO_TEST_SUITE(storepaths)
+
+BOOST_AUTO_TEST_CASE(nodeWithoutTheStoreAcceptsAtOnceThroughAnother)
+{
+    for (const auto fault : { StoreFault::Silent, StoreFault::Refuse }) {
+        World world({});
+        world.run(startTime);
+        const auto node = follower(world);
+        world.storeFault(node, fault);
+        world.run(noticeTime);
+        const auto acceptance = submitMany(world, node, 1, 10, milliseconds(150));
+        BOOST_TEST(acceptance.accepted == 10U);
+        world.run(seconds(4));
+        for (std::uint32_t job = 1; job <= 10; ++job)
+            BOOST_TEST((world.status(node, jobId(job)) == JobStatus::Completed));
+        checkPromises(world);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ownerWithoutTheStoreGoesOnThroughAnother)
+{
+    for (const auto fault : { StoreFault::Silent, StoreFault::Refuse }) {
+        World world({});
+        world.run(startTime);
+        const auto owner = *world.owner();
+        const auto revision = world.revision();
+        world.storeFault(owner, fault);
+        world.run(noticeTime);
+        const auto acceptance = submitMany(world, follower(world), 1, 6, milliseconds(150));
+        BOOST_TEST(acceptance.accepted == 6U);
+        for (std::uint32_t job = 1; job <= 6; ++job)
+            BOOST_TEST((world.status(follower(world), jobId(job)) == JobStatus::Completed));
+        world.run(seconds(4));
+        BOOST_TEST(world.revision() == revision);
+        checkPromises(world);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(newConfigurationReachesANodeThatTheStoreIsSilentTo)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    world.storeFault(node, StoreFault::Silent);
+    const auto before = world.configurationOf(node);
+    world.changeConfiguration();
+    world.run(seconds(2));
+    BOOST_TEST(world.configurationOf(node) > before);
+}
+
+BOOST_AUTO_TEST_CASE(silentStoreIsKnownWithinASecond)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    world.storeFaultForAll(StoreFault::Silent);
+    world.run(noticeTime);
+    // Nothing of these was sent, so the refusals are true and come at once.
+    const auto acceptance = submitMany(world, node, 1, 20, milliseconds(50));
+    BOOST_TEST(acceptance.refused == 20U);
+    world.storeFaultForAll(StoreFault::None);
+    world.run(milliseconds(700));
+    const auto after = submitMany(world, node, 101, 20, milliseconds(150));
+    BOOST_TEST(after.accepted == 20U);
+    for (std::uint32_t job = 1; job <= 20; ++job)
+        BOOST_TEST(!world.status(node, jobId(job)).has_value());
+    checkPromises(world);
+}
+
+BOOST_AUTO_TEST_CASE(lostAnswersDoNotMakeTheStoreUnavailable)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    // Writes are carried out without an answer, everything else is answered.
+    world.storeFault(node, StoreFault::Lose);
+    const auto acceptance = submitMany(world, node, 1, 8, seconds(3));
+    BOOST_TEST(acceptance.refused == 0U);
+    world.storeFault(node, StoreFault::None);
+    world.run(seconds(3));
+    for (std::uint32_t job = 1; job <= 8; ++job)
+        BOOST_TEST((world.status(node, jobId(job)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
+BOOST_AUTO_TEST_CASE(relayedCallsThatMayHaveComeAreNotRefused)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    world.storeFault(node, StoreFault::Refuse);
+    world.run(noticeTime);
+    // All other ways lose the answers of writes.
+    for (std::uint32_t other = 0; other < 3; ++other) {
+        if (other != node)
+            world.storeFault(other, StoreFault::LoseLate);
+    }
+    const auto acceptance = submitMany(world, node, 1, 4, seconds(4));
+    BOOST_TEST(acceptance.refused == 0U);
+    world.storeFaultForAll(StoreFault::None);
+    world.run(seconds(8));
+    checkPromises(world);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
