Tell the owner of each accepted job at once

Change: the daemon that stored a job tells its owner, which takes the job unless its watch has passed that revision already; a message that comes after the job's end is ignored by the same rule. Ruled out: storing through the owner (the owner would be one more daemon that must live until the answer, for the same gain).

--- a/libs/cell/src/frontdesk.cpp
+++ b/libs/cell/src/frontdesk.cpp
@@ -35,12 +35,14 @@
 } // namespace
 
 FrontDesk::FrontDesk(const Ports &ports, Membership &membership, std::uint32_t shards,
-                     LocalStatus localStatus, LocalPending localPending)
+                     LocalStatus localStatus, LocalPending localPending,
+                     LocalAccepted localAccepted)
     : m_ports(ports)
     , m_membership(membership)
     , m_shards(shards)
     , m_localStatus(std::move(localStatus))
     , m_localPending(std::move(localPending))
+    , m_localAccepted(std::move(localAccepted))
     , m_submissions(ports.store, ports.timers, ports.metrics)
 { }
 
@@ -75,15 +77,31 @@
 void FrontDesk::submit(const JobRecord &record, TimePoint deadline, const Done<SubmitResult> &done)
 {
     m_submissions.submit(jobKey(record.id), endedKey(record.id), encode(record), deadline,
-                         [this, alive = m_alive, id = record.id, begun = m_ports.timers.now(),
-                          done](SubmitResult result) {
+                         [this, alive = m_alive, record, begun = m_ports.timers.now(),
+                          done](const Submission &submission) {
                              if (!*alive)
                                  return;
-                             logSubmission(id, begun, result);
-                             done(result);
+                             logSubmission(record.id, begun, submission.result);
+                             if (submission.revision != 0)
+                                 tellOwnerOfJob(record, submission.revision);
+                             done(submission.result);
                          });
 }
 
+void FrontDesk::tellOwnerOfJob(const JobRecord &record, std::uint64_t revision)
+{
+    // The owner's watch tells it as well, but may hear nothing for a while.
+    const auto shard = shardOf(record.id);
+    const StoreItem item{ jobKey(record.id), encode(record), revision, revision, 0 };
+    if (m_localAccepted(shard, item))
+        return;
+    if (const auto address = otherOwner(shard)) {
+        m_ports.peers.call({ *address, "POST", "/peer/accepted/" + std::to_string(shard),
+                             encode(StoreReply(std::optional(item))), ownerTimeout },
+                           [](const Result<PeerAnswer> &) {});
+    }
+}
+
 std::chrono::seconds FrontDesk::comeBackAfter() const noexcept
 {
     return cell::comeBackAfter(m_ports.store.outage());
--- a/libs/cell/src/frontdesk.h
+++ b/libs/cell/src/frontdesk.h
@@ -37,8 +37,11 @@
     using LocalPending =
         std::function<std::optional<std::uint64_t>(std::uint32_t, const std::string &)>;
 
+    /// Tells a shard of this daemon of a job that was just stored; false if it owns no such shard.
+    using LocalAccepted = std::function<bool(std::uint32_t, const StoreItem &)>;
+
     FrontDesk(const Ports &ports, Membership &membership, std::uint32_t shards,
-              LocalStatus localStatus, LocalPending localPending);
+              LocalStatus localStatus, LocalPending localPending, LocalAccepted localAccepted);
     ~FrontDesk();
     FrontDesk(const FrontDesk &) = delete;
     FrontDesk &operator=(const FrontDesk &) = delete;
@@ -68,6 +71,7 @@
     void cancelWrite(const std::string &id, const StoreItem &item, TimePoint deadline,
                      const Done<CancelResult> &done);
     void tellOwner(const std::string &id);
+    void tellOwnerOfJob(const JobRecord &record, std::uint64_t revision);
     void cancelAgain(const std::string &id, TimePoint deadline, const Done<CancelResult> &done);
 
     Ports m_ports;
@@ -75,6 +79,7 @@
     std::uint32_t m_shards;
     LocalStatus m_localStatus;
     LocalPending m_localPending;
+    LocalAccepted m_localAccepted;
     Submissions m_submissions;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -54,6 +54,9 @@
     void configurationChanged(const CellConfiguration &configuration);
     void shutdown(Duration limit, std::function<void()> done);
     [[nodiscard]] const Shard *loadedShard(std::uint32_t number) const;
+    bool jobAccepted(std::uint32_t number, const StoreItem &item);
+    void peerAccepted(const std::string &number, const std::string &body,
+                      const Done<PeerAnswer> &done);
     void peerCall(const std::string &method, const std::string &path, const std::string &body,
                   const Done<PeerAnswer> &done);
     void peerGet(const std::string &path, const Done<PeerAnswer> &done);
@@ -116,7 +119,8 @@
               if (owned == nullptr)
                   return std::nullopt;
               return owned->scheduler().pending(queue);
-          })
+          },
+          [this](std::uint32_t shard, const StoreItem &item) { return jobAccepted(shard, item); })
     , slots(settings.shards)
 {
     for (std::uint32_t number = 0; number < settings.shards; ++number) {
@@ -186,6 +190,14 @@
     return shard != nullptr && shard->loaded() ? shard : nullptr;
 }
 
+bool Node::State::jobAccepted(std::uint32_t number, const StoreItem &item)
+{
+    if (loadedShard(number) == nullptr)
+        return false;
+    slots[number].shard->jobAccepted(item);
+    return true;
+}
+
 void Node::State::shutdown(Duration limit, std::function<void()> done)
 {
     stopping = true;
@@ -270,6 +282,8 @@
         peerRelay(body, done);
     } else if (path == "/peer/store") {
         peerStore(body, done);
+    } else if (const auto shard = pathAfter(path, "/peer/accepted/")) {
+        peerAccepted(*shard, body, done);
     } else if (const auto cancelled = pathAfter(path, "/peer/cancelled/")) {
         const auto number = desk.shardOf(*cancelled);
         if (loadedShard(number) != nullptr)
@@ -304,6 +318,19 @@
         done({ statusBadRequest, "{}" });
 }
 
+void Node::State::peerAccepted(const std::string &number, const std::string &body,
+                               const Done<PeerAnswer> &done)
+{
+    const auto shard = parseNumber<std::uint32_t>(number);
+    const auto reply = decodeStoreReply(body);
+    const auto *item = reply ? std::get_if<std::optional<StoreItem>>(&*reply) : nullptr;
+    if (!shard || item == nullptr || !*item) {
+        done({ statusBadRequest, "{}" });
+        return;
+    }
+    done({ jobAccepted(*shard, **item) ? statusOk : statusUnavailable, "{}" });
+}
+
 void Node::State::peerStore(const std::string &body, const Done<PeerAnswer> &done)
 {
     const auto call = decodeStoreCall(body);
--- a/libs/cell/src/prefixwatch.cpp
+++ b/libs/cell/src/prefixwatch.cpp
@@ -32,7 +32,6 @@
     std::set<std::string> listedKeys;
     std::uint64_t position = 0; ///< Revision after which the next watch begins.
     std::uint64_t listPosition = 0;
-    TimePoint answered{};
     Duration retryDelay = firstRetryDelay;
     bool closed = false;
     bool synchronized = false;
@@ -184,7 +183,6 @@
 
 void PrefixWatch::State::succeeded()
 {
-    answered = timers.now();
     retryDelay = firstRetryDelay;
     if (!std::exchange(reachable, true) && listener.reachable)
         listener.reachable(true);
@@ -211,9 +209,11 @@
     return m_state->synchronized;
 }
 
-TimePoint PrefixWatch::lastAnswer() const noexcept
+void PrefixWatch::offer(const StoreItem &item)
 {
-    return m_state->answered;
+    // Of what lies behind the watch it is not known whether it is still there.
+    if (m_state->synchronized && item.revision > m_state->position)
+        m_state->apply(item);
 }
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/prefixwatch.h
+++ b/libs/cell/src/prefixwatch.h
@@ -42,8 +42,8 @@
 
     [[nodiscard]] bool synchronized() const noexcept;
 
-    /// Time of the last answer of the store.
-    [[nodiscard]] TimePoint lastAnswer() const noexcept;
+    /// Reports a change that became known in another way, unless the watch has passed it already.
+    void offer(const StoreItem &item);
 
 private:
     struct State;
--- a/libs/cell/src/shard.h
+++ b/libs/cell/src/shard.h
@@ -33,6 +33,9 @@
     /// The cancellation of a job was stored by another daemon.
     void jobCancelled(const std::string &id) { m_scheduler.jobCancelled(id); }
 
+    /// A job was just stored by this or another daemon; the watch may report it later.
+    void jobAccepted(const StoreItem &item) { m_jobs.offer(item); }
+
     /// Calls \p action when all that was learned so far is durable.
     void whenDurable(std::function<void()> action) { m_writer.whenDurable(std::move(action)); }
 
--- a/libs/cell/src/submissions.cpp
+++ b/libs/cell/src/submissions.cpp
@@ -26,11 +26,11 @@
 }
 
 void Submissions::submit(const std::string &key, const std::string &endedKey, std::string value,
-                         TimePoint deadline, Done<SubmitResult> done)
+                         TimePoint deadline, Done<Submission> done)
 {
     if (!m_store.available()) {
         m_metrics.count("submissions.refusedAtOnce");
-        done(SubmitResult::NotStored);
+        done({ SubmitResult::NotStored, 0 });
         return;
     }
     again({ key, endedKey, std::move(value), deadline, false, std::move(done) });
@@ -94,9 +94,9 @@
         failed(std::move(batch), mayHaveTakenEffect(outcome.error()));
         return;
     }
-    if (std::holds_alternative<Committed>(outcome.value())) {
+    if (const auto *committed = std::get_if<Committed>(&outcome.value())) {
         for (auto &entry : batch)
-            finish(entry, SubmitResult::Accepted);
+            finish(entry, { SubmitResult::Accepted, committed->revision });
         return;
     }
     const auto *failed = std::get_if<ConditionFailed>(&outcome.value());
@@ -108,7 +108,7 @@
                                return item.key == entry.key || item.key == entry.endedKey;
                            });
         if (exists)
-            finish(entry, SubmitResult::Accepted);
+            finish(entry, { SubmitResult::Accepted, 0 });
         else
             again(std::move(entry));
     }
@@ -120,9 +120,9 @@
     for (auto &entry : batch) {
         entry.uncertain = entry.uncertain || mayHaveTakenEffect;
         if (now + retryDelay >= entry.deadline) {
-            finish(entry, entry.uncertain ? SubmitResult::Unknown : SubmitResult::NotStored);
+            finish(entry, { entry.uncertain ? SubmitResult::Unknown : SubmitResult::NotStored, 0 });
         } else if (!entry.uncertain && !m_store.available()) {
-            finish(entry, SubmitResult::NotStored);
+            finish(entry, { SubmitResult::NotStored, 0 });
         } else {
             m_timers.after(retryDelay, [this, alive = m_alive, entry = std::move(entry)] {
                 if (*alive)
@@ -132,11 +132,11 @@
     }
 }
 
-void Submissions::finish(Entry &entry, SubmitResult result)
+void Submissions::finish(Entry &entry, const Submission &submission)
 {
-    m_metrics.count(result == SubmitResult::Accepted ? "submissions.accepted"
-                                                     : "submissions.failed");
-    entry.done(result);
+    const bool accepted = submission.result == SubmitResult::Accepted;
+    m_metrics.count(accepted ? "submissions.accepted" : "submissions.failed");
+    entry.done(submission);
 }
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/submissions.h
+++ b/libs/cell/src/submissions.h
@@ -8,6 +8,7 @@
 #include <eventloop/timers.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -17,6 +18,13 @@
 
 namespace cowsliprock::cell {
 
+/// What became of a submission.
+struct Submission
+{
+    SubmitResult result = SubmitResult::Unknown;
+    std::uint64_t revision = 0; ///< Of the job's key; 0 if this submission did not create it.
+};
+
 /// Stores new jobs. A job is accepted when the key of its id has been created, which happens at
 /// most once. Jobs that arrive together share a transaction.
 class Submissions
@@ -31,7 +39,7 @@
     /// taken effect. \p done is called exactly once.
     /// \p endedKey exists if the job was accepted before and has ended.
     void submit(const std::string &key, const std::string &endedKey, std::string value,
-                TimePoint deadline, Done<SubmitResult> done);
+                TimePoint deadline, Done<Submission> done);
 
 private:
     struct Entry
@@ -41,14 +49,14 @@
         std::string value;
         TimePoint deadline{};
         bool uncertain = false; ///< A try may have taken effect.
-        Done<SubmitResult> done;
+        Done<Submission> done;
     };
 
     void flush();
     void send(std::vector<Entry> batch);
     void finished(std::vector<Entry> batch, const Result<TransactionOutcome> &outcome);
     void failed(std::vector<Entry> batch, bool mayHaveTakenEffect);
-    void finish(Entry &entry, SubmitResult result);
+    void finish(Entry &entry, const Submission &submission);
     void again(Entry entry);
 
     StoreRouter &m_store;
--- a/standins/cell/include/standincell/storemodel.h
+++ b/standins/cell/include/standincell/storemodel.h
@@ -50,6 +50,8 @@
 
     /// Forgets the history: watches that begin before now learn that it is lost.
     void compact();
+    /// Watches hear nothing until this is taken back.
+    void deafen(bool deaf);
 
     /// Leases stand still, as during some outages.
     void pauseLeases(bool paused) noexcept { m_leasesPaused = paused; }
@@ -80,6 +82,7 @@
     std::deque<cell::StoreEvent> m_history;
     std::map<std::uint64_t, Lease> m_leases;
     std::list<Watcher> m_watchers;
+    bool m_deaf = false;
     std::uint64_t m_revision = 1;
     std::uint64_t m_oldest = 1; ///< History after this revision is complete.
     std::uint64_t m_lastLease = 0;
--- a/standins/cell/src/storemodel.cpp
+++ b/standins/cell/src/storemodel.cpp
@@ -104,6 +104,10 @@
 {
     StoreEvents events;
     events.asOf = m_revision;
+    if (m_deaf) {
+        events.asOf = after;
+        return events;
+    }
     if (after < m_oldest) {
         events.historyLost = true;
         return events;
@@ -200,6 +204,12 @@
     });
 }
 
+void StoreModel::deafen(bool deaf)
+{
+    m_deaf = deaf;
+    notify();
+}
+
 void StoreModel::compact()
 {
     m_history.clear();
--- a/standins/cell/tests/storepaths_test.cpp
+++ b/standins/cell/tests/storepaths_test.cpp
@@ -1,5 +1,8 @@
 #include "testjobs.h"
 
+#include <keys.h>
+#include <storecalls.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
@@ -115,6 +118,46 @@
     checkPromises(world);
 }
 
+BOOST_AUTO_TEST_CASE(ownerLearnsOfAJobThoughItsWatchesHearNothing)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    world.store().deafen(true);
+    for (std::uint32_t job = 1; job <= 4; ++job)
+        world.submit(node, jobId(job), batch(2));
+    world.run(milliseconds(200));
+    BOOST_TEST(world.promises().starts() == 8U);
+    world.run(seconds(1));
+    world.store().deafen(false);
+    world.compactStore();
+    world.run(seconds(3));
+    for (std::uint32_t job = 1; job <= 4; ++job)
+        BOOST_TEST((world.status(node, jobId(job)) == JobStatus::Completed));
+    BOOST_TEST(world.promises().starts() == 8U);
+    checkPromises(world);
+}
+
+BOOST_AUTO_TEST_CASE(jobThatIsToldOfLongAfterItsEndDoesNotRunAgain)
+{
+    World world({});
+    world.run(startTime);
+    const auto owner = *world.owner();
+    world.submit(owner, jobId(1), batch(2));
+    world.run(milliseconds(20));
+    const auto item = world.store().read(cell::keys::job(0, jobId(1)));
+    BOOST_REQUIRE(item);
+    const auto message = encode(cell::StoreReply(item));
+    world.run(seconds(4));
+    BOOST_TEST((world.status(owner, jobId(1)) == JobStatus::Completed));
+    // The state of the job has been forgotten when the message arrives.
+    world.run(seconds(200));
+    BOOST_TEST(world.callPeer(owner, "/peer/accepted/0", message).status == 200U);
+    world.run(seconds(4));
+    BOOST_TEST(world.promises().starts() == 2U);
+    BOOST_TEST(world.callPeer(owner, "/peer/accepted/0", "no job").status == 400U);
+}
+
 BOOST_AUTO_TEST_CASE(lostAnswersDoNotMakeTheStoreUnavailable)
 {
     World world({});
