--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -53,6 +53,7 @@
     run.priority = view.job->record.queue.priority;
     run.gang = view.spec->gang;
     run.ordered = current;
+    run.startOpen = true;
     const RunKey key(run.task, number);
     addRun(worker, std::move(run));
     view.step->move(task, TaskPhase::Placed);
@@ -89,6 +90,7 @@
     if (found == worker.runs.end())
         return;
     Run &run = found->second;
+    run.startOpen = false;
     if (const auto *accepted = std::get_if<OrderAccepted>(&outcome)) {
         m_links.readClock(worker, accepted->clock);
         confirmRunning(run);
@@ -362,11 +364,7 @@
     for (auto &[key, run] : worker.runs) {
         if (listed.contains(key))
             continue;
-        // An order without an answer, or one sent since, may still reach the new life; one that
-        // the former life never listed may have been accepted by the new one.
-        const bool mayCome = run.phase == RunPhase::Starting || run.outcomeUnknown || !run.listed
-            || run.ordered >= asked;
-        if (!mayCome)
+        if (!mayStillCome(run, asked))
             lost.push_back(key);
         else if (run.phase == RunPhase::Stopping)
             stopAgain(worker, run);
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -85,15 +85,10 @@
 }
 
 void WorkerLinks::leaseUnknown(Worker &worker) const
-{
-    worker.leaseEnds = std::max(worker.leaseEnds, longestLeaseEnd());
-}
-
-TimePoint WorkerLinks::longestLeaseEnd() const
 {
     const auto longest =
         std::chrono::duration_cast<Duration>(m_settings.longestLease * slowClockFactor);
-    return m_timers.now() + longest + lapseMargin;
+    worker.leaseEnds = std::max(worker.leaseEnds, m_timers.now() + longest + lapseMargin);
 }
 
 void WorkerLinks::readClock(Worker &worker, std::chrono::milliseconds clock)
--- a/libs/cell/src/workerlinks.h
+++ b/libs/cell/src/workerlinks.h
@@ -61,13 +61,10 @@
     /// back shows a new life, which is asked for its inventory then.
     void readClock(Worker &worker, std::chrono::milliseconds clock);
 
-    /// The worker may be in a life whose clock this owner does not know: only the longest possible
-    /// lease bounds what runs there.
+    /// An order of unknown fate may give the tasks of a worker a lease on a clock that this owner
+    /// does not know: only the longest possible one bounds it.
     void leaseUnknown(Worker &worker) const;
 
-    /// Until when something may run that got the longest possible lease now.
-    [[nodiscard]] TimePoint longestLeaseEnd() const;
-
     [[nodiscard]] Duration lease() const noexcept { return m_settings.lease; }
 
 private:
--- a/libs/cell/src/workertable.cpp
+++ b/libs/cell/src/workertable.cpp
@@ -25,6 +25,11 @@
     return { worker.entry.id, worker.entry.address, worker.entry.dataCentre };
 }
 
+bool mayStillCome(const Run &run, TimePoint asked) noexcept
+{
+    return run.startOpen || run.outcomeUnknown || !run.listed || run.ordered >= asked;
+}
+
 Resources heldBy(const StepSpec &step) noexcept
 {
     Resources amount = step.amount;
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -37,6 +37,7 @@
     TimePoint confirmed{}; ///< Since when the worker is known to have it.
     bool listed = false;   ///< An inventory of the worker's present life has shown it.
     std::optional<TimePoint> stopConfirmed;
+    bool startOpen = false;      ///< The order, or a repetition of it, may still be on its way.
     bool outcomeUnknown = false; ///< A start that was never answered ...
     TimePoint unknownSince{};    ///< ... since its last try was given up.
     std::uint32_t percent = 0;
@@ -82,6 +83,11 @@
 
 [[nodiscard]] WorkerTarget targetOf(const Worker &worker);
 
+/// True if the order for the run may still reach a life of the worker that began before an
+/// inventory which was \p asked then: it has no answer yet, was sent since, or was accepted by
+/// nobody knows which life.
+[[nodiscard]] bool mayStillCome(const Run &run, TimePoint asked) noexcept;
+
 /// Capacity that a run of a task takes.
 [[nodiscard]] Resources heldBy(const StepSpec &step) noexcept;
 
