Move lasting tasks off a worker as soon as it says that it leaves

Change: a lasting task never ends in time, so it is stopped and begun elsewhere at the announcement, as other work that cannot end in time is. Test lastingTasksLeaveAWorkerThatLeavesAtOnce (fails before).

--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -156,7 +156,8 @@
     void takeNewLife(Worker &worker, const Inventory &inventory, TimePoint asked);
     void endAllRuns(Worker &worker);
     void evacuate(Worker &worker);
-    [[nodiscard]] Duration restOf(const Run &run) const;
+    /// False if a run is expected to take longer.
+    [[nodiscard]] bool endsWithin(const Run &run, Duration time) const;
     void loseRuns(Worker &worker, const std::vector<RunKey> &lost, const char *reason);
     void endRun(Worker &worker, const FinishedTask &end);
     void releaseRun(Worker &worker, const RunKey &key, std::string checkpoint);
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -384,15 +384,19 @@
     m_roster.check(worker);
 }
 
-Duration Scheduler::restOf(const Run &run) const
+bool Scheduler::endsWithin(const Run &run, Duration time) const
 {
     const Job *job = m_jobs.find(run.task.job);
     if (job == nullptr || run.task.step >= job->record.spec.steps.size())
-        return Duration::zero();
+        return true;
+    const auto &spec = job->spec(run.task.step);
+    if (spec.longRunning)
+        return false;
     const auto elapsed = now() - run.ordered;
-    if (run.percent > 0)
-        return elapsed * (hundredPercent - std::min(run.percent, hundredPercent)) / run.percent;
-    return std::max(job->spec(run.task.step).estimate - elapsed, Duration::zero());
+    const Duration rest = run.percent > 0
+        ? elapsed * (hundredPercent - std::min(run.percent, hundredPercent)) / run.percent
+        : std::max(spec.estimate - elapsed, Duration::zero());
+    return rest <= time;
 }
 
 void Scheduler::evacuate(Worker &worker)
@@ -400,8 +404,10 @@
     // What cannot end in time is better begun elsewhere now than when the worker is gone.
     std::vector<RunKey> hopeless;
     for (const auto &[key, run] : worker.runs) {
-        if (run.phase != RunPhase::Stopping && restOf(run) + stopReserve > worker.entry.remaining)
+        if (run.phase != RunPhase::Stopping
+            && !endsWithin(run, worker.entry.remaining - stopReserve)) {
             hopeless.push_back(key);
+        }
     }
     for (const auto &key : hopeless) {
         const auto run = worker.runs.find(key);
--- a/standins/cell/tests/failures_test.cpp
+++ b/standins/cell/tests/failures_test.cpp
@@ -287,6 +287,24 @@
     checkPromises(world);
 }
 
+BOOST_AUTO_TEST_CASE(lastingTasksLeaveAWorkerThatLeavesAtOnce)
+{
+    World::Settings settings;
+    settings.workers = 2;
+    World world(settings);
+    world.run(startTime);
+    auto lasting = batch(3, std::chrono::hours(1));
+    lasting.spec.steps.front().longRunning = true;
+    lasting.spec.steps.front().estimate = {};
+    world.submit(0, jobId(1), lasting);
+    world.run(seconds(1));
+    const std::uint32_t used = world.worker(0).present({ jobId(1), 0, 0, 0 }, 1) > 0 ? 0 : 1;
+    world.drainWorker(used);
+    world.run(milliseconds(600));
+    BOOST_TEST(world.worker(1 - used).present({ jobId(1), 0, 0, 0 }, 2) == 3U);
+    checkPromises(world);
+}
+
 BOOST_AUTO_TEST_CASE(strongestDaemonOwnsTheCellAgainAfterAllWereLost)
 {
     World::Settings settings;
