Begin runs that fall behind on another worker; copy what silent workers run

Change: the progress in the inventories is looked at (stragglers.h). A run whose whole time would be 3.5 times that of its siblings on other workers, or 4.5 times its estimate, or that makes no progress, is stopped and begun elsewhere, once for each task and only if it gains time; its worker gets nothing new for 5 s, at most a third of the workers at a time. Where a step allows copies, a second run is started beside it instead, also beside runs on a worker that has not answered twice. Eight tests in stragglers_test, five of the decision alone.

--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -74,6 +74,19 @@
     if (auto *after = count(phase))
         ++*after;
     task.phase = phase;
+    // Only what runs needs a copy.
+    if (phase != TaskPhase::Placed)
+        wantCopy(task, false);
+}
+
+void Step::wantCopy(Task &task, bool wanted) noexcept
+{
+    if (std::exchange(task.copyWanted, wanted) == wanted)
+        return;
+    if (wanted)
+        ++copiesWanted;
+    else
+        --copiesWanted;
 }
 
 bool Occurrence::done() const noexcept
@@ -99,9 +112,10 @@
     occurrence.begun = now;
     occurrence.steps.resize(job.record.spec.steps.size());
     for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
-        const auto count = job.record.spec.steps[index].count;
-        occurrence.steps[index].tasks.resize(count);
-        occurrence.steps[index].waitingCount = count;
+        const auto &spec = job.record.spec.steps[index];
+        auto &step = occurrence.steps[index];
+        step.tasks.resize(spec.count);
+        step.waitingCount = spec.count;
     }
     updateReadiness(job, occurrence);
     return occurrence;
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -24,9 +24,13 @@
     std::uint32_t lastRun = 0;
     std::uint32_t liveRuns = 0; ///< Runs that may be at work on a worker.
     std::string checkpoint;
-    std::vector<std::string> failedOn; ///< Workers on which a run has failed.
-    TimePoint notBefore{};             ///< Earliest next start.
-    bool accountedFor = false; ///< What earlier owners may have started of it is known here.
+    std::vector<std::string> avoid; ///< Workers on which a run has failed or fallen behind.
+    bool copyWanted = false;        ///< A second run is to be started beside the first.
+    bool moved = false;             ///< It has fallen behind once; the next time it is the task.
+    std::string worker;             ///< Of its newest run ...
+    Duration projected{};           ///< ... and the whole time of that, as far as is known.
+    TimePoint notBefore{};          ///< Earliest next start.
+    bool accountedFor = false;      ///< What earlier owners may have started of it is known here.
 };
 
 /// What a worker may be used for in one step, from the queue's policy service.
@@ -55,6 +59,7 @@
     std::vector<TaskFailures> failures;
     std::uint32_t waitingCount = 0; ///< Tasks in the phase Waiting.
     std::uint32_t doneCount = 0;    ///< Tasks in the phase Done.
+    std::uint32_t copiesWanted = 0; ///< Tasks of which a copy is to be started.
     bool ready = false;             ///< All steps before it are done.
     StepAdvice advice;
 
@@ -62,6 +67,7 @@
     TaskFailures &failuresOf(std::uint32_t index);
     /// Changes the phase of one of the step's tasks, and the counts.
     void move(Task &task, TaskPhase phase) noexcept;
+    void wantCopy(Task &task, bool wanted) noexcept;
 };
 
 struct Occurrence
--- a/libs/cell/src/placement.cpp
+++ b/libs/cell/src/placement.cpp
@@ -186,9 +186,8 @@
         if (roomFor(*worker, demand) == 0)
             continue;
         double candidateCost = cost(*worker, demand);
-        // A worker on which the task has failed is the last resort.
-        if (std::find(task.failedOn.begin(), task.failedOn.end(), worker->entry.id)
-            != task.failedOn.end()) {
+        // A worker on which the task has failed or fallen behind is the last resort.
+        if (std::find(task.avoid.begin(), task.avoid.end(), worker->entry.id) != task.avoid.end()) {
             candidateCost += 2 * distanceWeight;
         }
         if (best == nullptr || candidateCost < bestCost) {
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -34,6 +34,7 @@
                 [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
                     takeNewLife(worker, inventory, asked);
                 },
+                [this](Worker &worker) { copyRunsOf(worker); },
                 [this](Worker &worker) { endAllRuns(worker); }, [this] { m_fenced(); } })
     , m_roster(writer, ports.timers, m_workers, keys::roster(settings.shard),
                [this] { requestPass(); })
@@ -63,8 +64,8 @@
 
 bool Scheduler::StepView::startable(const Task &waiting, TimePoint now) const noexcept
 {
-    return waiting.phase == TaskPhase::Waiting && waiting.notBefore <= now
-        && (!job->mayRunElsewhere || waiting.accountedFor);
+    const bool open = waiting.phase == TaskPhase::Waiting || waiting.copyWanted;
+    return open && waiting.notBefore <= now && (!job->mayRunElsewhere || waiting.accountedFor);
 }
 
 std::uint32_t Scheduler::StepView::startableTasks(TimePoint now) const noexcept
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -6,6 +6,7 @@
 #include "jobtable.h"
 #include "ordersender.h"
 #include "placement.h"
+#include "stragglers.h"
 #include "workerlinks.h"
 #include "workerroster.h"
 #include "workertable.h"
@@ -162,6 +163,15 @@
     void endRun(Worker &worker, const FinishedTask &end);
     void releaseRun(Worker &worker, const RunKey &key, std::string checkpoint);
 
+    // Runs that fall behind (schedulerprogress.cpp).
+    void checkProgress(Worker &worker);
+    [[nodiscard]] bool fallenBehind(const Worker &worker, const Run &run);
+    [[nodiscard]] StepPace paceOf(const Worker &worker, const Run &run);
+    void beginElsewhere(Worker &worker, Run &run);
+    void copyRunsOf(Worker &worker);
+    void notePace(const Worker &worker, const Run &run, Duration projected);
+    [[nodiscard]] bool takeOut(Worker &worker);
+
     // Jobs (schedulerjobs.cpp).
     void taskDone(const TaskId &task, std::uint32_t run);
     void taskFailed(Worker &worker, const TaskId &task, std::uint32_t run);
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -183,7 +183,7 @@
         return;
     const bool gang = job->spec(id.step).gang;
     auto &failures = step->failuresOf(gang ? 0 : id.index);
-    task->failedOn.push_back(worker.entry.id);
+    task->avoid.push_back(worker.entry.id);
     task->notBefore = now() + retryPause;
     if (std::find(failures.runs.begin(), failures.runs.end(), run) != failures.runs.end())
         return;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -145,7 +145,7 @@
         for (auto &[number, occurrence] : job->occurrences) {
             for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
                 Step &step = occurrence.steps[index];
-                if (!step.ready || step.waitingCount == 0)
+                if (!step.ready || step.waitingCount + step.copiesWanted == 0)
                     continue;
                 StepView view{ job, &occurrence, &step, &job->spec(index), index, 0 };
                 if (view.startableTasks(current) == 0)
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -15,6 +15,8 @@
 /// A run that is stopped saves its progress within this time.
 constexpr std::chrono::milliseconds stopReserve{ 900 };
 constexpr std::uint32_t hundredPercent = 100;
+/// A worker loads saved progress in this time.
+constexpr std::chrono::milliseconds restoreTime{ 600 };
 
 const char *toString(OrderRefusal reason) noexcept
 {
@@ -54,9 +56,11 @@
     run.gang = view.spec->gang;
     run.ordered = current;
     run.startOpen = true;
+    run.checkpoint = view.spec->gang ? view.step->tasks.front().checkpoint : task.checkpoint;
     const RunKey key(run.task, number);
-    addRun(worker, std::move(run));
+    const Run &added = addRun(worker, std::move(run));
     view.step->move(task, TaskPhase::Placed);
+    view.step->wantCopy(task, false);
     task.lastRun = number;
     ++task.liveRuns;
 
@@ -66,7 +70,7 @@
     order.spec = view.job->record.spec.spec;
     order.leaseUntil = m_links.grantLease(worker);
     order.fencingToken = worker.token;
-    order.checkpoint = view.spec->gang ? view.step->tasks.front().checkpoint : task.checkpoint;
+    order.checkpoint = added.checkpoint;
     if (const auto ticket = view.step->advice.allowed.find(worker.entry.id);
         ticket != view.step->advice.allowed.end()) {
         order.ticket = ticket->second.value;
@@ -125,6 +129,8 @@
         return;
     run.phase = RunPhase::Running;
     run.confirmed = now();
+    // Saved progress has to be loaded first.
+    run.progressed = now() + (run.checkpoint.empty() ? Duration::zero() : Duration(restoreTime));
 }
 
 void Scheduler::giveUpUnknownStart(const std::string &id, std::int64_t born, const RunKey &key)
@@ -229,6 +235,7 @@
     for (const auto &row : inventory.running)
         takeRunning(worker, row);
     dropMissing(worker, inventory, asked);
+    checkProgress(worker);
     if (newEnds || worker.durableEnds != worker.handledEnds) {
         m_writer.whenDurable(
             [this, id = worker.entry.id, born = worker.born, number = worker.handledEnds] {
@@ -252,10 +259,12 @@
         return;
     }
     Run &run = found->second;
+    confirmRunning(run);
     run.listed = true;
+    if (row.percent > run.percent)
+        run.progressed = std::max(run.progressed, now());
     run.percent = row.percent;
     run.checkpoint = row.checkpoint;
-    confirmRunning(run);
 }
 
 void Scheduler::adopt(Worker &worker, const RunningTask &row)
@@ -269,6 +278,8 @@
     run.number = row.run;
     run.ordered = now();
     run.confirmed = now();
+    run.progressed = now();
+    run.adopted = true;
     run.listed = true;
     run.percent = row.percent;
     run.checkpoint = row.checkpoint;
@@ -450,6 +461,8 @@
     const RunKey key(end.task, end.run);
     const auto found = worker.runs.find(key);
     const bool gang = found != worker.runs.end() && found->second.gang;
+    if (found != worker.runs.end() && end.kind == EndKind::Done)
+        notePace(worker, found->second, now() - found->second.confirmed);
     releaseRun(worker, key, end.checkpoint);
     if (end.kind == EndKind::Done) {
         noteSuccess(worker);
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -278,6 +278,7 @@
                     { { "worker", worker.entry.id },
                       { "error", error.text() },
                       { "runs", static_cast<std::uint64_t>(worker.runs.size()) } });
+        m_listener.silent(worker);
     }
     if (!worker.reachable && now >= worker.leaseEnds && !std::exchange(worker.accountedFor, true))
         m_log.write(now, "worker.assumedEmpty", { { "worker", worker.entry.id } });
--- a/libs/cell/src/workerlinks.h
+++ b/libs/cell/src/workerlinks.h
@@ -28,6 +28,8 @@
         /// The worker has begun a new life: nothing of the former one is left. Orders of this
         /// owner may have reached the new life already; \p inventory is that life's.
         std::function<void(Worker &, const Inventory &, TimePoint asked)> newLife;
+        /// The worker has not answered twice in a row; it may run on.
+        std::function<void(Worker &)> silent;
         /// The worker did not answer until all leases on it were over.
         std::function<void(Worker &)> lapsed;
         /// A worker has seen a token of a newer owner.
--- a/libs/cell/src/workertable.cpp
+++ b/libs/cell/src/workertable.cpp
@@ -42,7 +42,7 @@
 {
     return worker.inRoster && worker.fenced && worker.reachable && !worker.suspect
         && !worker.entry.draining && worker.runsOfUnknownSize == 0
-        && worker.health.quarantinedUntil <= now
+        && worker.health.quarantinedUntil <= now && worker.health.slowUntil <= now
         && (!worker.unlistedSince || now - *worker.unlistedSince < unlistedGrace);
 }
 
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -33,6 +33,7 @@
     std::uint32_t priority = 0;
     RunPhase phase = RunPhase::Starting;
     bool gang = false;
+    bool adopted = false; ///< An earlier owner started it, at a time that is not known.
     TimePoint ordered{};
     TimePoint confirmed{}; ///< Since when the worker is known to have it.
     bool listed = false;   ///< An inventory of the worker's present life has shown it.
@@ -41,6 +42,7 @@
     bool outcomeUnknown = false; ///< A start that was never answered ...
     TimePoint unknownSince{};    ///< ... since its last try was given up.
     std::uint32_t percent = 0;
+    TimePoint progressed{}; ///< When the percentage was seen to rise, or the run began its work.
     std::string checkpoint;
 };
 
@@ -51,6 +53,7 @@
     std::string lastFailedJob;
     std::uint32_t quarantines = 0;
     TimePoint quarantinedUntil{};
+    TimePoint slowUntil{}; ///< Its runs have fallen behind: it gets nothing new until then.
 };
 
 struct Worker
--- a/standins/cell/include/standincell/promises.h
+++ b/standins/cell/include/standincell/promises.h
@@ -75,6 +75,7 @@
     void fail(const char *promise, const cell::TaskId &task, const std::string &detail);
     void checkStart(JobView &job, const cell::TaskId &task);
     void checkEnds(JobView &job, const cell::TaskId &task);
+    [[nodiscard]] static bool copiesAllowed(const JobView &job, const cell::TaskId &task);
     [[nodiscard]] static std::string attemptKey(const JobView &job, const cell::TaskId &task);
     [[nodiscard]] static bool stepDone(const JobView &job, std::uint32_t step);
 
--- a/standins/cell/include/standincell/workermodel.h
+++ b/standins/cell/include/standincell/workermodel.h
@@ -65,6 +65,9 @@
     /// Answers when an end is listed or after the request's wait.
     void inventory(const cell::InventoryRequest &request, cell::Done<cell::InventoryOutcome> done);
 
+    /// From now on everything works at this share of its usual speed; 0: it stands still.
+    void setSpeed(double speed);
+
     /// Ends this life; nothing of it is left. A later call of any member belongs to the next one.
     void crash();
 
@@ -86,6 +89,9 @@
     {
         TaskPlan plan;
         bool stopping = false;
+        Duration done{};       ///< Work up to ...
+        TimePoint countedAt{}; ///< ... this time.
+        std::uint64_t timer = 0;
     };
     using Key = std::pair<cell::TaskId, std::uint32_t>;
 
@@ -93,6 +99,8 @@
     void extendLease(std::chrono::milliseconds until);
     void checkLease();
     void finish(Key key, cell::EndKind kind);
+    void countWork(Running &running) const;
+    void scheduleEnd(const Key &key);
     void workDone(const Key &key);
     void answerWaiting();
     [[nodiscard]] cell::Inventory listing() const;
@@ -104,6 +112,8 @@
     WorkerObserver &m_observer;
     std::int64_t m_born = 0;
     TimePoint m_lifeStart{};
+    double m_speed = 1;
+    std::uint64_t m_lastTimer = 0;
     std::uint64_t m_token = 0;
     std::uint64_t m_lastEnd = 0;
     std::chrono::milliseconds m_leaseUntil{};
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -69,6 +69,8 @@
     void cutWorker(std::uint32_t worker, bool cut);
     /// The worker does not hear one of the nodes.
     void cutWorkerFrom(std::uint32_t node, std::uint32_t worker, bool cut);
+    /// The worker works at this share of its speed; 0: what runs there stands still.
+    void slowWorker(std::uint32_t worker, double speed);
     void crashWorker(std::uint32_t worker);
     /// The worker is gone with all that it ran; cutWorker() brings it back.
     void removeWorker(std::uint32_t worker);
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -234,6 +234,11 @@
         slot.cutFrom.erase(name);
 }
 
+void World::slowWorker(std::uint32_t index, double speed)
+{
+    m_workers.at(index)->model->setSpeed(speed);
+}
+
 void World::removeWorker(std::uint32_t index)
 {
     auto &slot = *m_workers.at(index);
--- /dev/null
+++ b/standins/cell/tests/stragglers_test.cpp
@@ -0,0 +1,152 @@
+#include "testjobs.h"
+
+#include <stragglers.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <vector>
+
+using namespace cowsliprock;
+using namespace cowsliprock::standincell;
+using cell::JobStatus;
+using cell::RunProgress;
+using cell::StepPace;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A run of \p work on a worker that is \p slowness times slower, as an inventory shows it.
+RunProgress progressOf(Duration work, int slowness, Duration elapsed)
+{
+    const auto percent = 100 * elapsed / (work * slowness);
+    return { elapsed, static_cast<std::uint32_t>(std::min<std::int64_t>(percent, 100)),
+             Duration::zero() };
+}
+
+/// Jobs that ended within a time after they were handed in, each on six tasks of 400 ms.
+std::uint32_t endedInTime(World &world, std::uint32_t node, std::uint32_t first,
+                          std::uint32_t count, const World::JobPlan &plan, Duration time)
+{
+    std::vector<std::optional<JobStatus>> states(count);
+    for (std::uint32_t job = 0; job < count; ++job) {
+        world.submit(node, jobId(first + job), plan);
+        world.run(milliseconds(100));
+    }
+    world.run(time);
+    std::uint32_t ended = 0;
+    for (std::uint32_t job = 0; job < count; ++job)
+        ended += world.status(node, jobId(first + job)) == JobStatus::Completed ? 1 : 0;
+    return ended;
+}
+
+} // namespace
+
+/// Runs on workers that are slow or stand still.
+BOOST_AUTO_TEST_SUITE(stragglers)
+
+BOOST_AUTO_TEST_CASE(runOnASoundWorkerIsNeverOne)
+{
+    // The estimate may be a quarter of the work, or twice as much.
+    for (const auto work : { milliseconds(500), milliseconds(1000), milliseconds(20000) }) {
+        for (const int percentOfWork : { 25, 50, 100, 200 }) {
+            const StepPace pace{ work * percentOfWork / 100, {} };
+            for (Duration elapsed = milliseconds(50); elapsed < work; elapsed += milliseconds(50)) {
+                BOOST_TEST(!isStraggler(progressOf(work, 1, elapsed), pace, false));
+                BOOST_TEST(!isStraggler(progressOf(work, 1, elapsed), pace, true));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(siblingsMayBeUneven)
+{
+    const StepPace pace{ seconds(1), { seconds(1), milliseconds(900), milliseconds(1100) } };
+    for (Duration elapsed = milliseconds(50); elapsed < seconds(2); elapsed += milliseconds(50))
+        BOOST_TEST(!isStraggler(progressOf(seconds(2), 1, elapsed), pace, true));
+}
+
+BOOST_AUTO_TEST_CASE(runOnAMuchSlowerWorkerIsFoundEarly)
+{
+    const StepPace alone{ seconds(1), {} };
+    BOOST_TEST(isStraggler(progressOf(seconds(1), 7, milliseconds(900)), alone, false));
+    // What siblings on other workers take says more than the estimate.
+    const StepPace four{ seconds(4), {} };
+    BOOST_TEST(!isStraggler(progressOf(seconds(1), 5, milliseconds(900)), four, false));
+    const StepPace known{ seconds(4), { seconds(1), seconds(1) } };
+    BOOST_TEST(isStraggler(progressOf(seconds(1), 5, milliseconds(900)), known, false));
+}
+
+BOOST_AUTO_TEST_CASE(moveHasToBeWorthIt)
+{
+    const StepPace pace{ seconds(1), { seconds(1), seconds(1) } };
+    // Nearly done: it ends before another worker could end it.
+    BOOST_TEST(!isStraggler({ seconds(4), 80, {} }, pace, false));
+    // The same worker with more to do.
+    BOOST_TEST(isStraggler({ seconds(4), 40, {} }, pace, false));
+    // Saved progress makes a move cheaper.
+    const StepPace longer{ seconds(10), { seconds(10), seconds(10) } };
+    BOOST_TEST(!isStraggler({ seconds(36), 90, {} }, longer, false));
+    BOOST_TEST(isStraggler({ seconds(36), 90, {} }, longer, true));
+}
+
+BOOST_AUTO_TEST_CASE(runThatStandsStillIsOne)
+{
+    const StepPace pace{ seconds(1), {} };
+    BOOST_TEST(!isStraggler({ milliseconds(300), 0, milliseconds(300) }, pace, false));
+    BOOST_TEST(isStraggler({ milliseconds(900), 0, milliseconds(900) }, pace, false));
+    BOOST_TEST(isStraggler({ seconds(2), 60, milliseconds(800) }, pace, false));
+    // A percent of a long task takes its time.
+    BOOST_TEST(!cell::isStraggler({ seconds(9), 15, milliseconds(800) }, { seconds(60), {} }, false));
+}
+
+BOOST_AUTO_TEST_CASE(manySlowWorkersAreNotTakenOut)
+{
+    BOOST_TEST(cell::mayTakeOut(0, 3));
+    BOOST_TEST(!cell::mayTakeOut(1, 3));
+    BOOST_TEST(cell::mayTakeOut(15, 48));
+    BOOST_TEST(!cell::mayTakeOut(16, 48));
+}
+
+BOOST_AUTO_TEST_CASE(callersOfASlowCellAreServedInTime)
+{
+    // A sixth of the workers is seven times slower, or stands still.
+    for (const double speed : { 1.0 / 7, 0.0 }) {
+        World::Settings settings;
+        settings.workers = 18;
+        World world(settings);
+        world.run(startTime);
+        const auto node = follower(world);
+        for (std::uint32_t worker = 0; worker < 3; ++worker)
+            world.slowWorker(worker, speed);
+        auto plan = batch(6, seconds(1));
+        BOOST_TEST(endedInTime(world, node, 1, 20, plan, seconds(4)) >= 19U);
+        for (std::uint32_t worker = 0; worker < 3; ++worker)
+            world.slowWorker(worker, 1);
+        world.run(seconds(6));
+        checkPromises(world);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(copyRunsBesideARunOnASilentWorkerWhereThatIsAllowed)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    auto plan = batch(6, seconds(2));
+    plan.spec.steps.front().speculative = true;
+    world.submit(node, jobId(1), plan);
+    world.run(milliseconds(700));
+    for (std::uint32_t worker = 0; worker < 3; ++worker)
+        world.cutWorker(worker, true);
+    // Well before any lease is over.
+    world.run(milliseconds(3800));
+    BOOST_TEST((world.status(node, jobId(1)) == JobStatus::Completed));
+    for (std::uint32_t worker = 0; worker < 3; ++worker)
+        world.cutWorker(worker, false);
+    world.run(seconds(8));
+    checkPromises(world);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
