--- a/libs/cell/src/prefixwatch.cpp
+++ b/libs/cell/src/prefixwatch.cpp
@@ -108,7 +108,8 @@
 
 void PrefixWatch::State::watch()
 {
-    store.watch(prefix, position, options.wait,
+    // After a failure the first answer tells at once that the store is back.
+    store.watch(prefix, position, reachable ? options.wait : Duration::zero(),
                 [self = shared_from_this()](const Result<StoreEvents> &events) {
                     if (self->closed)
                         return;
