Go on asking workers whose ends cannot be acknowledged

In an outage of the store it was deaf to that worker: its leases were not renewed, so that after 5 s all that ran there was killed (33 runs in the outage of 5.6 s), and further ends were not heard, so that later steps of begun jobs did not start. Change: such a worker is asked every 250 ms; one waiter for the store for each new end, not for each answer.

--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -236,7 +236,7 @@
         takeRunning(worker, row);
     dropMissing(worker, inventory, asked);
     checkProgress(worker);
-    if (newEnds || worker.durableEnds != worker.handledEnds) {
+    if (std::exchange(worker.awaitedEnds, worker.handledEnds) != worker.handledEnds) {
         m_writer.whenDurable(
             [this, id = worker.entry.id, born = worker.born, number = worker.handledEnds] {
                 const auto entry = m_workers.find(id);
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::milliseconds busyWait{ 900 };
 /// Pause between two questions to a worker without tasks.
 constexpr std::chrono::milliseconds idlePause{ 700 };
+/// Pause between two questions to a worker whose ends cannot be acknowledged yet.
+constexpr std::chrono::milliseconds undurablePause{ 250 };
 /// Ends that come close together are gathered into one answer.
 constexpr std::chrono::milliseconds gatherPause{ 15 };
 constexpr std::chrono::milliseconds retryPause{ 250 };
@@ -214,8 +216,7 @@
     // does.
     if (!outdated)
         m_listener.inventory(worker, inventory, asked);
-    // Ends that are not durable yet would be returned at once: poke() asks when they are.
-    if (worker.durableEnds == worker.handledEnds && !link.asking)
+    if (!link.asking)
         schedule(worker.entry.id, nextDelay(worker));
 }
 
@@ -243,6 +244,10 @@
 
 Duration WorkerLinks::nextDelay(const Worker &worker) const
 {
+    // Ends that are not durable are returned at once: poke() asks when they are. In an outage of
+    // the store the worker is asked all the same, for its leases and for what has ended since.
+    if (worker.durableEnds != worker.handledEnds)
+        return undurablePause;
     return worker.runs.empty() ? Duration(idlePause) : Duration(gatherPause);
 }
 
@@ -257,6 +262,7 @@
     worker.token = tokenOf(link);
     worker.fenced = false;
     worker.handledEnds = 0;
+    worker.awaitedEnds = 0;
     worker.durableEnds = 0;
     worker.inventoryClock = {};
     worker.clock = {};
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -64,6 +64,7 @@
     std::uint64_t token = 0;                ///< Fencing token of orders to this life.
     bool fenced = false;                    ///< This life has accepted the token.
     std::uint64_t handledEnds = 0;          ///< Number of the last end that was handled.
+    std::uint64_t awaitedEnds = 0;          ///< Number of the last end whose storing is awaited.
     std::uint64_t durableEnds = 0;          ///< Number of the last end that the worker may forget.
     std::chrono::milliseconds clock{};      ///< Its steady clock ...
     TimePoint clockReadAt{};                ///< ... at this time.
--- a/standins/cell/tests/failures_test.cpp
+++ b/standins/cell/tests/failures_test.cpp
@@ -305,6 +305,30 @@
     checkPromises(world);
 }
 
+BOOST_AUTO_TEST_CASE(longOutageOfTheStoreEndsNothingThatRuns)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    // On each worker a short task ends in the outage, beside a long one.
+    world.submit(node, jobId(1), batch(6, milliseconds(1500)));
+    world.submit(node, jobId(2), batch(12, seconds(9)));
+    world.submit(node, jobId(3), chain(6, milliseconds(1500)));
+    world.run(seconds(1));
+    BOOST_REQUIRE(world.promises().starts() == 24U);
+    world.storeFaultForAll(StoreFault::Refuse);
+    world.run(seconds(4));
+    // The second step of what has begun needs no new record.
+    BOOST_TEST(world.promises().starts() == 30U);
+    world.run(seconds(4));
+    world.storeFaultForAll(StoreFault::None);
+    world.run(seconds(4));
+    BOOST_TEST(world.promises().starts() == 30U);
+    for (std::uint32_t job = 1; job <= 3; ++job)
+        BOOST_TEST((world.status(node, jobId(job)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
 BOOST_AUTO_TEST_CASE(strongestDaemonOwnsTheCellAgainAfterAllWereLost)
 {
     World::Settings settings;
