--- a/libs/cell/src/prefixwatch.cpp
+++ b/libs/cell/src/prefixwatch.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds firstRetryDelay{ 100 };
-constexpr std::chrono::milliseconds maxRetryDelay{ 800 };
+constexpr std::chrono::milliseconds maxRetryDelay{ 200 };
 
 } // namespace
 
