Name in the roster the jobs that a worker without orders may still run

Cause: the roster told a successor which workers may run something, not what.

Change: a worker that gets no orders (leaving, unlisted, or silent) stands in the roster with the jobs that may run there or ended there without a durable note; a successor holds back these jobs only, and settles the others at each check.

Ruled out: waiting by the lease of the former owner only (the start's fate is unknown until the worker's own fence has passed).

--- a/libs/cell/src/records.cpp
+++ b/libs/cell/src/records.cpp
@@ -185,24 +185,31 @@
     return json.dump();
 }
 
-std::string encode(const std::vector<WorkerEntry> &roster)
+std::string encode(const std::vector<RosterEntry> &roster)
 {
     Json list = Json::array();
-    for (const auto &worker : roster)
-        list.push_back(Json::array({ worker.id, worker.address, worker.service }));
+    for (const auto &[worker, jobs] : roster) {
+        Json row = Json::array({ worker.id, worker.address, worker.service });
+        if (jobs)
+            row.push_back(*jobs);
+        list.push_back(std::move(row));
+    }
     return Json{ { "workers", std::move(list) } }.dump();
 }
 
-std::optional<std::vector<WorkerEntry>> decodeRoster(const std::string &text)
+std::optional<std::vector<RosterEntry>> decodeRoster(const std::string &text)
 {
     return decodeJson(text, [](const Json &json) {
-        std::vector<WorkerEntry> roster;
+        constexpr std::size_t jobsColumn = 3;
+        std::vector<RosterEntry> roster;
         for (const auto &row : json.at("workers")) {
-            WorkerEntry worker;
-            worker.id = row.at(0);
-            worker.address = row.at(1);
-            worker.service = row.at(2);
-            roster.push_back(std::move(worker));
+            RosterEntry entry;
+            entry.worker.id = row.at(0);
+            entry.worker.address = row.at(1);
+            entry.worker.service = row.at(2);
+            if (row.size() > jobsColumn)
+                entry.jobs = row.at(jobsColumn).get<std::set<std::string>>();
+            roster.push_back(std::move(entry));
         }
         return roster;
     });
--- a/libs/cell/src/records.h
+++ b/libs/cell/src/records.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,14 @@
     double weight = 0;            ///< Processor share of the owner.
 };
 
+/// A worker that may run something when the owner changes.
+struct RosterEntry
+{
+    WorkerEntry worker;
+    /// Jobs of which it may run tasks, if it gets no orders any more; nothing: of any job.
+    std::optional<std::set<std::string>> jobs;
+};
+
 /// Failed runs of one task. Workers list an end until it is acknowledged, and in any order, so the
 /// runs are kept by number: each counts once.
 struct TaskFailures
@@ -61,13 +70,13 @@
 [[nodiscard]] std::string encode(const JobRecord &record);
 [[nodiscard]] std::string encode(const JobProgress &progress);
 
-[[nodiscard]] std::string encode(const std::vector<WorkerEntry> &roster);
+[[nodiscard]] std::string encode(const std::vector<RosterEntry> &roster);
 
 /// The decoders return nothing if the text is malformed.
 [[nodiscard]] std::optional<MemberRecord> decodeMember(const std::string &text);
 [[nodiscard]] std::optional<OwnerRecord> decodeOwner(const std::string &text);
 [[nodiscard]] std::optional<JobRecord> decodeJob(const std::string &text);
 [[nodiscard]] std::optional<JobProgress> decodeProgress(const std::string &text);
-[[nodiscard]] std::optional<std::vector<WorkerEntry>> decodeRoster(const std::string &text);
+[[nodiscard]] std::optional<std::vector<RosterEntry>> decodeRoster(const std::string &text);
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -34,7 +34,10 @@
                 [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
                     takeNewLife(worker, inventory, asked);
                 },
-                [this](Worker &worker) { copyRunsOf(worker); },
+                [this](Worker &worker) {
+                    m_roster.check(worker);
+                    copyRunsOf(worker);
+                },
                 [this](Worker &worker) { endAllRuns(worker); }, [this] { m_fenced(); } })
     , m_roster(writer, ports.timers, m_workers, keys::roster(settings.shard),
                [this] { requestPass(); })
@@ -127,11 +130,12 @@
 {
     const auto roster = decodeRoster(text);
     m_roster.restore(text);
-    for (const auto &entry : roster.value_or(std::vector<WorkerEntry>())) {
+    for (const auto &[entry, jobs] : roster.value_or(std::vector<RosterEntry>())) {
         const auto [found, added] = m_workers.try_emplace(entry.id);
         if (!added)
             continue;
         found->second.entry = entry;
+        found->second.formerJobs = jobs;
         found->second.unlistedSince = now();
         found->second.usedBefore = true;
         m_links.add(found->second);
@@ -157,6 +161,8 @@
         finishRecovery();
         return;
     }
+    if (m_loaded)
+        settleJobs();
     m_ports.timers.after(recoveryCheckInterval, [this, alive = m_alive] {
         if (*alive)
             checkRecovery();
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -185,6 +185,9 @@
     [[nodiscard]] bool mayStart(Job &job);
     void beginDueOccurrences(Job &job);
     void finishRecovery();
+    /// Sets free the jobs of which nothing can be at work on a worker that is silent.
+    void settleJobs();
+    void abortPartialGangs(const Job &job);
     void checkRecovery();
     void collectGarbage();
     void cancel(Job &job);
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -263,30 +263,44 @@
                       { { "shard", m_settings.shard },
                         { "jobs", static_cast<std::uint64_t>(m_activeJobs.size()) },
                         { "workers", static_cast<std::uint64_t>(m_workers.size()) } });
-    std::vector<std::pair<TaskId, std::uint32_t>> partial;
-    for (Job *active : m_activeJobs) {
-        Job &job = *active;
-        job.mayRunElsewhere = false;
-        for (auto &[number, occurrence] : job.occurrences) {
-            for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
-                const auto &tasks = occurrence.steps[index].tasks;
-                const auto placed = std::count_if(tasks.begin(), tasks.end(), [](const Task &task) {
-                    return task.phase == TaskPhase::Placed;
-                });
-                if (!job.spec(index).gang || placed == 0
-                    || static_cast<std::size_t>(placed) == tasks.size()) {
-                    continue;
-                }
-                const auto member = std::find_if(tasks.begin(), tasks.end(), [](const Task &task) {
-                    return task.phase == TaskPhase::Placed;
-                });
-                partial.emplace_back(TaskId{ job.record.id, number, index, 0 }, member->lastRun);
+    settleJobs();
+}
+
+void Scheduler::settleJobs()
+{
+    std::set<std::string> mayRun;
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker.usedBefore || worker.accountedFor)
+            continue;
+        if (!worker.formerJobs)
+            return;
+        mayRun.insert(worker.formerJobs->begin(), worker.formerJobs->end());
+    }
+    for (Job *job : m_activeJobs) {
+        if (!job->mayRunElsewhere || mayRun.contains(job->record.id))
+            continue;
+        job->mayRunElsewhere = false;
+        abortPartialGangs(*job);
+        requestPass();
+    }
+}
+
+void Scheduler::abortPartialGangs(const Job &job)
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
+            const auto &tasks = occurrence.steps[index].tasks;
+            const auto isPlaced = [](const Task &task) { return task.phase == TaskPhase::Placed; };
+            const auto placed = std::count_if(tasks.begin(), tasks.end(), isPlaced);
+            if (!job.spec(index).gang || placed == 0
+                || static_cast<std::size_t>(placed) == tasks.size()) {
+                continue;
             }
+            const auto member = std::find_if(tasks.begin(), tasks.end(), isPlaced);
+            abortGang({ job.record.id, number, index, 0 }, member->lastRun,
+                      "members were lost with an earlier owner");
         }
     }
-    for (const auto &[task, run] : partial)
-        abortGang(task, run, "members were lost with an earlier owner");
-    requestPass();
 }
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -230,6 +230,7 @@
             continue;
         endRun(worker, end);
         worker.handledEnds = end.number;
+        worker.jobsOfEnds.insert(end.task.job);
         newEnds = true;
     }
     for (const auto &row : inventory.running)
@@ -242,7 +243,10 @@
                 const auto entry = m_workers.find(id);
                 if (entry == m_workers.end() || entry->second.born != born)
                     return;
-                entry->second.durableEnds = std::max(entry->second.durableEnds, number);
+                Worker &stored = entry->second;
+                stored.durableEnds = std::max(stored.durableEnds, number);
+                if (stored.durableEnds == stored.handledEnds)
+                    stored.jobsOfEnds.clear();
                 m_links.poke(id);
             });
     }
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -262,6 +262,7 @@
     worker.token = tokenOf(link);
     worker.fenced = false;
     worker.handledEnds = 0;
+    worker.jobsOfEnds.clear();
     worker.awaitedEnds = 0;
     worker.durableEnds = 0;
     worker.inventoryClock = {};
--- a/libs/cell/src/workerroster.cpp
+++ b/libs/cell/src/workerroster.cpp
@@ -1,7 +1,5 @@
 #include "workerroster.h"
 
-#include "records.h"
-
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -40,16 +38,33 @@
     update();
 }
 
-bool WorkerRoster::belongs(const Worker &worker)
+RosterState WorkerRoster::due(const Worker &worker)
 {
-    const bool runsUnknown = worker.usedBefore && !worker.accountedFor;
     const bool takesOrders = worker.reachable && !worker.entry.draining && !worker.unlistedSince;
-    return runsUnknown || takesOrders || !worker.runs.empty();
+    const bool runsUnknown = worker.usedBefore && !worker.accountedFor;
+    if (takesOrders || (runsUnknown && !worker.formerJobs))
+        return RosterState::Open;
+    // A successor has to hear of ends that are not durable.
+    const bool holdsSomething = !worker.runs.empty() || !worker.jobsOfEnds.empty();
+    return runsUnknown || holdsSomething ? RosterState::Closed : RosterState::Absent;
+}
+
+RosterEntry WorkerRoster::entryOf(const Worker &worker, RosterState state)
+{
+    RosterEntry entry{ worker.entry, std::nullopt };
+    if (state != RosterState::Closed)
+        return entry;
+    entry.jobs = worker.jobsOfEnds;
+    if (!worker.accountedFor && worker.formerJobs)
+        entry.jobs->insert(worker.formerJobs->begin(), worker.formerJobs->end());
+    for (const auto &[key, run] : worker.runs)
+        entry.jobs->insert(key.first.job);
+    return entry;
 }
 
 void WorkerRoster::check(const Worker &worker)
 {
-    if (worker.inRoster != belongs(worker))
+    if (worker.inRoster != due(worker))
         updateLater();
 }
 
@@ -67,27 +82,26 @@
 
 void WorkerRoster::update()
 {
-    std::vector<WorkerEntry> entries;
-    std::set<std::string> names;
+    std::vector<RosterEntry> entries;
+    States states;
     for (auto &[id, worker] : m_workers) {
-        if (!belongs(worker)) {
-            // No order may be sent while the list without it is on its way.
-            worker.inRoster = false;
-            continue;
-        }
-        entries.push_back(worker.entry);
-        names.insert(id);
+        const auto state = due(worker);
+        // No order may be sent while a list that excludes it is on its way.
+        worker.inRoster = std::min(worker.inRoster, state);
+        if (state != RosterState::Absent)
+            entries.push_back(entryOf(worker, state));
+        states.emplace(id, state);
     }
     std::sort(entries.begin(), entries.end(),
-              [](const WorkerEntry &left, const WorkerEntry &right) { return left.id < right.id; });
+              [](const auto &left, const auto &right) { return left.worker.id < right.worker.id; });
     auto text = encode(entries);
     if (text == m_text && m_storing)
         return;
     const auto version = ++m_version;
-    const auto whenStored = [this, alive = m_alive, names, version] {
+    const auto whenStored = [this, alive = m_alive, states, version] {
         // A newer list may lack a worker that this one names.
         if (*alive && version == m_version)
-            stored(names);
+            stored(states);
     };
     m_storing = true;
     if (std::exchange(m_text, text) == text)
@@ -96,13 +110,13 @@
         m_writer.write(m_key, std::move(text), Urgency::Now, whenStored);
 }
 
-void WorkerRoster::stored(const std::set<std::string> &names)
+void WorkerRoster::stored(const States &states)
 {
     m_storing = false;
-    for (const auto &id : names) {
+    for (const auto &[id, state] : states) {
         const auto worker = m_workers.find(id);
-        if (worker != m_workers.end() && belongs(worker->second))
-            worker->second.inRoster = true;
+        if (worker != m_workers.end())
+            worker->second.inRoster = std::min(state, due(worker->second));
     }
     m_changed();
 }
--- a/libs/cell/src/workerroster.h
+++ b/libs/cell/src/workerroster.h
@@ -1,22 +1,25 @@
 #pragma once
 
 #include "fencedwriter.h"
+#include "records.h"
 #include "workertable.h"
 
 #include <eventloop/timers.h>
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace cowsliprock::cell {
 
 /// Keeps in the store the list of the workers that may run something, for the owner's successor:
 /// it has to hear from each of them, or wait until their leases are over, before it starts what
-/// may run there. A worker gets orders only while the stored list names it. One that gets none any
-/// more and runs nothing is taken off, so that a successor does not wait for what has left.
+/// may run there. A worker gets orders only while the stored list says so. Of one that gets none
+/// any more the list names the jobs that may still run there, or that ended there without a
+/// durable note. If there are none it is taken off, so that a successor does not wait for what has
+/// left.
 class WorkerRoster
 {
 public:
@@ -37,10 +40,13 @@
     void check(const Worker &worker);
 
 private:
-    [[nodiscard]] static bool belongs(const Worker &worker);
+    using States = std::map<std::string, RosterState>;
+
+    [[nodiscard]] static RosterState due(const Worker &worker);
+    [[nodiscard]] static RosterEntry entryOf(const Worker &worker, RosterState state);
     void updateLater();
     void update();
-    void stored(const std::set<std::string> &names);
+    void stored(const States &states);
 
     FencedWriter &m_writer;
     Timers &m_timers;
--- a/libs/cell/src/workertable.cpp
+++ b/libs/cell/src/workertable.cpp
@@ -40,8 +40,8 @@
 
 bool usable(const Worker &worker, TimePoint now)
 {
-    return worker.inRoster && worker.fenced && worker.reachable && !worker.suspect
-        && !worker.entry.draining && worker.runsOfUnknownSize == 0
+    return worker.inRoster == RosterState::Open && worker.fenced && worker.reachable
+        && !worker.suspect && !worker.entry.draining && worker.runsOfUnknownSize == 0
         && worker.health.quarantinedUntil <= now && worker.health.slowUntil <= now
         && (!worker.unlistedSince || now - *worker.unlistedSince < unlistedGrace);
 }
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -21,6 +22,13 @@
     Stopping, ///< To be stopped; may still be at work.
 };
 
+/// What the stored roster says of a worker.
+enum class RosterState {
+    Absent, ///< Nothing of this cell runs there.
+    Closed, ///< It runs tasks of the jobs that are named, and gets no orders.
+    Open,   ///< It may get orders.
+};
+
 using RunKey = std::pair<TaskId, std::uint32_t>;
 
 /// One start of a task on one worker. It holds capacity until its end is certain.
@@ -66,6 +74,7 @@
     std::uint64_t handledEnds = 0;          ///< Number of the last end that was handled.
     std::uint64_t awaitedEnds = 0;          ///< Number of the last end whose storing is awaited.
     std::uint64_t durableEnds = 0;          ///< Number of the last end that the worker may forget.
+    std::set<std::string> jobsOfEnds;       ///< Of ends that are handled and not durable yet.
     std::chrono::milliseconds clock{};      ///< Its steady clock ...
     TimePoint clockReadAt{};                ///< ... at this time.
     std::chrono::milliseconds inventoryClock{}; ///< Its clock in the newest inventory.
@@ -74,8 +83,10 @@
     bool reachable = false;
     bool usedBefore = false;   ///< An owner before this one may have started something there ...
     bool accountedFor = false; ///< ... but it has answered since, or its leases are over.
-    bool inRoster = false;     ///< The stored roster names it.
-    bool suspect = false;      ///< An answer is overdue: nothing new until it comes.
+    /// Jobs of which that can be; nothing: of any job.
+    std::optional<std::set<std::string>> formerJobs;
+    RosterState inRoster = RosterState::Absent; ///< As stored.
+    bool suspect = false; ///< An answer is overdue: nothing new until it comes.
     Resources held;
     std::uint32_t runsOfUnknownSize = 0; ///< While there are any, it takes nothing new.
     std::map<RunKey, Run> runs;
--- a/standins/cell/tests/stragglers_test.cpp
+++ b/standins/cell/tests/stragglers_test.cpp
@@ -98,7 +98,8 @@
     BOOST_TEST(isStraggler({ milliseconds(900), 0, milliseconds(900) }, pace, false));
     BOOST_TEST(isStraggler({ seconds(2), 60, milliseconds(800) }, pace, false));
     // A percent of a long task takes its time.
-    BOOST_TEST(!cell::isStraggler({ seconds(9), 15, milliseconds(800) }, { seconds(60), {} }, false));
+    BOOST_TEST(
+        !cell::isStraggler({ seconds(9), 15, milliseconds(800) }, { seconds(60), {} }, false));
 }
 
 BOOST_AUTO_TEST_CASE(manySlowWorkersAreNotTakenOut)
--- a/standins/cell/tests/takeover_test.cpp
+++ b/standins/cell/tests/takeover_test.cpp
@@ -90,6 +90,66 @@
     checkPromises(world);
 }
 
+BOOST_AUTO_TEST_CASE(workerThatWasSilentBeforeHoldsUpItsOwnJobsOnly)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    // Five workers are full; of the second job half waits for room.
+    world.submit(node, jobId(1), batch(20, milliseconds(3500)));
+    world.run(milliseconds(300));
+    world.submit(node, jobId(2), batch(8, seconds(6)));
+    world.run(milliseconds(300));
+    BOOST_REQUIRE(world.promises().starts() == 24U);
+    std::uint32_t silent = 0;
+    while (world.worker(silent).present({ jobId(1), 0, 0, 0 }, 1) != 4)
+        ++silent;
+    world.cutWorker(silent, true);
+    world.run(milliseconds(1500));
+    changeOwner(world);
+    // The first job's tasks end, but for those on the silent worker, whose lease goes on.
+    world.run(milliseconds(1500));
+    BOOST_TEST(world.promises().starts() == 28U);
+    world.run(seconds(12));
+    world.cutWorker(silent, false);
+    world.run(seconds(2));
+    BOOST_TEST((world.status(node, jobId(1)) == JobStatus::Completed));
+    BOOST_TEST((world.status(node, jobId(2)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
+BOOST_AUTO_TEST_CASE(endsWithoutADurableNoteAreWaitedFor)
+{
+    World world({});
+    world.run(startTime);
+    const auto owner = *world.owner();
+    const auto node = follower(world);
+    world.submit(node, jobId(1), chain(4, milliseconds(1500)));
+    world.run(milliseconds(500));
+    // The tasks of the first step end on workers that leave, and no note of it is stored.
+    world.storeFaultForAll(StoreFault::Refuse);
+    std::vector<std::uint32_t> used;
+    for (std::uint32_t worker = 0; worker < 6; ++worker) {
+        if (world.promises().startsOn("worker-" + std::to_string(worker)) > 0)
+            used.push_back(worker);
+    }
+    for (const auto worker : used)
+        world.drainWorker(worker);
+    world.run(milliseconds(1500));
+    world.kill(owner);
+    world.storeFaultForAll(StoreFault::None);
+    for (const auto worker : used)
+        world.cutWorker(worker, true);
+    // The successor may not start any of the first step's tasks again.
+    world.run(seconds(4));
+    BOOST_TEST(world.promises().starts() <= 8U);
+    for (const auto worker : used)
+        world.cutWorker(worker, false);
+    world.run(seconds(6));
+    BOOST_TEST((world.status(node, jobId(1)) == JobStatus::Completed));
+    checkPromises(world);
+}
+
 BOOST_AUTO_TEST_CASE(taskOnASilentWorkerStartsElsewhereOnlyWhenItsLeaseIsOver)
 {
     World world({});
