Look every 150 ms whether the store answers again

Change: probes every 150 ms. They are sent only in an outage. Ruled out: holding submissions until the next probe (a submission that has no way is to be refused at once). Test jobsAreAcceptedAgainSoonAfterAnOutage: of eight callers, 200 ms after outages that end at different phases, five were accepted before, eight now.

--- a/libs/cell/src/storerouter.cpp
+++ b/libs/cell/src/storerouter.cpp
@@ -17,7 +17,7 @@
 /// After these have all refused, calls fail at once for this long.
 constexpr std::chrono::milliseconds noPeerPause{ 250 };
 /// A store that does not answer is tried this often.
-constexpr std::chrono::milliseconds probeInterval{ 400 };
+constexpr std::chrono::milliseconds probeInterval{ 150 };
 /// A check that is this late was held up with the whole process, and the answers with it.
 constexpr std::chrono::milliseconds checkTolerance{ 100 };
 
--- a/standins/cell/tests/storepaths_test.cpp
+++ b/standins/cell/tests/storepaths_test.cpp
@@ -68,6 +68,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(jobsAreAcceptedAgainSoonAfterAnOutage)
+{
+    std::uint32_t accepted = 0;
+    for (int phase = 0; phase < 8; ++phase) {
+        World world({});
+        world.run(startTime);
+        world.storeFaultForAll(StoreFault::Refuse);
+        world.run(noticeTime + phase * milliseconds(50));
+        world.storeFaultForAll(StoreFault::None);
+        world.run(milliseconds(200));
+        accepted += submitMany(world, follower(world), 1, 1, milliseconds(150)).accepted;
+        checkPromises(world);
+    }
+    BOOST_TEST(accepted == 8U);
+}
+
 BOOST_AUTO_TEST_CASE(ownerWithoutTheStoreGoesOnThroughAnother)
 {
     for (const auto fault : { StoreFault::Silent, StoreFault::Refuse }) {
