Take a store that closes one connection after the other for one that is away

Change: two breaks in a row, the second of a call sent after the first, are an outage; what breaks at the same time is one event. A first failure is followed by a probe at once, so that an idle daemon knows as soon as a busy one.

--- a/libs/cell/src/storehealth.cpp
+++ b/libs/cell/src/storehealth.cpp
@@ -10,6 +10,7 @@
 /// Nothing comes from a store that works for this long only if the link is full.
 constexpr std::chrono::milliseconds shortestSilence{ 600 };
 constexpr std::uint32_t refusalsUntilFailing = 2;
+constexpr std::uint32_t breaksUntilFailing = 2;
 
 } // namespace
 
@@ -32,33 +33,43 @@
         m_answerTimes.observe(now - sent);
     if (sent >= m_lastRefused)
         m_refusals = 0;
+    if (sent >= m_lastBroken)
+        m_breaks = 0;
 }
 
 void StoreHealth::refused(CallNumber call, TimePoint now)
 {
     ++m_refusals;
     m_lastRefused = now;
-    endInSilence(call, now);
+    if (const auto open = m_open.extract(call); !open.empty())
+        endInSilence(open.mapped(), now);
 }
 
 void StoreHealth::unanswered(CallNumber call, TimePoint now)
 {
-    endInSilence(call, now);
+    const auto open = m_open.extract(call);
+    if (open.empty())
+        return;
+    const auto &ended = open.mapped();
+    // All connections that were open may break at once; that is one break.
+    if (now - ended.sent < shortestSilence && ended.sent >= m_lastBroken) {
+        ++m_breaks;
+        m_lastBroken = now;
+    }
+    endInSilence(ended, now);
 }
 
-void StoreHealth::endInSilence(CallNumber call, TimePoint now)
+void StoreHealth::endInSilence(const OpenCall &call, TimePoint now)
 {
-    const auto open = m_open.extract(call);
-    if (open.empty() || open.mapped().waits)
+    if (call.waits)
         return;
     // Answers that came meanwhile show that only this one was lost.
-    const auto sent = open.mapped().sent;
-    m_silent = m_silent || (sent >= m_lastHeard && now - sent >= shortestSilence);
+    m_silent = m_silent || (call.sent >= m_lastHeard && now - call.sent >= shortestSilence);
 }
 
 bool StoreHealth::failing(TimePoint now) const
 {
-    return m_refusals >= refusalsUntilFailing || silent(now);
+    return m_refusals >= refusalsUntilFailing || m_breaks >= breaksUntilFailing || silent(now);
 }
 
 bool StoreHealth::silent(TimePoint now) const
--- a/libs/cell/src/storehealth.h
+++ b/libs/cell/src/storehealth.h
@@ -10,7 +10,8 @@
 namespace cowsliprock::cell {
 
 /// Judges from all calls of the store whether it answers this daemon. A store that answers slowly
-/// works; one that refuses call after call, or from which nothing at all comes, does not.
+/// works; one that refuses call after call, or closes one connection after the other, or from which
+/// nothing at all comes, does not.
 /// Load it answers: an outage in which each call would otherwise wait for its own timeout.
 class StoreHealth
 {
@@ -27,11 +28,14 @@
     /// The store, or the way to it, refused a call.
     void refused(CallNumber call, TimePoint now);
 
-    /// The call ended without an answer.
+    /// The call ended without an answer: it was overdue, or its connection broke.
     void unanswered(CallNumber call, TimePoint now);
 
     [[nodiscard]] bool failing(TimePoint now) const;
 
+    /// The last call failed: another one will tell whether the store does.
+    [[nodiscard]] bool doubtful() const noexcept { return m_refusals > 0 || m_breaks > 0; }
+
     /// True if nothing comes from the store at all.
     [[nodiscard]] bool silent(TimePoint now) const;
 
@@ -46,7 +50,7 @@
         bool waits = false;
     };
 
-    void endInSilence(CallNumber call, TimePoint now);
+    void endInSilence(const OpenCall &call, TimePoint now);
     [[nodiscard]] Duration silenceLimit() const noexcept;
 
     std::map<CallNumber, OpenCall> m_open;
@@ -55,7 +59,9 @@
     TimePoint m_lastHeard{};
     TimePoint m_lastRefused{};
     std::uint32_t m_refusals = 0; ///< In a row.
-    bool m_silent = false;        ///< A call waited in vain, and nothing has come since.
+    TimePoint m_lastBroken{};
+    std::uint32_t m_breaks = 0; ///< In a row, each of a call that was sent after the one before.
+    bool m_silent = false;      ///< A call waited in vain, and nothing has come since.
 };
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/storerouter.cpp
+++ b/libs/cell/src/storerouter.cpp
@@ -148,6 +148,15 @@
     // A call that was abandoned has been answered.
     if (!open.empty())
         open.mapped().done(result);
+    resolveDoubt();
+}
+
+void StoreRouter::resolveDoubt()
+{
+    if (m_failing || !m_health.doubtful() || std::exchange(m_resolvingDoubt, true))
+        return;
+    callDirect(StoreReadCall{ keys::probe },
+               [this](const Result<StoreReply> &) { m_resolvingDoubt = false; });
 }
 
 void StoreRouter::judge()
--- a/libs/cell/src/storerouter.h
+++ b/libs/cell/src/storerouter.h
@@ -93,6 +93,8 @@
     void route(StoreCall call, Done<Result<T>> done);
     void callDirect(const StoreCall &call, const CallDone &done);
     void directEnded(StoreHealth::CallNumber number, const Result<StoreReply> &result);
+    /// Asks again at once after a failure: one lost call is no outage.
+    void resolveDoubt();
     void judge();
     void directLost();
     void checkSilenceLater();
@@ -112,6 +114,7 @@
     bool m_failing = false;
     bool m_isolated = false;
     bool m_silenceCheckScheduled = false;
+    bool m_resolvingDoubt = false;
     std::string m_peer; ///< Through which the last call went.
     TimePoint m_noPeerUntil{};
     std::optional<TimePoint> m_unavailableSince;
--- a/standins/cell/include/standincell/storemodel.h
+++ b/standins/cell/include/standincell/storemodel.h
@@ -19,6 +19,7 @@
     None,
     Refuse,  ///< Answers that it did nothing.
     Silent,  ///< Neither acts nor answers.
+    Reset,   ///< Does nothing, and closes the connection without an answer.
     Lose,    ///< Acts and does not answer.
     LoseLate ///< Writes take effect seconds later and are not answered.
 };
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -92,6 +92,9 @@
     case StoreFault::Silent:
         answer(callTimeout, timedOut("store"));
         return;
+    case StoreFault::Reset:
+        answer(m_world.delay(), timedOut("store"));
+        return;
     case StoreFault::Lose:
     case StoreFault::LoseLate:
         if (write) {
@@ -138,6 +141,12 @@
         });
         return;
     }
+    if (m_slot.fault == StoreFault::Reset) {
+        m_time.after(m_world.delay(), [this, life, done] {
+            m_slot.timers->deliver(life, [done] { done(timedOut("store.watch")); });
+        });
+        return;
+    }
     if (m_slot.fault == StoreFault::Silent) {
         lost();
         return;
--- a/standins/cell/tests/exploration_test.cpp
+++ b/standins/cell/tests/exploration_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <iostream>
 #include <random>
@@ -119,7 +120,7 @@
             m_world.storeFault(node, StoreFault::Refuse);
             break;
         case 5:
-            m_world.storeFault(node, StoreFault::Silent);
+            m_world.storeFault(node, pick(0, 1) == 0 ? StoreFault::Silent : StoreFault::Reset);
             break;
         case 6:
             m_world.storeFault(node, pick(0, 1) == 0 ? StoreFault::Lose : StoreFault::LoseLate);
@@ -137,7 +138,8 @@
             m_world.compactStore();
             break;
         case 11:
-            m_world.storeFaultForAll(pick(0, 1) == 0 ? StoreFault::Refuse : StoreFault::Silent);
+            m_world.storeFaultForAll(std::array{ StoreFault::Refuse, StoreFault::Silent,
+                                                 StoreFault::Reset }[pick(0, 2)]);
             break;
         case 12:
         case 13:
--- a/standins/cell/tests/storehealth_test.cpp
+++ b/standins/cell/tests/storehealth_test.cpp
@@ -85,4 +85,21 @@
     BOOST_TEST(!health.failing(start + milliseconds(64)));
 }
 
+BOOST_AUTO_TEST_CASE(connectionsThatBreakOneAfterTheOtherAreAnOutage)
+{
+    StoreHealth health;
+    const auto first = health.sent(start, false);
+    const auto second = health.sent(start, false);
+    const auto watch = health.sent(start, true);
+    // What breaks at the same time is one event: a restart of the store, or of something between.
+    for (const auto call : { first, second, watch })
+        health.unanswered(call, start + milliseconds(3));
+    BOOST_TEST(!health.failing(start + milliseconds(3)));
+    health.unanswered(health.sent(start + milliseconds(4), false), start + milliseconds(7));
+    BOOST_TEST(health.failing(start + milliseconds(7)));
+    BOOST_TEST(!health.silent(start + milliseconds(7)));
+    health.answered(health.sent(start + milliseconds(150), false), start + milliseconds(154));
+    BOOST_TEST(!health.failing(start + milliseconds(154)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cell/tests/storepaths_test.cpp
+++ b/standins/cell/tests/storepaths_test.cpp
@@ -53,7 +53,7 @@
 
 BOOST_AUTO_TEST_CASE(nodeWithoutTheStoreAcceptsAtOnceThroughAnother)
 {
-    for (const auto fault : { StoreFault::Silent, StoreFault::Refuse }) {
+    for (const auto fault : { StoreFault::Silent, StoreFault::Refuse, StoreFault::Reset }) {
         World world({});
         world.run(startTime);
         const auto node = follower(world);
@@ -86,7 +86,7 @@
 
 BOOST_AUTO_TEST_CASE(ownerWithoutTheStoreGoesOnThroughAnother)
 {
-    for (const auto fault : { StoreFault::Silent, StoreFault::Refuse }) {
+    for (const auto fault : { StoreFault::Silent, StoreFault::Refuse, StoreFault::Reset }) {
         World world({});
         world.run(startTime);
         const auto owner = *world.owner();
@@ -134,6 +134,23 @@
     checkPromises(world);
 }
 
+BOOST_AUTO_TEST_CASE(storeThatClosesAllConnectionsIsKnownAtOnce)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    world.storeFaultForAll(StoreFault::Reset);
+    world.run(milliseconds(700));
+    // Nothing of these was sent, so the refusals are true and come at once.
+    const auto acceptance = submitMany(world, node, 1, 20, milliseconds(50));
+    BOOST_TEST(acceptance.refused == 20U);
+    world.storeFaultForAll(StoreFault::None);
+    world.run(milliseconds(400));
+    const auto after = submitMany(world, node, 101, 20, milliseconds(150));
+    BOOST_TEST(after.accepted == 20U);
+    checkPromises(world);
+}
+
 BOOST_AUTO_TEST_CASE(ownerLearnsOfAJobThoughItsWatchesHearNothing)
 {
     World world({});
--- a/standins/cellhttp/src/storeserver.cpp
+++ b/standins/cellhttp/src/storeserver.cpp
@@ -75,6 +75,9 @@
     case StoreFault::Silent:
         m_unanswered.push_back(respond);
         return;
+    case StoreFault::Reset:
+        // Its connection closes, since nobody can answer the request any more.
+        return;
     case StoreFault::Lose:
         m_unanswered.push_back(respond);
         act(request, nobody);
--- a/standins/cellhttp/tests/cellhttp_test.cpp
+++ b/standins/cellhttp/tests/cellhttp_test.cpp
@@ -133,6 +133,17 @@
     BOOST_TEST(!model.read("k/4").has_value());
 }
 
+BOOST_FIXTURE_TEST_CASE(resetIsToldAtOnceAndMayHaveTakenEffect, StoreFixture)
+{
+    server.disturb(StoreFault::Reset);
+    Transaction write;
+    write.writes.push_back({ "k/5", "v", 0 });
+    const auto outcome = commit(write);
+    BOOST_REQUIRE(!outcome.has_value());
+    BOOST_TEST(mayHaveTakenEffect(outcome.error()));
+    BOOST_TEST(!model.read("k/5").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(orderIsCarriedOutUnderItsFence)
 {
     EventLoop loop;
