--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -361,6 +361,7 @@
     std::sort(others.begin(), others.end(),
               [&rank](const auto *left, const auto *right) { return rank(left) < rank(right); });
     std::vector<std::string> addresses;
+    addresses.reserve(others.size());
     for (const auto *member : others)
         addresses.push_back(member->address);
     return addresses;
