--- a/standins/cell/src/workermodel.cpp
+++ b/standins/cell/src/workermodel.cpp
@@ -75,8 +75,8 @@
     if (order.leaseUntil <= clock())
         return OrderRefused{ OrderRefusal::Late, clock() };
     const auto before = held();
-    auto plan = m_planner(order.task);
-    m_running.emplace(key, Running{ std::move(plan), false, {}, m_timers.now(), 0 });
+    const auto plan = m_planner(order.task);
+    m_running.emplace(key, Running{ plan, false, {}, m_timers.now(), 0 });
     m_observer.started(m_settings.id, order.task, order.run, before, m_settings.capacity);
     scheduleEnd(key);
     return OrderAccepted{ clock() };
