Log how late and how long the owner's passes are; keep decisions in a full log

Lines of tasks that ended well, two thirds of the log, get at most half of its rate, and lines that are dropped are not formatted any more.

The test linesThatCanBeSparedPushOutNoOthers plays 10,000 ends in a second and one decision; with write() for all lines the decision is not in the log.

--- a/libs/base/include/base/eventlog.h
+++ b/libs/base/include/base/eventlog.h
@@ -83,6 +83,11 @@
     /// Adds a line. \p now bounds the rate and is printed as "t" in milliseconds.
     void write(TimePoint now, std::string_view event, std::initializer_list<LogField> fields);
 
+    /// As write(), for lines of which there are many and that can be spared: they get at most half
+    /// of the rate, so that they never push out the others.
+    void writeRoutine(TimePoint now, std::string_view event,
+                      std::initializer_list<LogField> fields);
+
     /// \p action is called from write() when lines begin to wait for a flush.
     void onWaiting(std::function<void()> action) { m_waiting = std::move(action); }
 
@@ -100,8 +105,13 @@
         std::uint64_t repeats = 0;
     };
 
+    /// What a line may use of the limits.
+    enum class Share { Half, Whole };
+
+    void writeWithin(Share share, TimePoint now, std::string_view event,
+                     std::initializer_list<LogField> fields);
     void beginWindow(TimePoint now);
-    [[nodiscard]] bool admit(std::size_t bytes);
+    [[nodiscard]] bool full(Share share) const noexcept;
     [[nodiscard]] bool repeats(std::string_view event, const std::string &fields);
     void append(TimePoint now, std::string_view event, const std::string &fields);
 
--- a/libs/base/src/eventlog.cpp
+++ b/libs/base/src/eventlog.cpp
@@ -63,12 +63,32 @@
 }
 
 void EventLog::write(TimePoint now, std::string_view event, std::initializer_list<LogField> fields)
+{
+    writeWithin(Share::Whole, now, event, fields);
+}
+
+void EventLog::writeRoutine(TimePoint now, std::string_view event,
+                            std::initializer_list<LogField> fields)
+{
+    writeWithin(Share::Half, now, event, fields);
+}
+
+void EventLog::writeWithin(Share share, TimePoint now, std::string_view event,
+                           std::initializer_list<LogField> fields)
 {
     if (now - m_windowStart >= rateWindow)
         beginWindow(now);
+    // Lines that are dropped cost no formatting: there are most of them when time is short.
+    if (full(share)) {
+        ++m_dropped;
+        ++m_droppedInWindow;
+        return;
+    }
     const auto text = toText(fields);
-    if (repeats(event, text) || !admit(text.size()))
+    if (repeats(event, text))
         return;
+    ++m_linesInWindow;
+    m_bytesInWindow += text.size();
     const bool waited = !m_buffer.empty();
     append(now, event, text);
     if (m_descriptor >= 0 && m_buffer.size() >= pieceBytes)
@@ -105,17 +125,12 @@
     return false;
 }
 
-bool EventLog::admit(std::size_t bytes)
+bool EventLog::full(Share share) const noexcept
 {
-    if (m_linesInWindow >= m_limits.linesPerSecond || m_bytesInWindow >= m_limits.bytesPerSecond
-        || m_buffer.size() >= m_limits.bufferBytes) {
-        ++m_dropped;
-        ++m_droppedInWindow;
-        return false;
-    }
-    ++m_linesInWindow;
-    m_bytesInWindow += bytes;
-    return true;
+    const std::uint32_t parts = share == Share::Half ? 2 : 1;
+    return m_linesInWindow >= m_limits.linesPerSecond / parts
+        || m_bytesInWindow >= m_limits.bytesPerSecond / parts
+        || m_buffer.size() >= m_limits.bufferBytes / parts;
 }
 
 void EventLog::append(TimePoint now, std::string_view event, const std::string &fields)
--- a/libs/base/tests/eventlog_test.cpp
+++ b/libs/base/tests/eventlog_test.cpp
@@ -40,6 +40,18 @@
     BOOST_TEST(linesWith(log.buffered(), R"("event":"log.dropped","lines":18000)") == 1U);
 }
 
+// Guards against decisions that are missing from the log of the seconds in which most happens.
+BOOST_AUTO_TEST_CASE(linesThatCanBeSparedPushOutNoOthers)
+{
+    EventLog log(-1, "p");
+    for (std::uint64_t number = 0; number < 10'000; ++number)
+        log.writeRoutine(start, "run.ended", { { "run", number } });
+    log.write(start + 500ms, "shard.recovered", {});
+    BOOST_TEST(linesWith(log.buffered(), R"("event":"shard.recovered")") == 1U);
+    BOOST_TEST(linesWith(log.buffered(), R"("event":"run.ended")")
+               == EventLog::Limits().linesPerSecond / 2);
+}
+
 // Guards against long lines that pass the bound on lines only.
 BOOST_AUTO_TEST_CASE(bytesASecondAreBounded)
 {
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -5,6 +5,7 @@
 #include "fencedwriter.h"
 #include "jobtable.h"
 #include "ordersender.h"
+#include "passmeter.h"
 #include "placement.h"
 #include "stragglers.h"
 #include "workerlinks.h"
@@ -164,6 +165,7 @@
     /// False if a run is expected to take longer.
     [[nodiscard]] bool endsWithin(const Run &run, Duration time) const;
     void loseRuns(Worker &worker, const std::vector<RunKey> &lost, const char *reason);
+    void logEnd(const Worker &worker, const FinishedTask &end);
     void endRun(Worker &worker, const FinishedTask &end);
     void releaseRun(Worker &worker, const RunKey &key, std::string checkpoint);
 
@@ -215,7 +217,8 @@
     TimePoint m_loadLogged{};
     bool m_slowAdviceFull = false; ///< During a pass: no more slow questions can be asked.
     bool m_windowFull = false;     ///< The last pass ended since no more orders could be sent.
-    Duration m_lastPass{};         ///< How long the last pass took.
+    PassMeter m_passMeter;
+    Duration m_lastPass{}; ///< How long the last pass took.
     bool m_passRequested = false;
     bool m_laterPassRequested = false;
     bool m_recovering = true;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -37,11 +37,13 @@
         return;
     // A pass over a long backlog must not take the whole processor.
     const Duration delay = std::max<Duration>(passDelay, passRest * m_lastPass);
-    m_ports.timers.after(delay, [this, alive = m_alive] {
+    m_ports.timers.after(delay, [this, alive = m_alive, due = now() + delay] {
         if (!*alive)
             return;
         m_passRequested = false;
+        m_passMeter.begin(due, now());
         pass();
+        m_lastPass = m_passMeter.end(now());
     });
 }
 
@@ -49,7 +51,6 @@
 {
     if (!m_loaded || !m_configuration)
         return;
-    const auto begun = now();
     findUsableWorkers();
     Reservations reservations;
     m_slowAdviceFull = false;
@@ -88,7 +89,6 @@
     logLoad(waiting, reservations);
     if (failures > 0 || m_windowFull)
         requestLaterPass();
-    m_lastPass = now() - begun;
 }
 
 void Scheduler::logLoad(const std::vector<StepView> &waiting, const Reservations &reservations)
@@ -109,6 +109,7 @@
         ++steps.at(static_cast<std::size_t>(view.band));
         asking += view.step->advice.asking ? 1 : 0;
     }
+    const auto passes = m_passMeter.take();
     m_ports.log.write(current, "shard.load",
                       { { "workers", static_cast<std::uint64_t>(m_usable.size()) },
                         { "cpuMillis", capacity.cpuMillis },
@@ -119,6 +120,9 @@
                         { "startsInFlight", m_sender.window().inFlight() },
                         { "startWindow", m_sender.window().size() },
                         { "answerMs", toMilliseconds(m_answerTimes.mean()) },
+                        { "passes", passes.passes },
+                        { "passMs", toMilliseconds(passes.time) },
+                        { "passLateMs", toMilliseconds(passes.latest) },
                         { "askingSteps", asking },
                         { "waitingSteps", steps[bandOnTime] },
                         { "lateSteps", steps[bandLate] },
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -462,14 +462,20 @@
         requestPass();
 }
 
+void Scheduler::logEnd(const Worker &worker, const FinishedTask &end)
+{
+    const auto write = end.kind == EndKind::Done ? &EventLog::writeRoutine : &EventLog::write;
+    (m_ports.log.*write)(now(), "run.ended",
+                         { { "task", end.task.text() },
+                           { "run", end.run },
+                           { "worker", worker.entry.id },
+                           { "end", end.number },
+                           { "how", toString(end.kind) } });
+}
+
 void Scheduler::endRun(Worker &worker, const FinishedTask &end)
 {
-    m_ports.log.write(now(), "run.ended",
-                      { { "task", end.task.text() },
-                        { "run", end.run },
-                        { "worker", worker.entry.id },
-                        { "end", end.number },
-                        { "how", toString(end.kind) } });
+    logEnd(worker, end);
     m_ports.metrics.count(std::string("runs.") + toString(end.kind));
     const RunKey key(end.task, end.run);
     const auto found = worker.runs.find(key);
