Look at what an event has changed at once, not with the next pass over all

Cause: every decision waits for a pass over everything that waits. A pass costs the more the more waits, and is followed by a rest of four times its length, so that the rate of decisions falls when the backlog grows. That rules out the first hypothesis, a full queue of events, and the policy service, whose answers wait for passes too.

Change: a new job, an answer of the policy service, a stored note and the end of a step put their job on a list that is looked at as soon as the event is handled. What the last pass found waiting and more urgent goes first: then the step is left to the next pass. Reservations of the last pass are respected.

--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -147,6 +147,7 @@
     m_loaded = true;
     m_roster.start();
     checkRecovery();
+    requestPass();
 }
 
 void Scheduler::checkRecovery()
@@ -199,6 +200,9 @@
         if (gone) {
             m_links.forget(entry->first);
             entry = m_workers.erase(entry);
+            // The list points to it.
+            m_usable.clear();
+            m_usableFound = {};
         } else {
             ++entry;
         }
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -114,27 +114,38 @@
         [[nodiscard]] std::uint32_t startableTasks(TimePoint now) const noexcept;
     };
 
-    // Passes: which waiting tasks start where (schedulerpass.cpp).
+    // Which waiting tasks start where (schedulerpass.cpp). A pass looks at everything that waits
+    // and takes longer the more that is. What an event has changed is looked at without waiting for
+    // it.
     void requestPass();
     void requestLaterPass();
-    void logLoad(const std::vector<StepView> &waiting, const Reservations &reservations);
+    void logLoad(const std::vector<StepView> &waiting);
     void pass();
+    /// Looks at the ready steps of the job once the present event is handled.
+    void lookSoon(const std::string &job);
+    void lookAtChanged();
+    /// True if the step is to be left to the next pass, since the last one found others that go
+    /// first and cannot start yet.
+    [[nodiscard]] bool mustWait(const StepView &view) const;
+    void noteWaiting(const StepView &view);
+    /// Starts what can be started of a step, or asks for advice. False if a part has to wait for
+    /// room.
+    bool tryStep(const StepView &view);
+    [[nodiscard]] StepDemand demandOf(const StepView &view) const;
     void findUsableWorkers();
-    [[nodiscard]] std::vector<StepView> waitingSteps();
+    /// Counts workers and steps that were looked at, which is what decisions cost.
+    void noteLooks(std::size_t count) const;
+    [[nodiscard]] std::vector<StepView> waitingSteps(const ActiveJobs &jobs) const;
     [[nodiscard]] int bandOf(const StepView &view, TimePoint now) const;
-    [[nodiscard]] std::vector<Worker *> candidates(const StepView &view, const StepDemand &demand,
-                                                   const Reservations &reservations);
-    bool placeTasks(const StepView &view, const StepDemand &demand,
-                    const Reservations &reservations);
-    bool placeGang(const StepView &view, const StepDemand &demand,
-                   const Reservations &reservations);
-    void reserveFor(const StepView &view, const StepDemand &demand, Reservations &reservations);
+    [[nodiscard]] std::vector<Worker *> candidates(const StepView &view, const StepDemand &demand);
+    bool placeTasks(const StepView &view, const StepDemand &demand);
+    bool placeGang(const StepView &view, const StepDemand &demand);
+    void reserveFor(const StepView &view);
 
     // Advice (scheduleradvice.cpp).
     [[nodiscard]] bool mayAsk(const AdviceSettings &settings, std::uint32_t tasks);
-    void askAdvice(const StepView &view, const StepDemand &demand, Reservations &reservations);
-    [[nodiscard]] AdviceCandidates adviceCandidates(const StepView &view, const StepDemand &demand,
-                                                    const Reservations &reservations);
+    void askAdvice(const StepView &view, const StepDemand &demand);
+    [[nodiscard]] AdviceCandidates adviceCandidates(const StepView &view, const StepDemand &demand);
     [[nodiscard]] std::vector<std::string>
     workersToAskAbout(const StepView &view, const StepDemand &demand,
                       const AdviceCandidates &candidates) const;
@@ -212,11 +223,16 @@
     OrderSender m_sender;
     WorkerLinks m_links;
     WorkerRoster m_roster;
-    std::vector<Worker *> m_usable; ///< During a pass.
-    Resources m_mostFree;           ///< The most of each resource that a usable worker has free.
+    std::vector<Worker *> m_usable; ///< As of the last pass, or later.
+    TimePoint m_usableFound{};
+    Resources m_mostFree;        ///< The most of each resource that a usable worker has free.
+    Reservations m_reservations; ///< Made by the last pass, and by questions since.
+    /// Priority of the most urgent step that can be in time and that the last pass could not start.
+    std::optional<std::uint32_t> m_waitingPriority;
+    std::set<std::string> m_changedJobs; ///< To be looked at.
     TimePoint m_loadLogged{};
     bool m_slowAdviceFull = false; ///< During a pass: no more slow questions can be asked.
-    bool m_windowFull = false;     ///< The last pass ended since no more orders could be sent.
+    bool m_windowFull = false;     ///< Something waits since no more orders could be sent.
     PassMeter m_passMeter;
     Duration m_lastPass{}; ///< How long the last pass took.
     bool m_passRequested = false;
--- a/libs/cell/src/scheduleradvice.cpp
+++ b/libs/cell/src/scheduleradvice.cpp
@@ -14,12 +14,12 @@
 
 } // namespace
 
-AdviceCandidates Scheduler::adviceCandidates(const StepView &view, const StepDemand &demand,
-                                             const Reservations &reservations)
+AdviceCandidates Scheduler::adviceCandidates(const StepView &view, const StepDemand &demand)
 {
     const auto current = now();
     const auto &advice = view.step->advice;
     AdviceCandidates result;
+    noteLooks(m_usable.size());
     for (Worker *worker : m_usable) {
         const auto &id = worker->entry.id;
         if (!suits(*worker, demand))
@@ -32,7 +32,7 @@
             result.unknown.push_back(worker);
             continue;
         }
-        if (reservations.blocks(id, demand.priority))
+        if (m_reservations.blocks(id, demand.priority))
             continue;
         result.allowed.push_back(worker);
         if (roomFor(*worker, demand) > 0 && !ticket->second.usableAt(current))
@@ -63,8 +63,7 @@
     return !m_slowAdviceFull;
 }
 
-void Scheduler::askAdvice(const StepView &view, const StepDemand &demand,
-                          Reservations &reservations)
+void Scheduler::askAdvice(const StepView &view, const StepDemand &demand)
 {
     const auto &settings = view.job->record.queue.advice;
     auto &advice = view.step->advice;
@@ -73,8 +72,7 @@
     if (!advice.asking) {
         if (!mayAsk(*settings, view.startableTasks(now())))
             return;
-        const auto names =
-            workersToAskAbout(view, demand, adviceCandidates(view, demand, reservations));
+        const auto names = workersToAskAbout(view, demand, adviceCandidates(view, demand));
         if (names.empty()) {
             advice.nextAsk = now() + adviceIdlePause;
             return;
@@ -102,7 +100,7 @@
     }
     if (view.spec->gang) {
         for (const auto &id : advice.asked)
-            reservations.reserve(id, demand.priority);
+            m_reservations.reserve(id, demand.priority);
         return;
     }
     auto open = view.startableTasks(now());
@@ -111,7 +109,7 @@
         if (worker == m_workers.end())
             continue;
         const auto tasks = std::min(open, roomFor(worker->second, demand));
-        reservations.pledge(id, heldBy(*view.spec) * tasks);
+        m_reservations.pledge(id, heldBy(*view.spec) * tasks);
         open -= tasks;
     }
 }
@@ -124,8 +122,12 @@
         return;
     const auto current = now();
     step->advice.asking = false;
-    step->advice.asked.clear();
-    requestPass();
+    // What is kept for a renewal of tickets is set free by the next pass.
+    const bool roomKept = !std::exchange(step->advice.asked, {}).empty();
+    if (roomKept || !answer.has_value())
+        requestPass();
+    else
+        lookSoon(stepId.job);
     if (!answer.has_value()) {
         step->advice.nextAsk = current + adviceRetryPause;
         m_ports.log.write(current, "advice.failed",
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -43,7 +43,7 @@
     }
     m_activeJobs.insert(&job);
     beginDueOccurrences(job);
-    requestPass();
+    lookSoon(record.id);
 }
 
 void Scheduler::jobRemoved(const std::string &id)
@@ -106,7 +106,7 @@
             return;
         }
         beginOccurrence(job, number, now());
-        requestPass();
+        lookSoon(job.record.id);
     }
 }
 
@@ -137,7 +137,7 @@
     save(job, Urgency::Now, [this, id = job.record.id] {
         if (Job *known = m_jobs.find(id)) {
             known->noted = true;
-            requestPass();
+            lookSoon(id);
         }
     });
     return false;
@@ -171,7 +171,7 @@
         }
     }
     save(*job, Urgency::Soon);
-    requestPass();
+    lookSoon(id.job);
 }
 
 void Scheduler::taskFailed(Worker &worker, const TaskId &id, std::uint32_t run)
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -21,6 +21,8 @@
 constexpr int maxFailuresPerPass = 80;
 /// Gangs for which room is kept at a time.
 constexpr int maxReservedGangs = 3;
+/// The list of usable workers serves this long between passes.
+constexpr std::chrono::milliseconds usableKept{ 100 };
 /// Run numbers that fit between the first runs of two owners.
 constexpr std::uint64_t runsPerOwner = 1000;
 
@@ -52,46 +54,106 @@
     if (!m_loaded || !m_configuration)
         return;
     findUsableWorkers();
-    Reservations reservations;
+    m_reservations = {};
     m_slowAdviceFull = false;
     m_windowFull = false;
+    m_waitingPriority.reset();
     int failures = 0;
     int reservedGangs = 0;
-    const auto waiting = waitingSteps();
+    const auto waiting = waitingSteps(m_activeJobs);
     for (const auto &view : waiting) {
-        const StepDemand demand{ view.spec,
-                                 view.task(0),
-                                 view.job->record.queue.service,
-                                 view.job->record.queue.priority,
-                                 &reservations,
-                                 m_settings.policy.fit };
-        // Nothing can be done before the first answer.
-        if (view.step->advice.asking && view.step->advice.allowed.empty())
+        if (tryStep(view))
             continue;
-        // Nobody has room: only what is needed to ask for advice is looked at.
-        const bool anyRoom = heldBy(*view.spec).fitsIn(m_mostFree);
-        const bool placed = !anyRoom ? false
-            : view.spec->gang        ? placeGang(view, demand, reservations)
-                                     : placeTasks(view, demand, reservations);
+        if (view.band == bandOnTime)
+            noteWaiting(view);
         if (m_windowFull)
             break;
-        if (placed)
-            continue;
-        if (anyRoom || view.spec->gang)
-            askAdvice(view, demand, reservations);
         if (view.spec->gang && view.band == bandOnTime && reservedGangs < maxReservedGangs) {
-            reserveFor(view, demand, reservations);
+            reserveFor(view);
             ++reservedGangs;
         }
         if (++failures >= maxFailuresPerPass)
             break;
     }
-    logLoad(waiting, reservations);
+    logLoad(waiting);
     if (failures > 0 || m_windowFull)
         requestLaterPass();
 }
 
-void Scheduler::logLoad(const std::vector<StepView> &waiting, const Reservations &reservations)
+bool Scheduler::tryStep(const StepView &view)
+{
+    // Nothing can be done before the first answer.
+    if (view.step->advice.asking && view.step->advice.allowed.empty())
+        return true;
+    const auto demand = demandOf(view);
+    // Nobody has room: only what is needed to ask for advice is looked at.
+    const bool anyRoom = heldBy(*view.spec).fitsIn(m_mostFree);
+    const bool placed = !anyRoom ? false
+        : view.spec->gang        ? placeGang(view, demand)
+                                 : placeTasks(view, demand);
+    if (!placed && !m_windowFull && (anyRoom || view.spec->gang))
+        askAdvice(view, demand);
+    return placed;
+}
+
+StepDemand Scheduler::demandOf(const StepView &view) const
+{
+    return { view.spec,
+             view.task(0),
+             view.job->record.queue.service,
+             view.job->record.queue.priority,
+             &m_reservations,
+             m_settings.policy.fit };
+}
+
+void Scheduler::noteWaiting(const StepView &view)
+{
+    const auto priority = view.job->record.queue.priority;
+    m_waitingPriority = std::min(m_waitingPriority.value_or(priority), priority);
+}
+
+void Scheduler::lookSoon(const std::string &job)
+{
+    m_changedJobs.insert(job);
+    if (m_changedJobs.size() > 1)
+        return;
+    m_ports.timers.after(Duration::zero(), [this, alive = m_alive] {
+        if (*alive)
+            lookAtChanged();
+    });
+}
+
+void Scheduler::lookAtChanged()
+{
+    ActiveJobs changed(MoreUrgent{ m_settings.policy.order });
+    for (const auto &id : std::exchange(m_changedJobs, {})) {
+        if (Job *job = m_jobs.find(id); job != nullptr && job->active())
+            changed.insert(job);
+    }
+    if (!m_loaded || !m_configuration)
+        return;
+    if (now() - m_usableFound > usableKept)
+        findUsableWorkers();
+    m_slowAdviceFull = false;
+    bool left = false;
+    for (const auto &view : waitingSteps(changed)) {
+        const bool atOnce = view.band == bandOnTime && !mustWait(view) && !m_windowFull;
+        left = !(atOnce && tryStep(view)) || left;
+    }
+    if (left)
+        requestPass();
+}
+
+bool Scheduler::mustWait(const StepView &view) const
+{
+    if (!m_waitingPriority)
+        return false;
+    const auto priority = view.job->record.queue.priority;
+    // Room is kept for gangs that wait, also for this one if it is among them.
+    return view.spec->gang ? *m_waitingPriority <= priority : *m_waitingPriority < priority;
+}
+
+void Scheduler::logLoad(const std::vector<StepView> &waiting)
 {
     const auto current = now();
     if (current - m_loadLogged < loadLogInterval)
@@ -116,7 +178,7 @@
                         { "freeCpuMillis", free.cpuMillis },
                         { "memoryMb", capacity.memoryMb },
                         { "freeMemoryMb", free.memoryMb },
-                        { "keptWorkers", static_cast<std::uint64_t>(reservations.workers()) },
+                        { "keptWorkers", static_cast<std::uint64_t>(m_reservations.workers()) },
                         { "startsInFlight", m_sender.window().inFlight() },
                         { "startWindow", m_sender.window().size() },
                         { "answerMs", toMilliseconds(m_answerTimes.mean()) },
@@ -141,11 +203,11 @@
     });
 }
 
-std::vector<Scheduler::StepView> Scheduler::waitingSteps()
+std::vector<Scheduler::StepView> Scheduler::waitingSteps(const ActiveJobs &jobs) const
 {
     std::array<std::vector<StepView>, bandCount> bands;
     const auto current = now();
-    for (Job *job : m_activeJobs) {
+    for (Job *job : jobs) {
         for (auto &[number, occurrence] : job->occurrences) {
             for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
                 Step &step = occurrence.steps[index];
@@ -159,6 +221,7 @@
             }
         }
     }
+    noteLooks(jobs.size());
     // The jobs are in the order of their urgency already.
     auto views = std::move(bands[bandOnTime]);
     for (const int band : { bandLate, bandUseless })
@@ -178,35 +241,41 @@
     return current + rest <= view.job->lastUseful(*view.occurrence) ? bandLate : bandUseless;
 }
 
-std::vector<Worker *> Scheduler::candidates(const StepView &view, const StepDemand &demand,
-                                            const Reservations &reservations)
+std::vector<Worker *> Scheduler::candidates(const StepView &view, const StepDemand &demand)
 {
     std::vector<Worker *> result;
+    const auto current = now();
     const auto consider = [&](Worker &worker) {
-        if (suits(worker, demand) && !reservations.blocks(worker.entry.id, demand.priority))
+        if (usable(worker, current) && suits(worker, demand)
+            && !m_reservations.blocks(worker.entry.id, demand.priority))
             result.push_back(&worker);
     };
+    noteLooks(view.job->record.queue.advice ? view.step->advice.allowed.size() : m_usable.size());
     if (!view.job->record.queue.advice) {
         for (Worker *worker : m_usable)
             consider(*worker);
         return result;
     }
-    const auto current = now();
     for (const auto &[id, ticket] : view.step->advice.allowed) {
         if (!ticket.usableAt(current))
             continue;
         const auto worker = m_workers.find(id);
-        if (worker != m_workers.end() && ticket.born == worker->second.born
-            && usable(worker->second, current)) {
+        if (worker != m_workers.end() && ticket.born == worker->second.born)
             consider(worker->second);
-        }
     }
     return result;
 }
 
+void Scheduler::noteLooks(std::size_t count) const
+{
+    m_ports.metrics.count("scheduler.looks", count);
+}
+
 void Scheduler::findUsableWorkers()
 {
     const auto current = now();
+    noteLooks(m_workers.size());
+    m_usableFound = current;
     m_usable.clear();
     m_mostFree = {};
     for (auto &[id, worker] : m_workers) {
@@ -220,11 +289,10 @@
     }
 }
 
-bool Scheduler::placeTasks(const StepView &view, const StepDemand &demand,
-                           const Reservations &reservations)
+bool Scheduler::placeTasks(const StepView &view, const StepDemand &demand)
 {
     const auto current = now();
-    const auto workers = candidates(view, demand, reservations);
+    const auto workers = candidates(view, demand);
     const std::uint64_t firstRun = m_settings.generation * runsPerOwner;
     std::uint32_t started = 0;
     bool all = true;
@@ -258,14 +326,13 @@
     return all;
 }
 
-bool Scheduler::placeGang(const StepView &view, const StepDemand &demand,
-                          const Reservations &reservations)
+bool Scheduler::placeGang(const StepView &view, const StepDemand &demand)
 {
     const auto count = static_cast<std::uint32_t>(view.step->tasks.size());
     // A gang whose last run has not ended everywhere waits for that.
     if (view.startableTasks(now()) != count)
         return true;
-    const auto workers = candidates(view, demand, reservations);
+    const auto workers = candidates(view, demand);
     const auto chosen = chooseForGang(workers, demand, count);
     if (chosen.empty())
         return false;
@@ -289,21 +356,22 @@
     return true;
 }
 
-void Scheduler::reserveFor(const StepView &view, const StepDemand &demand,
-                           Reservations &reservations)
+void Scheduler::reserveFor(const StepView &view)
 {
+    const auto demand = demandOf(view);
     const bool advised = view.job->record.queue.advice.has_value();
+    noteLooks(m_usable.size());
     std::vector<Worker *> workers;
     for (Worker *worker : m_usable) {
         const auto &id = worker->entry.id;
-        if (suits(*worker, demand) && !reservations.blocks(id, demand.priority)
+        if (suits(*worker, demand) && !m_reservations.blocks(id, demand.priority)
             && (!advised || view.step->advice.allowed.contains(id))) {
             workers.push_back(worker);
         }
     }
     const auto count = static_cast<std::uint32_t>(view.step->tasks.size());
     for (const Worker *worker : chooseToReserve(workers, demand, count))
-        reservations.reserve(worker->entry.id, demand.priority);
+        m_reservations.reserve(worker->entry.id, demand.priority);
 }
 
 } // namespace cowsliprock::cell
--- a/standins/cell/include/standincell/decisionload.h
+++ b/standins/cell/include/standincell/decisionload.h
@@ -2,6 +2,8 @@
 
 #include <cell/policy.h>
 
+#include <base/time.h>
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -29,4 +31,19 @@
 [[nodiscard]] std::map<std::string, KindOutcome> playHeavyLoad(const cell::PlacementPolicy &policy,
                                                                std::uint32_t seed);
 
+/// Size of a cell for playBurstOnLargeCell(); the load grows with the workers.
+struct BurstLoad
+{
+    std::uint32_t nodes = 0;
+    std::uint32_t workers = 0;
+    Duration eventCost{}; ///< Processor time for each event of a daemon ...
+    std::chrono::nanoseconds
+        lookCost{}; ///< ... and for each worker or step that its scheduler looks at.
+    std::uint32_t seed = 1;
+};
+
+/// Plays a burst of urgent jobs on a cell with many workers, of which the policy service allows a
+/// part for each step, while gangs and batch work fill most of it.
+[[nodiscard]] std::map<std::string, KindOutcome> playBurstOnLargeCell(const BurstLoad &burst);
+
 } // namespace cowsliprock::standincell
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -38,6 +38,10 @@
         double adviceAllows = 0.6; ///< Share of the workers that a step may use.
         std::size_t fewestWorkersToRelay = 100;
         std::vector<double> weights; ///< Of the nodes; those without one weigh 1.
+        /// Processor time of a node for each event and for each worker or step that its scheduler
+        /// looks at; 0: none. Meanwhile other events wait.
+        Duration eventCost{};
+        std::chrono::nanoseconds lookCost{};
         /// Rate of a node's link to the workers in each direction; 0: without a bound.
         double linkBytesPerSecond = 0;
     };
@@ -128,6 +132,8 @@
     {
         return m_settings.linkBytesPerSecond * m_linkShare;
     }
+    [[nodiscard]] Duration eventCost() const noexcept { return m_settings.eventCost; }
+    [[nodiscard]] std::chrono::nanoseconds lookCost() const noexcept { return m_settings.lookCost; }
     [[nodiscard]] bool ordersLate() { return m_chance(m_random) < m_lateOrders; }
     [[nodiscard]] bool allowed(const std::string &step, const std::string &worker) const;
     /// Time that the policy service takes to answer.
--- a/standins/cell/src/decisionload.cpp
+++ b/standins/cell/src/decisionload.cpp
@@ -4,8 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include <array>
 #include <sstream>
+#include <utility>
 #include <vector>
 
 namespace cowsliprock::standincell {
@@ -16,14 +16,11 @@
 
 namespace {
 
-constexpr std::uint32_t workers = 24;
 constexpr seconds startTime{ 3 };
-constexpr seconds loadTime{ 30 };
-constexpr seconds settleTime{ 15 };
 constexpr milliseconds tick{ 50 };
 constexpr seconds atOnce{ 1 };
 
-/// Jobs of one kind, with tasks of 16-core workers.
+/// Jobs of one kind.
 struct Kind
 {
     const char *name;
@@ -35,12 +32,23 @@
     bool gang;
     milliseconds target; ///< Beyond twice the work.
     milliseconds adviceTime;
+    milliseconds adviceTimePerWorker;
     seconds burstFrom; ///< Twice the load for four seconds.
 };
 
+/// A cell and the jobs that are handed in there.
+struct Load
+{
+    World::Settings cell;
+    std::vector<Kind> kinds;
+    seconds time;   ///< While jobs come.
+    seconds settle; ///< Afterwards.
+};
+
 constexpr seconds burstTime{ 4 };
 
-const std::array<Kind, 3> kinds{
+/// Tasks of 16-core workers.
+const std::vector<Kind> mixedKinds{
     Kind{
         .name = "urgent",
         .priority = 0,
@@ -51,6 +59,7 @@
         .gang = false,
         .target = milliseconds(500),
         .adviceTime = milliseconds(8),
+        .adviceTimePerWorker = milliseconds(1),
         .burstFrom = seconds(6),
     },
     Kind{
@@ -63,6 +72,7 @@
         .gang = true,
         .target = milliseconds(1200),
         .adviceTime = milliseconds(440),
+        .adviceTimePerWorker = milliseconds(1),
         .burstFrom = seconds(18),
     },
     Kind{
@@ -75,10 +85,58 @@
         .gang = false,
         .target = milliseconds(3000),
         .adviceTime = milliseconds(100),
+        .adviceTimePerWorker = milliseconds(1),
         .burstFrom = seconds(100),
     },
 };
 
+/// Kinds that fill about three quarters of a cell of 32-core workers, with a burst of urgent ones.
+std::vector<Kind> kindsOfLargeCell(std::uint32_t workers)
+{
+    const double share = workers / 1100.0;
+    return {
+        Kind{
+            .name = "urgent",
+            .priority = 0,
+            .perSecond = 114 * share,
+            .tasks = 4,
+            .amount = { 7800, 16000, 0 },
+            .work = milliseconds(1000),
+            .gang = false,
+            .target = milliseconds(500),
+            .adviceTime = milliseconds(14),
+            .adviceTimePerWorker = std::chrono::milliseconds(0),
+            .burstFrom = seconds(6),
+        },
+        Kind{
+            .name = "gang",
+            .priority = 1,
+            .perSecond = 8.3 * share,
+            .tasks = 26,
+            .amount = { 9000, 19000, 0 },
+            .work = milliseconds(6200),
+            .gang = true,
+            .target = milliseconds(1200),
+            .adviceTime = milliseconds(390),
+            .adviceTimePerWorker = milliseconds(6),
+            .burstFrom = seconds(100),
+        },
+        Kind{
+            .name = "batch",
+            .priority = 2,
+            .perSecond = 11.2 * share,
+            .tasks = 48,
+            .amount = { 5500, 11000, 0 },
+            .work = milliseconds(3400),
+            .gang = false,
+            .target = milliseconds(3000),
+            .adviceTime = milliseconds(100),
+            .adviceTimePerWorker = milliseconds(1),
+            .burstFrom = seconds(100),
+        },
+    };
+}
+
 QueueSettings queueOf(const Kind &kind)
 {
     QueueSettings queue;
@@ -91,7 +149,7 @@
     queue.extension = 2.0;
     queue.targetRuntime = kind.target;
     queue.timeout = seconds(3);
-    queue.advice = AdviceSettings{ kind.adviceTime, milliseconds(1), seconds(2) };
+    queue.advice = AdviceSettings{ kind.adviceTime, kind.adviceTimePerWorker, seconds(2) };
     return queue;
 }
 
@@ -106,37 +164,33 @@
 class HeavyLoad
 {
 public:
-    HeavyLoad(const PlacementPolicy &policy, std::uint32_t seed)
-        : m_random(seed)
-        , m_world(settings(policy, seed))
+    explicit HeavyLoad(Load load)
+        : m_load(withQueues(std::move(load)))
+        , m_random(m_load.cell.seed)
+        , m_world(m_load.cell)
     { }
 
     std::map<std::string, KindOutcome> play()
     {
         m_world.run(startTime);
         const auto begin = m_world.time().now();
-        while (m_world.time().now() - begin < loadTime) {
-            for (const auto &kind : kinds)
+        while (m_world.time().now() - begin < m_load.time) {
+            for (const auto &kind : m_load.kinds)
                 arrive(kind, m_world.time().now() - begin);
             m_world.run(tick);
             noteAnswers();
         }
-        m_world.run(settleTime);
+        m_world.run(m_load.settle);
         noteAnswers();
         return outcomes();
     }
 
 private:
-    static World::Settings settings(const PlacementPolicy &policy, std::uint32_t seed)
+    static Load withQueues(Load load)
     {
-        World::Settings result;
-        result.nodes = 6;
-        result.workers = workers;
-        result.seed = seed;
-        result.policy = policy;
-        for (const auto &kind : kinds)
-            result.queues.push_back(queueOf(kind));
-        return result;
+        for (const auto &kind : load.kinds)
+            load.cell.queues.push_back(queueOf(kind));
+        return load;
     }
 
     void arrive(const Kind &kind, Duration since)
@@ -166,7 +220,8 @@
         auto &job = m_jobs[id];
         job.kind = &kind;
         job.at = m_world.time().now();
-        m_world.submit(static_cast<std::uint32_t>(m_jobs.size() % 6), id, plan, &job.result);
+        m_world.submit(static_cast<std::uint32_t>(m_jobs.size() % m_load.cell.nodes), id, plan,
+                       &job.result);
     }
 
     void noteAnswers()
@@ -181,7 +236,7 @@
     std::map<std::string, Duration> completions()
     {
         std::map<std::string, Duration> result;
-        for (std::uint32_t node = 0; node < 6; ++node) {
+        for (std::uint32_t node = 0; node < m_load.cell.nodes; ++node) {
             std::istringstream log(m_world.logOf(node));
             for (std::string row; std::getline(log, row);) {
                 if (row.find("\"job.ended\"") == std::string::npos)
@@ -214,6 +269,7 @@
         return result;
     }
 
+    Load m_load;
     std::mt19937 m_random;
     World m_world;
     std::map<std::string, Submitted> m_jobs;
@@ -223,7 +279,25 @@
 
 std::map<std::string, KindOutcome> playHeavyLoad(const PlacementPolicy &policy, std::uint32_t seed)
 {
-    return HeavyLoad(policy, seed).play();
+    Load load{ {}, mixedKinds, seconds(30), seconds(15) };
+    load.cell.nodes = 6;
+    load.cell.workers = 24;
+    load.cell.seed = seed;
+    load.cell.policy = policy;
+    return HeavyLoad(load).play();
+}
+
+std::map<std::string, KindOutcome> playBurstOnLargeCell(const BurstLoad &burst)
+{
+    Load load{ {}, kindsOfLargeCell(burst.workers), seconds(14), seconds(10) };
+    load.cell.nodes = burst.nodes;
+    load.cell.workers = burst.workers;
+    load.cell.workerCapacity = { 32000, 131072, 0 };
+    load.cell.adviceAllows = 0.4;
+    load.cell.eventCost = burst.eventCost;
+    load.cell.lookCost = burst.lookCost;
+    load.cell.seed = burst.seed;
+    return HeavyLoad(load).play();
 }
 
 } // namespace cowsliprock::standincell
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -41,7 +41,7 @@
                           std::string nodeName)
     : name(std::move(nodeName))
     , log(-1, name, { 100000, 64UL * 1024UL * 1024UL, 64UL * 1024UL * 1024UL })
-    , timers(std::make_unique<NodeTimers>(time, *this))
+    , timers(std::make_unique<NodeTimers>(world, time, *this))
     , store(std::make_unique<NodeStore>(world, time, storeModel, *this))
     , workers(std::make_unique<NodeWorkers>(world, time, *this))
     , advice(std::make_unique<NodeAdvice>(world, time, *this))
@@ -63,17 +63,35 @@
     });
 }
 
+std::uint64_t NodeTimers::looks() const
+{
+    return m_world.lookCost().count() > 0 ? m_slot.metrics.counter("scheduler.looks") : 0;
+}
+
+TimePoint NodeTimers::now() const noexcept
+{
+    if (!m_running)
+        return m_time.now();
+    const auto count = static_cast<std::int64_t>(looks() - m_looksBefore);
+    return m_time.now() + std::chrono::duration_cast<Duration>(m_world.lookCost() * count);
+}
+
 void NodeTimers::deliver(std::uint64_t life, std::function<void()> action)
 {
     if (life != m_slot.life)
         return;
-    if (m_slot.frozenUntil <= m_time.now()) {
-        action();
+    const auto free = std::max(m_slot.frozenUntil, m_busyUntil);
+    if (free > m_time.now()) {
+        m_time.after(free - m_time.now(), [this, life, action = std::move(action)]() mutable {
+            deliver(life, std::move(action));
+        });
         return;
     }
-    m_time.after(
-        m_slot.frozenUntil - m_time.now(),
-        [this, life, action = std::move(action)]() mutable { deliver(life, std::move(action)); });
+    m_looksBefore = looks();
+    m_running = true;
+    action();
+    m_busyUntil = now() + m_world.eventCost();
+    m_running = false;
 }
 
 template <typename T>
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -14,16 +14,17 @@
 
 namespace cowsliprock::standincell {
 
-/// Timers of one node: they die with it, and wait while it is frozen.
+/// Timers of one node: they die with it, and wait while it is frozen or its processor is busy.
 class NodeTimers : public Timers
 {
 public:
-    NodeTimers(VirtualTime &time, World::NodeSlot &slot)
-        : m_time(time)
+    NodeTimers(World &world, VirtualTime &time, World::NodeSlot &slot)
+        : m_world(world)
+        , m_time(time)
         , m_slot(slot)
     { }
 
-    [[nodiscard]] TimePoint now() const noexcept override { return m_time.now(); }
+    [[nodiscard]] TimePoint now() const noexcept override;
     [[nodiscard]] std::chrono::system_clock::time_point timeOfDay() const noexcept override
     {
         return m_time.timeOfDay();
@@ -34,8 +35,14 @@
     void deliver(std::uint64_t life, std::function<void()> action);
 
 private:
+    [[nodiscard]] std::uint64_t looks() const;
+
+    World &m_world;
     VirtualTime &m_time;
     World::NodeSlot &m_slot;
+    TimePoint m_busyUntil{};
+    std::uint64_t m_looksBefore = 0; ///< Before the action that runs.
+    bool m_running = false;
 };
 
 class NodeStore;
--- /dev/null
+++ b/standins/cell/tests/burst_test.cpp
@@ -0,0 +1,91 @@
+#include "testjobs.h"
+
+#include <standincell/decisionload.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cowsliprock;
+using namespace cowsliprock::standincell;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Without a price for processor time all jobs of the load are in time.
+constexpr double leastInTime = 0.95;
+
+World::JobPlan ofQueue(World::JobPlan plan, const char *queue)
+{
+    plan.queue = queue;
+    return plan;
+}
+
+cell::QueueSettings queue(const char *name, std::uint32_t priority)
+{
+    cell::QueueSettings settings;
+    settings.name = name;
+    settings.host = "h";
+    settings.prefix = std::string("/") + name + "/";
+    settings.service = "s";
+    settings.priority = priority;
+    settings.maxAttempts = 2;
+    settings.extension = 2.0;
+    settings.targetRuntime = seconds(5);
+    settings.timeout = seconds(3);
+    settings.advice = cell::AdviceSettings{ milliseconds(8), milliseconds(0), seconds(2) };
+    return settings;
+}
+
+} // namespace
+
+/// Many jobs at once on an owner whose processor is slow for the size of the cell.
+BOOST_AUTO_TEST_SUITE(burst)
+
+BOOST_AUTO_TEST_CASE(slowPassesKeepNoJobWaitingWhileThereIsRoom)
+{
+    for (const std::uint32_t seed : { 1U, 2U }) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            const auto outcomes = playBurstOnLargeCell({ .nodes = 20,
+                                                         .workers = 600,
+                                                         .eventCost = microseconds(100),
+                                                         .lookCost = nanoseconds(2000),
+                                                         .seed = seed });
+            for (const auto &[kind, outcome] : outcomes)
+                BOOST_TEST(outcome.inTimeShare() >= leastInTime, kind << " " << outcome.inTime);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(newLessUrgentJobsDoNotTakeTheRoomThatAnUrgentOneWaitsFor)
+{
+    for (const std::uint32_t seed : { 1U, 2U, 3U, 4U, 5U }) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            World::Settings settings;
+            settings.workers = 1;
+            settings.adviceAllows = 1;
+            settings.lookCost = milliseconds(1);
+            settings.seed = seed;
+            settings.queues = { queue("urgent", 0), queue("batch", 1) };
+            World world(settings);
+            world.run(startTime);
+            const auto node = follower(world);
+            std::uint32_t last = 0;
+            const auto urgent = jobId(++last);
+            world.submit(node, urgent, ofQueue(batch(8), "urgent"));
+            world.run(milliseconds(200));
+            for (int job = 0; job < 100; ++job) {
+                world.submit(node, jobId(++last), ofQueue(batch(1, milliseconds(2500)), "batch"));
+                world.run(milliseconds(8));
+            }
+            world.run(milliseconds(700));
+            BOOST_TEST((world.status(node, urgent) == cell::JobStatus::Completed));
+            checkPromises(world);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
