--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -3,6 +3,7 @@
 #include "advicechoice.h"
 #include "advicequeue.h"
 #include "fencedwriter.h"
+#include "jobruns.h"
 #include "jobtable.h"
 #include "ordersender.h"
 #include "passmeter.h"
@@ -175,6 +176,7 @@
     void evacuate(Worker &worker);
     /// False if a run is expected to take longer.
     [[nodiscard]] bool endsWithin(const Run &run, Duration time) const;
+    Run &addRun(Worker &worker, Run run);
     void loseRuns(Worker &worker, const std::vector<RunKey> &lost, const char *reason);
     void logEnd(const Worker &worker, const FinishedTask &end);
     void endRun(Worker &worker, const FinishedTask &end);
@@ -192,6 +194,8 @@
     // Jobs (schedulerjobs.cpp).
     void taskDone(const TaskId &task, std::uint32_t run);
     void taskFailed(Worker &worker, const TaskId &task, std::uint32_t run);
+    /// Calls \p action for each run of the job, wherever it is.
+    void forRunsOf(const std::string &job, const std::function<void(Worker &, Run &)> &action);
     void abortGang(const TaskId &member, std::uint32_t run, const char *reason);
     void stopOthers(const TaskId &task, std::uint32_t run);
     void stopAllRuns(const std::string &job, const char *reason);
@@ -217,6 +221,7 @@
     std::function<void()> m_fenced;
     JobTable m_jobs;
     WorkerTable m_workers;
+    JobRuns m_jobRuns;
     ActiveJobs m_activeJobs;
     std::optional<CellConfiguration> m_configuration;
     AnswerTimes m_answerTimes;
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -208,37 +208,43 @@
     });
 }
 
-void Scheduler::abortGang(const TaskId &member, std::uint32_t run, const char *reason)
+void Scheduler::forRunsOf(const std::string &job,
+                          const std::function<void(Worker &, Run &)> &action)
 {
-    for (auto &[id, worker] : m_workers) {
-        for (auto &[key, candidate] : worker.runs) {
-            const TaskId &task = key.first;
-            if (key.second == run && task.step == member.step
-                && task.occurrence == member.occurrence && task.job == member.job) {
-                stopRun(worker, candidate, reason);
-            }
+    for (const auto &id : m_jobRuns.workersOf(job)) {
+        const auto entry = m_workers.find(id);
+        if (entry == m_workers.end())
+            continue;
+        Worker &worker = entry->second;
+        m_ports.metrics.count("scheduler.runsLookedAt", worker.runs.size());
+        for (auto &[key, run] : worker.runs) {
+            if (key.first.job == job)
+                action(worker, run);
         }
     }
 }
 
+void Scheduler::abortGang(const TaskId &member, std::uint32_t run, const char *reason)
+{
+    forRunsOf(member.job, [&](Worker &worker, Run &candidate) {
+        const bool same = candidate.number == run && candidate.task.step == member.step
+            && candidate.task.occurrence == member.occurrence;
+        if (same)
+            stopRun(worker, candidate, reason);
+    });
+}
+
 void Scheduler::stopOthers(const TaskId &task, std::uint32_t run)
 {
-    for (auto &[id, worker] : m_workers) {
-        for (auto &[key, candidate] : worker.runs) {
-            if (key.first == task && key.second != run)
-                stopRun(worker, candidate, "another copy is done");
-        }
-    }
+    forRunsOf(task.job, [&](Worker &worker, Run &candidate) {
+        if (candidate.task == task && candidate.number != run)
+            stopRun(worker, candidate, "another copy is done");
+    });
 }
 
 void Scheduler::stopAllRuns(const std::string &job, const char *reason)
 {
-    for (auto &[id, worker] : m_workers) {
-        for (auto &[key, run] : worker.runs) {
-            if (key.first.job == job)
-                stopRun(worker, run, reason);
-        }
-    }
+    forRunsOf(job, [&](Worker &worker, Run &run) { stopRun(worker, run, reason); });
 }
 
 void Scheduler::endJob(Job &job, JobStatus status)
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -501,10 +501,17 @@
         abortGang(end.task, end.run, "a member has ended");
 }
 
+Run &Scheduler::addRun(Worker &worker, Run run)
+{
+    m_jobRuns.added(run.task.job, worker.entry.id);
+    return cell::addRun(worker, std::move(run));
+}
+
 void Scheduler::releaseRun(Worker &worker, const RunKey &key, std::string checkpoint)
 {
     if (!removeRun(worker, key))
         return;
+    m_jobRuns.removed(key.first.job, worker.entry.id);
     Task *task = m_jobs.findTask(key.first);
     if (task == nullptr)
         return;
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -121,6 +121,9 @@
     /// Calls of one kind that a node has made, for example of "store.commit".
     [[nodiscard]] std::uint64_t callsOf(std::uint32_t node, const std::string &name) const;
 
+    /// Value of one of the node's counters.
+    [[nodiscard]] std::uint64_t counterOf(std::uint32_t node, const std::string &name) const;
+
     struct NodeSlot;
     struct WorkerSlot;
 
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -363,7 +363,12 @@
 
 std::uint64_t World::callsOf(std::uint32_t node, const std::string &name) const
 {
-    return m_nodes.at(node)->metrics.counter(name + ".calls");
+    return counterOf(node, name + ".calls");
+}
+
+std::uint64_t World::counterOf(std::uint32_t node, const std::string &name) const
+{
+    return m_nodes.at(node)->metrics.counter(name);
 }
 
 std::string World::logOf(std::uint32_t node) const
--- a/standins/cell/tests/costs_test.cpp
+++ b/standins/cell/tests/costs_test.cpp
@@ -47,6 +47,28 @@
     checkPromises(world);
 }
 
+// Cancellations come in waves, and members of gangs fail, in cells with thousands of runs.
+BOOST_AUTO_TEST_CASE(stoppingAJobLooksAtItsOwnRunsOnly)
+{
+    World::Settings settings;
+    settings.workers = 40;
+    World world(settings);
+    world.run(startTime);
+    constexpr std::uint32_t otherJobs = 30;
+    for (std::uint32_t job = 1; job <= otherJobs; ++job)
+        world.submit(0, jobId(job), batch(4, seconds(30)));
+    const auto stopped = jobId(otherJobs + 1);
+    world.submit(0, stopped, gang(4, seconds(30)));
+    world.run(seconds(1));
+    const auto before = world.counterOf(*world.owner(), "scheduler.runsLookedAt");
+    world.cancel(0, stopped);
+    world.run(seconds(2));
+    // The workers of its four tasks run up to four tasks each.
+    BOOST_TEST(world.counterOf(*world.owner(), "scheduler.runsLookedAt") - before <= 4U * 4U);
+    BOOST_TEST((world.status(0, stopped) == cell::JobStatus::Cancelled));
+    checkPromises(world);
+}
+
 // A cell without work: presence, watches and inventories only.
 BOOST_AUTO_TEST_CASE(idleCellCostsTheSameWhateverItDidBefore)
 {
