Explore with slow processors too

A quarter of the seeds charges 0.3 ms for an event and 0.5 ms for each look of the scheduler now, so that passes take longer than calls and events wait for them.

--- a/standins/cell/tests/exploration_test.cpp
+++ b/standins/cell/tests/exploration_test.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint32_t steps = 60;
 /// Carries the load of an exploration about twice, in bytes a second.
 constexpr double thinLink = 40000;
+constexpr std::chrono::microseconds slowEvent{ 300 };
+constexpr std::chrono::microseconds slowLook{ 500 };
 
 std::uint32_t numberOf(const char *variable, std::uint32_t otherwise)
 {
@@ -65,6 +67,11 @@
         // Every second cell lets other daemons call its workers, and some links are thin.
         result.fewestWorkersToRelay = seed % 2 == 1 ? 1 : result.fewestWorkersToRelay;
         result.linkBytesPerSecond = seed % 5 == 0 ? thinLink : 0;
+        // Others have slow processors: a pass over some jobs takes longer than a call.
+        if (seed % 4 == 0) {
+            result.eventCost = slowEvent;
+            result.lookCost = slowLook;
+        }
         return result;
     }
 
