Orders to workers in a file of their own

The functions are moved as they were; the member that adds a run to the ledger and to the index is called recordRun, since addRun is the ledger's own.

--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -164,19 +164,23 @@
     void advised(const TaskId &stepId, const std::vector<std::string> &asked,
                  const Result<Advice> &advice);
 
-    // Runs (schedulerruns.cpp).
+    // Orders to workers (schedulerorders.cpp).
     void startTask(const StepView &view, std::uint32_t index, Worker &worker, std::uint32_t number);
-    /// The worker, if this life of it goes on, or null.
-    [[nodiscard]] Worker *findLife(const std::string &worker, std::int64_t born);
-    /// The run in this life of the worker, or null.
-    [[nodiscard]] Run *findRun(const std::string &worker, std::int64_t born, const RunKey &key);
     void startAnswered(const std::string &worker, std::int64_t born, const RunKey &key,
                        const StartOutcome &outcome);
     void startRejected(Worker &worker, const RunKey &key, const StartRejected &rejection);
-    void confirmRunning(Run &run);
     void giveUpUnknownStart(const std::string &worker, std::int64_t born, const RunKey &key);
     void stopRun(Worker &worker, Run &run, const char *reason);
     void stopAgain(Worker &worker, Run &run);
+
+    // Runs, as orders and inventories tell of them (schedulerruns.cpp).
+    /// The worker, if this life of it goes on, or null.
+    [[nodiscard]] Worker *findLife(const std::string &worker, std::int64_t born);
+    /// The run in this life of the worker, or null.
+    [[nodiscard]] Run *findRun(const std::string &worker, std::int64_t born, const RunKey &key);
+    /// Adds a run to the ledger of its worker and to the index of its job; returns it.
+    Run &recordRun(Worker &worker, Run run);
+    void confirmRunning(Run &run);
     void takeInventory(Worker &worker, const Inventory &inventory, TimePoint asked);
     void takeRunning(Worker &worker, const RunningTask &row);
     void adopt(Worker &worker, const RunningTask &row);
@@ -187,7 +191,6 @@
     void evacuate(Worker &worker);
     /// False if a run is expected to take longer.
     [[nodiscard]] bool endsWithin(const Run &run, Duration time) const;
-    Run &addRun(Worker &worker, Run run);
     void loseRuns(Worker &worker, const std::vector<RunKey> &lost, const char *reason);
     void logEnd(const Worker &worker, const FinishedTask &end);
     void endRun(Worker &worker, const FinishedTask &end);
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -8,83 +8,12 @@
 
 namespace {
 
-/// A worker that refuses orders gets no new ones for this long.
-constexpr std::chrono::milliseconds refusalPause{ 1000 };
-/// A start that was not answered is stopped after this time, unless the worker shows that it runs.
-constexpr std::chrono::milliseconds unknownPatience{ 1000 };
 /// A run that is stopped saves its progress within this time.
 constexpr std::chrono::milliseconds stopReserve{ 900 };
 constexpr std::uint32_t hundredPercent = 100;
 
-const char *toString(OrderRefusal reason) noexcept
-{
-    switch (reason) {
-    case OrderRefusal::Fenced:
-        return "fenced";
-    case OrderRefusal::OldRun:
-        return "oldRun";
-    case OrderRefusal::Late:
-        return "late";
-    case OrderRefusal::NoRoom:
-        return "noRoom";
-    case OrderRefusal::BadTicket:
-        return "badTicket";
-    case OrderRefusal::OtherLife:
-        return "otherLife";
-    case OrderRefusal::Unhealthy:
-        return "unhealthy";
-    case OrderRefusal::Malformed:
-        return "malformed";
-    }
-    return "unknown";
-}
-
 } // namespace
 
-void Scheduler::startTask(const StepView &view, std::uint32_t index, Worker &worker,
-                          std::uint32_t number)
-{
-    Task &task = view.step->tasks[index];
-    const auto current = now();
-    Run run;
-    run.task = view.task(index);
-    run.number = number;
-    run.held = heldBy(*view.spec);
-    run.priority = view.job->record.queue.priority;
-    run.gang = view.spec->gang;
-    run.ordered = current;
-    run.startOpen = true;
-    run.checkpoint = view.spec->gang ? view.step->tasks.front().checkpoint : task.checkpoint;
-    const RunKey key(run.task, number);
-    const Run &added = addRun(worker, std::move(run));
-    view.step->move(task, TaskPhase::Placed);
-    view.step->wantCopy(task, false);
-    task.lastRun = number;
-    ++task.liveRuns;
-
-    StartOrder order;
-    order.task = key.first;
-    order.run = number;
-    order.spec = view.job->record.spec.spec;
-    order.leaseUntil = m_links.grantLease(worker);
-    order.fencingToken = worker.token;
-    order.checkpoint = added.checkpoint;
-    if (const auto ticket = view.step->advice.allowed.find(worker.entry.id);
-        ticket != view.step->advice.allowed.end()) {
-        order.ticket = ticket->second.value;
-    }
-    m_ports.metrics.count("starts.sent");
-    m_sender.start(
-        targetOf(worker), order,
-        [this, id = worker.entry.id, born = worker.born, key] {
-            const Run *sent = findRun(id, born, key);
-            return sent != nullptr && sent->phase != RunPhase::Stopping;
-        },
-        [this, id = worker.entry.id, born = worker.born, key](const StartOutcome &outcome) {
-            startAnswered(id, born, key, outcome);
-        });
-}
-
 Worker *Scheduler::findLife(const std::string &worker, std::int64_t born)
 {
     const auto entry = m_workers.find(worker);
@@ -100,48 +29,6 @@
     return found == life->runs.end() ? nullptr : &found->second;
 }
 
-void Scheduler::startAnswered(const std::string &id, std::int64_t born, const RunKey &key,
-                              const StartOutcome &outcome)
-{
-    if (std::exchange(m_windowFull, false))
-        requestPass();
-    Worker *life = findLife(id, born);
-    if (life == nullptr)
-        return;
-    Worker &worker = *life;
-    const auto found = worker.runs.find(key);
-    if (found == worker.runs.end())
-        return;
-    Run &run = found->second;
-    run.startOpen = false;
-    if (const auto *accepted = std::get_if<OrderAccepted>(&outcome)) {
-        m_links.readClock(worker, accepted->clock);
-        confirmRunning(run);
-        if (Job *job = m_jobs.find(key.first.job); job != nullptr && job->active()) {
-            job->everStarted = true;
-            job->status = JobStatus::Running;
-        }
-        m_links.poke(id);
-    } else if (const auto *rejection = std::get_if<StartRejected>(&outcome)) {
-        startRejected(worker, key, *rejection);
-    } else {
-        m_ports.log.write(
-            now(), "start.unanswered",
-            { { "task", key.first.text() }, { "run", key.second }, { "worker", id } });
-        m_ports.metrics.count("starts.unanswered");
-        quarantine(worker, now(), refusalPause);
-        m_links.leaseUnknown(worker);
-        run.outcomeUnknown = true;
-        run.unknownSince = now();
-        // The worker may only be slow to answer: its next inventory tells, if it comes soon.
-        m_links.poke(id);
-        m_ports.timers.after(unknownPatience, [this, alive = m_alive, id, born, key] {
-            if (*alive)
-                giveUpUnknownStart(id, born, key);
-        });
-    }
-}
-
 void Scheduler::confirmRunning(Run &run)
 {
     if (run.phase != RunPhase::Starting)
@@ -152,86 +39,6 @@
     run.progressed = now() + (run.checkpoint.empty() ? Duration::zero() : Duration(restoreTime));
 }
 
-void Scheduler::giveUpUnknownStart(const std::string &id, std::int64_t born, const RunKey &key)
-{
-    Run *run = findRun(id, born, key);
-    if (run == nullptr || run->phase != RunPhase::Starting || !run->outcomeUnknown)
-        return;
-    stopRun(*findLife(id, born), *run, "the start was not answered");
-    if (run->gang)
-        abortGang(key.first, key.second, "the start of a member was not answered");
-}
-
-void Scheduler::startRejected(Worker &worker, const RunKey &key, const StartRejected &rejection)
-{
-    m_ports.log.write(now(), "start.rejected",
-                      { { "task", key.first.text() },
-                        { "run", key.second },
-                        { "worker", worker.entry.id },
-                        { "reason", toString(rejection.reason) },
-                        { "connectionFailed", rejection.connectionFailed } });
-    m_ports.metrics.count(std::string("starts.rejected.") + toString(rejection.reason));
-    const bool gang = worker.runs.at(key).gang;
-    releaseRun(worker, key, "");
-    Step *step = m_jobs.findStep(key.first);
-    switch (rejection.reason) {
-    case OrderRefusal::Fenced:
-        m_fenced();
-        return;
-    case OrderRefusal::BadTicket:
-        if (step != nullptr)
-            step->advice.allowed[worker.entry.id].value.clear();
-        break;
-    case OrderRefusal::OldRun:
-    case OrderRefusal::Late:
-    case OrderRefusal::OtherLife:
-    case OrderRefusal::NoRoom:
-        // The next inventory brings the worker's clock, life and runs up to date.
-        worker.fenced = false;
-        m_links.poke(worker.entry.id);
-        break;
-    case OrderRefusal::Unhealthy:
-    case OrderRefusal::Malformed:
-        quarantine(worker, now(), refusalPause);
-        m_links.poke(worker.entry.id);
-        break;
-    }
-    if (gang)
-        abortGang(key.first, key.second, "a member was rejected");
-    requestPass();
-}
-
-void Scheduler::stopRun(Worker &worker, Run &run, const char *reason)
-{
-    if (run.phase == RunPhase::Stopping)
-        return;
-    m_ports.log.write(now(), "run.stopping",
-                      { { "task", run.task.text() },
-                        { "run", run.number },
-                        { "worker", worker.entry.id },
-                        { "reason", reason } });
-    stopAgain(worker, run);
-}
-
-void Scheduler::stopAgain(Worker &worker, Run &run)
-{
-    run.phase = RunPhase::Stopping;
-    run.stopConfirmed.reset();
-    const RunKey key(run.task, run.number);
-    const auto current = [this, id = worker.entry.id, born = worker.born, key] {
-        return findRun(id, born, key);
-    };
-    m_sender.stop(
-        targetOf(worker), { key.first, key.second, worker.token },
-        [current] { return current() != nullptr; },
-        [this, current, id = worker.entry.id](bool accepted) {
-            if (Run *stopped = current(); stopped != nullptr && accepted) {
-                stopped->stopConfirmed = now();
-                m_links.poke(id);
-            }
-        });
-}
-
 void Scheduler::takeInventory(Worker &worker, const Inventory &inventory, TimePoint asked)
 {
     bool newEnds = false;
@@ -308,7 +115,7 @@
     m_ports.log.write(
         now(), wanted ? "run.adopted" : "run.unexpected",
         { { "task", row.task.text() }, { "run", row.run }, { "worker", worker.entry.id } });
-    Run &added = addRun(worker, std::move(run));
+    Run &added = recordRun(worker, std::move(run));
     if (!wanted) {
         stopRun(worker, added, "nothing wants this run");
         return;
@@ -501,10 +308,10 @@
         abortGang(end.task, end.run, "a member has ended");
 }
 
-Run &Scheduler::addRun(Worker &worker, Run run)
+Run &Scheduler::recordRun(Worker &worker, Run run)
 {
     m_jobRuns.added(run.task.job, worker.entry.id);
-    return cell::addRun(worker, std::move(run));
+    return addRun(worker, std::move(run));
 }
 
 void Scheduler::releaseRun(Worker &worker, const RunKey &key, std::string checkpoint)
