Work out once what a question of a step needs

Found when reading the change again: for each question to the policy service the waiting tasks of its step were counted three times, in a path that runs for up to 80 steps a pass; and "a question is open and nobody is known to be allowed" stood twice as a condition. The need is passed on, the condition has a name.

--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -51,6 +51,9 @@
     bool asking = false;
     std::vector<std::string> asked; ///< The workers of the question that is open.
     TimePoint nextAsk{};
+
+    /// True while no worker is known to be allowed, and a question is open.
+    [[nodiscard]] bool awaitsFirstAnswer() const noexcept { return asking && allowed.empty(); }
 };
 
 struct Step
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -158,9 +158,10 @@
     [[nodiscard]] AdviceNeed adviceNeed(const StepView &view) const;
     /// As many workers as can be asked about and of which the step does not know whether it may use
     /// them; those with most room first, workers that are kept for gangs last.
-    [[nodiscard]] std::vector<Worker *> unknownWorkers(const StepView &view,
-                                                       const StepDemand &demand) const;
-    [[nodiscard]] AdviceCandidates adviceCandidates(const StepView &view, const StepDemand &demand);
+    [[nodiscard]] std::vector<Worker *>
+    unknownWorkers(const StepView &view, const StepDemand &demand, const AdviceNeed &need) const;
+    [[nodiscard]] AdviceCandidates adviceCandidates(const StepView &view, const StepDemand &demand,
+                                                    const AdviceNeed &need);
     void advised(const TaskId &stepId, const std::vector<std::string> &asked,
                  const Result<Advice> &advice);
 
--- a/libs/cell/src/scheduleradvice.cpp
+++ b/libs/cell/src/scheduleradvice.cpp
@@ -22,12 +22,13 @@
     return need;
 }
 
-AdviceCandidates Scheduler::adviceCandidates(const StepView &view, const StepDemand &demand)
+AdviceCandidates Scheduler::adviceCandidates(const StepView &view, const StepDemand &demand,
+                                             const AdviceNeed &need)
 {
     const auto current = now();
     const auto &advice = view.step->advice;
     AdviceCandidates result;
-    result.unknown = unknownWorkers(view, demand);
+    result.unknown = unknownWorkers(view, demand, need);
     result.allowed = candidates(view, demand, Tickets::Any);
     for (Worker *worker : result.allowed) {
         if (roomFor(*worker, demand) > 0
@@ -38,10 +39,9 @@
     return result;
 }
 
-std::vector<Worker *> Scheduler::unknownWorkers(const StepView &view,
-                                                const StepDemand &demand) const
+std::vector<Worker *> Scheduler::unknownWorkers(const StepView &view, const StepDemand &demand,
+                                                const AdviceNeed &need) const
 {
-    const auto need = adviceNeed(view);
     const auto wanted = mostToAskAbout(need);
     const auto &advice = view.step->advice;
     const auto isUnknown = [&advice](const Worker &worker) {
@@ -88,10 +88,10 @@
     if (!settings || advice.nextAsk > now())
         return;
     if (!advice.asking) {
-        if (!mayAsk(*settings, view.startableTasks(now())))
+        const auto need = adviceNeed(view);
+        if (!mayAsk(*settings, need.tasks))
             return;
-        const auto names =
-            chooseToAskAbout(adviceNeed(view), demand, adviceCandidates(view, demand));
+        const auto names = chooseToAskAbout(need, demand, adviceCandidates(view, demand, need));
         if (names.empty()) {
             advice.nextAsk = now() + adviceIdlePause;
             return;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -82,7 +82,7 @@
 bool Scheduler::tryStep(const StepView &view)
 {
     // Nothing can be done before the first answer.
-    if (view.step->advice.asking && view.step->advice.allowed.empty())
+    if (view.step->advice.awaitsFirstAnswer())
         return true;
     const auto demand = demandOf(view);
     // Nobody has room: only what is needed to ask for advice is looked at.
@@ -108,7 +108,7 @@
 void Scheduler::noteWaiting(const StepView &view)
 {
     // Without an answer yet it could use no room.
-    if (view.step->advice.asking && view.step->advice.allowed.empty())
+    if (view.step->advice.awaitsFirstAnswer())
         return;
     m_firstWaiting = std::min(m_firstWaiting.value_or(view.rank()), view.rank());
 }
