Review: a cancelled job is run after its late submission

A cancel of a job that is not stored yet is answered 410 and leaves no mark, so a submission that was answered 504 still creates the job when the store does it late.

--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -133,6 +133,8 @@
         self.next_lease = 1000
         self.changed = asyncio.Event()
         self.down = ""  # "", "silent", "busy" or "reset"
+        # Given a transaction, returns after how many seconds it is done without an answer, or None.
+        self.late_write = lambda transaction: None
         self.http = HttpServer(self.handle)
         self.address = ""
 
@@ -208,7 +210,12 @@
         if path == "/v1/kv-watch":
             return await self.watch(query)
         if path == "/v1/kv-txn":
-            return self.commit(json.loads(body))
+            transaction = json.loads(body)
+            delay = self.late_write(transaction)
+            if delay is None:
+                return self.commit(transaction)
+            asyncio.get_event_loop().call_later(delay, self.commit, transaction)
+            return None
         if path == "/v1/kv-lease":
             ttl = json.loads(body)["ttl_ms"]
             self.next_lease += 1
