Keep runs whose end may stand behind a cut list of ends

Workers list their ends 500 at a time and repeat them until they are acknowledged, which waits for the store; during an outage a worker with many small tasks has more.

Cause: a run that stands in neither list of an inventory was taken for lost and its task was started again, though its end stood in the part that was still to come. Class: a list cut short was read as a complete one. The same cause acted at a change of owner: a worker counted as reconciled after its first answer, so that a new owner started the tasks behind the first 500 ends again.

Change: an inventory says whether more ends may follow (moreFinished; the limit is a fact of the platform and stands in its adapter; relayed inventories carry the flag). While it is set, missing runs are kept, with their capacity, and the worker isn't reconciled. Ends become durable and are acknowledged as before, so the rest follows. A line worker.endsAwaited and a counter say so.

--- a/libs/cell/include/cell/model.h
+++ b/libs/cell/include/cell/model.h
@@ -165,6 +165,9 @@
     std::chrono::milliseconds clock{}; ///< Monotonic clock of the worker.
     std::vector<RunningTask> running;
     std::vector<FinishedTask> finished; ///< Finished runs that have not been acknowledged yet.
+    /// More runs may have finished than are listed; the others are listed once these are
+    /// acknowledged.
+    bool moreFinished = false;
 };
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/relaymessages.cpp
+++ b/libs/cell/src/relaymessages.cpp
@@ -140,7 +140,8 @@
         finished.push_back(Json::array(
             { end.number, end.task.text(), end.run, static_cast<int>(end.kind), end.checkpoint }));
     return Json::array({ static_cast<int>(ReplyKind::Inventory), call, inventory.born,
-                         inventory.clock.count(), std::move(running), std::move(finished) });
+                         inventory.clock.count(), std::move(running), std::move(finished),
+                         inventory.moreFinished });
 }
 
 Json toRow(const OrderReply &reply)
@@ -179,6 +180,10 @@
     for (const auto &end : row.at(5))
         inventory.finished.push_back({ end.at(0), taskOf(end.at(1)), end.at(2),
                                        enumOf(end.at(3), EndKind::Alone), end.at(4) });
+    // Daemons of an earlier version do not send it.
+    constexpr std::size_t moreFinishedColumn = 6;
+    inventory.moreFinished =
+        row.size() > moreFinishedColumn && row.at(moreFinishedColumn).get<bool>();
     return inventory;
 }
 
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -188,6 +188,8 @@
     void adoptRun(Worker &worker, const RunningTask &row);
     void markReconciled(const TaskId &adopted);
     void releaseMissingRuns(Worker &worker, const Inventory &inventory, TimePoint requestedAt);
+    /// Logs that runs are missing from an inventory that does not list all ends.
+    void logAwaitedEnds(const Worker &worker, std::size_t missing);
     void handleNewIncarnation(Worker &worker, const Inventory &inventory, TimePoint requestedAt);
     void releaseExpiredRuns(Worker &worker);
     void evacuate(Worker &worker);
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -172,6 +172,11 @@
     }
     for (const auto &key : notStarted)
         abandonUnknownStart(worker.entry.id, worker.born, key);
+    // A missing run may be among the ends that are not listed yet.
+    if (inventory.moreFinished) {
+        logAwaitedEnds(worker, missing.size());
+        return;
+    }
     for (const auto &key : missing) {
         m_ports.log.write(
             now(), "run.missing",
@@ -185,6 +190,16 @@
         requestPass();
 }
 
+void Scheduler::logAwaitedEnds(const Worker &worker, std::size_t missing)
+{
+    m_ports.metrics.count("workers.endListsCut");
+    m_ports.log.writeRoutine(now(), "worker.endsAwaited",
+                             { { "worker", worker.entry.id },
+                               { "processed", worker.processedEnds },
+                               { "durable", worker.durableEnds },
+                               { "missingRuns", static_cast<std::uint64_t>(missing) } });
+}
+
 void Scheduler::handleNewIncarnation(Worker &worker, const Inventory &inventory,
                                      TimePoint requestedAt)
 {
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -234,7 +234,8 @@
     worker.reachable = true;
     worker.fenced = true;
     worker.suspect = false;
-    worker.reconciled = true;
+    // Runs of an earlier owner may be among the ends that are not listed yet.
+    worker.reconciled = worker.reconciled || !inventory.moreFinished;
     link.failures = 0;
     if (inventory.clock < worker.inventoryClock)
         return;
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -83,7 +83,8 @@
     TimePoint lastContact{};
     bool reachable = false;
     bool usedByPreviousOwner = false; ///< An earlier owner may have started tasks on it.
-    bool reconciled = false; ///< It has answered since the take-over, or its leases have expired.
+    bool reconciled = false; ///< It has listed all its runs since the take-over, or its leases have
+                             ///< expired.
     /// Jobs of which an earlier owner may have started tasks; nothing if it may be any job.
     std::optional<std::set<std::string>> previousOwnerJobs;
     RosterState rosterState = RosterState::Absent; ///< State in the stored roster.
--- a/standins/cell/src/workermodel.cpp
+++ b/standins/cell/src/workermodel.cpp
@@ -6,6 +6,14 @@
 
 using namespace cell;
 
+namespace {
+
+/// Maximum number of finished runs that an inventory lists; the others follow once these are
+/// acknowledged.
+constexpr std::size_t maxListedEnds = 500;
+
+} // namespace
+
 WorkerModel::WorkerModel(Timers &timers, Settings settings, Planner planner,
                          WorkerObserver &observer)
     : m_timers(timers)
@@ -220,8 +228,13 @@
         inventory.running.push_back(
             { key.first, key.second, "", static_cast<std::uint32_t>(percent) });
     }
-    for (const auto &entry : m_finished)
+    for (const auto &entry : m_finished) {
+        if (inventory.finished.size() == maxListedEnds) {
+            inventory.moreFinished = true;
+            break;
+        }
         inventory.finished.push_back(entry.end);
+    }
     return inventory;
 }
 
--- a/standins/cell/tests/failures_test.cpp
+++ b/standins/cell/tests/failures_test.cpp
@@ -405,4 +405,59 @@
     expectNoViolations(world);
 }
 
+namespace {
+
+constexpr std::uint32_t smallTaskJobs = 20;
+
+/// One worker that runs more tasks at once than it lists ends.
+World::Settings oneLargeWorker()
+{
+    World::Settings settings;
+    settings.workers = 1;
+    settings.workerCapacity = { 32000, 65536, 0 };
+    return settings;
+}
+
+void submitSmallTasks(World &world, std::uint32_t node)
+{
+    auto plan = batch(40, seconds(3));
+    plan.spec.steps.front().amount = { 40, 64, 0 };
+    for (std::uint32_t job = 1; job <= smallTaskJobs; ++job)
+        world.submit(node, jobId(job), plan);
+}
+
+} // namespace
+
+/// Ends that cannot be acknowledged keep later ends out of the worker's list.
+BOOST_AUTO_TEST_CASE(unlistedEndsOfALongListAreNotTakenForLostRuns)
+{
+    World world(oneLargeWorker());
+    world.run(startTime);
+    submitSmallTasks(world, 0);
+    world.run(seconds(2));
+    world.setStoreFaultForAll(StoreFault::Refuse);
+    world.run(seconds(5));
+    world.setStoreFaultForAll(StoreFault::None);
+    world.run(seconds(8));
+    BOOST_TEST(world.guarantees().starts() == 800U);
+    expectCompleted(world, 0, smallTaskJobs);
+}
+
+/// A new owner sees only the first ends of a long list.
+BOOST_AUTO_TEST_CASE(newOwnerWaitsForTheRestOfALongListOfEnds)
+{
+    World world(oneLargeWorker());
+    world.run(startTime);
+    const auto owner = *world.owner();
+    const auto other = follower(world);
+    submitSmallTasks(world, other);
+    world.run(seconds(2));
+    world.setStoreFault(owner, StoreFault::Refuse);
+    world.run(seconds(5));
+    world.kill(owner);
+    world.run(seconds(12));
+    BOOST_TEST(world.guarantees().starts() == 800U);
+    expectCompleted(world, other, smallTaskJobs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cell/tests/relay_test.cpp
+++ b/standins/cell/tests/relay_test.cpp
@@ -257,6 +257,7 @@
     inventory.running.push_back({ *cell::parseTaskId(jobId(1) + ".0.1.2"), 3, "saved", 41 });
     inventory.finished.push_back(
         { 9, *cell::parseTaskId(jobId(1) + ".0.1.3"), 2, cell::EndKind::Broken, "point" });
+    inventory.moreFinished = true;
     cell::RelayAnswer answer;
     answer.clock = milliseconds(5);
     answer.replies = {
@@ -277,6 +278,7 @@
         std::get<cell::InventoryReply>(decoded->replies.at(3)).outcome));
     BOOST_TEST(list.running.at(0).checkpoint == "saved");
     BOOST_TEST((list.finished.at(0).kind == cell::EndKind::Broken));
+    BOOST_TEST(list.moreFinished);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cellhttp/tests/cellhttp_test.cpp
+++ b/standins/cellhttp/tests/cellhttp_test.cpp
@@ -186,6 +186,51 @@
     BOOST_TEST(std::get<Inventory>(listed).running.size() == 1U);
 }
 
+/// Otherwise a finished run behind the end of the list is taken for one that was lost.
+BOOST_AUTO_TEST_CASE(inventoryTellsThatItsListOfEndsIsCut)
+{
+    constexpr std::uint32_t tasks = 501;
+    EventLoop loop;
+    StartCounter observer;
+    WorkerModel::Settings settings;
+    settings.id = "w1";
+    WorkerModel model(
+        loop, settings,
+        [](const TaskId &) {
+            return TaskPlan{ {}, 1ms };
+        },
+        observer);
+    WorkerServer server(loop, model, 1, [](const auto &, const auto &) { return true; });
+    HttpClient http(loop);
+    platform::WorkerClient client(http);
+    const WorkerTarget target{ "w1", server.listen(anyPort).value().text(), "z" };
+    for (std::uint32_t index = 0; index < tasks; ++index) {
+        StartOrder order;
+        order.task = { "00000000000000aa", 0, 0, index };
+        order.run = 1;
+        order.leaseUntil = 5s;
+        BOOST_REQUIRE(std::holds_alternative<OrderAccepted>(model.start(order)));
+    }
+    Answer<bool> ended(loop);
+    loop.after(100ms, [done = ended.done()] { done(true); });
+    BOOST_REQUIRE(ended.wait());
+
+    const auto inventory = [&](std::uint64_t acknowledged) {
+        InventoryRequest request;
+        request.acknowledged = acknowledged;
+        request.timeout = 2s;
+        Answer<Result<InventoryOutcome>> answer(loop);
+        client.inventory(target, request, answer.done());
+        return std::get<Inventory>(answer.wait().value());
+    };
+    const auto first = inventory(0);
+    BOOST_TEST(first.finished.size() == 500U);
+    BOOST_TEST(first.moreFinished);
+    const auto rest = inventory(first.finished.back().number);
+    BOOST_TEST(rest.finished.size() == 1U);
+    BOOST_TEST(!rest.moreFinished);
+}
+
 BOOST_AUTO_TEST_CASE(policyServiceAnswersSequentially)
 {
     EventLoop loop;
