Start a long-running task again when it ends done

Cause: an end "done" completed the task without asking whether its step runs until cancelled; only the path of an end "failed" asked. Class: an end of an unexpected kind was read as the one that other tasks have.

Change: both ends of a long-running task, or of one of its gangs, go through one function, which starts it again. Where else the same acted: progress stored by an earlier version, which marks such tasks as done, is ignored at a take-over. On the same path, a count that nothing reset: each failed run of a long-running task stayed in its progress record for ever, until the store would refuse the value; only the newest ended run is kept now. The list of workers that a task avoids holds each worker once.

The checker of the simulation applies its checks "started after an end done" and "after all attempts" to tasks that end only; that two runs of one task overlap is still checked for all.

Evidence: lastingTaskThatEndsDoneIsStartedAgain failed before (1 start, job not running), lastingGangThatEndsDoneIsStartedAgain failed before (3 starts), lastingTaskRecordedAsDoneIsStartedAgain failed before (1 of 2 waiting), recordOfALastingTaskDoesNotGrowWithItsFailures fails with the runs kept (1,175 bytes after 20 s, 307 after 5 s). All pass; cell_test: 121 other cases pass.

--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -27,9 +27,10 @@
     }
 }
 
-void restore(Step &step, const StepProgress &progress)
+void restore(Step &step, const StepProgress &progress, bool longRunning)
 {
-    const auto count = std::min(step.tasks.size(), progress.done.size());
+    // A long-running task is never done, whatever an earlier version has recorded.
+    const auto count = longRunning ? 0 : std::min(step.tasks.size(), progress.done.size());
     for (std::size_t index = 0; index < count; ++index) {
         if (progress.done[index]) {
             step.move(step.tasks[index], TaskPhase::Done);
@@ -48,6 +49,12 @@
 
 } // namespace
 
+void Task::avoid(const std::string &id)
+{
+    if (std::find(avoidedWorkers.begin(), avoidedWorkers.end(), id) == avoidedWorkers.end())
+        avoidedWorkers.push_back(id);
+}
+
 TaskFailures &Step::failuresOf(std::uint32_t index)
 {
     const auto found = std::find_if(failures.begin(), failures.end(),
@@ -149,7 +156,8 @@
                 continue;
             auto &occurrence = beginOccurrence(job, stored.number, now);
             for (std::size_t index = 0; index < stored.steps.size(); ++index)
-                restore(occurrence.steps[index], stored.steps[index]);
+                restore(occurrence.steps[index], stored.steps[index],
+                        record.spec.steps[index].longRunning);
             updateReadiness(job, occurrence);
         }
     }
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -32,6 +32,9 @@
     Duration projected{};    ///< Projected total time of the newest run.
     TimePoint notBefore{};   ///< Earliest time of the next start.
     bool reconciled = false; ///< All runs that earlier owners may have started are known.
+
+    /// Adds the worker to those that are chosen last.
+    void avoid(const std::string &id);
 };
 
 /// Permission from the policy service of the queue to run a step on a worker.
--- a/libs/cell/src/records.h
+++ b/libs/cell/src/records.h
@@ -40,7 +40,8 @@
 };
 
 /// Failed runs of one task. Workers report a finished run until it is acknowledged, in any order,
-/// so runs are stored by number to count each of them once.
+/// so runs are stored by number to count each of them once. Of a long-running task only the newest
+/// ended run is stored.
 struct TaskFailures
 {
     std::uint32_t index = 0;
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -125,6 +125,7 @@
     // jobs changed by an event are evaluated on their own, without waiting for the next pass.
     void requestPass();
     void requestDelayedPass();
+    void requestPassAfter(Duration delay);
     void logLoad(const std::vector<StepView> &waiting);
     void runPass();
     /// Evaluates the ready steps of the job after the current event has been handled.
@@ -211,6 +212,8 @@
 
     // Jobs (schedulerjobs.cpp).
     void handleTaskCompleted(const TaskId &task, std::uint32_t run);
+    /// Has the task of a long-running step started again after an end of any kind.
+    void restartLongRunning(Job &job, const TaskId &id, std::uint32_t run, const char *reason);
     void handleTaskFailed(Worker &worker, const TaskId &task, std::uint32_t run);
     /// Calls \p action for each run of the job on any worker.
     void forEachRunOf(const std::string &job, const std::function<void(Worker &, Run &)> &action);
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -150,6 +150,10 @@
     Task *task = m_jobs.findTask(id);
     if (task == nullptr || task->phase == TaskPhase::Done || !job->active())
         return;
+    if (job->spec(id.step).longRunning) {
+        restartLongRunning(*job, id, run, "gang member ended");
+        return;
+    }
     if (job->spec(id.step).gang) {
         // The end of one member completes the whole gang.
         for (auto &member : step->tasks)
@@ -174,6 +178,23 @@
     scheduleJobEvaluation(id.job);
 }
 
+void Scheduler::restartLongRunning(Job &job, const TaskId &id, std::uint32_t run,
+                                   const char *reason)
+{
+    Step &step = *m_jobs.findStep(id);
+    const bool gang = job.spec(id.step).gang;
+    // Only the newest run is recorded: the number of restarts is not limited.
+    auto &ended = step.failuresOf(gang ? 0 : id.index).runs;
+    if (!ended.empty() && ended.front() >= run)
+        return;
+    ended = { run };
+    step.tasks[id.index].notBefore = now() + retryPause;
+    saveProgress(job, Urgency::Soon);
+    if (gang)
+        abortGang(id, run, reason);
+    requestPassAfter(retryPause);
+}
+
 void Scheduler::handleTaskFailed(Worker &worker, const TaskId &id, std::uint32_t run)
 {
     Job *job = m_jobs.find(id.job);
@@ -181,9 +202,15 @@
     Task *task = m_jobs.findTask(id);
     if (task == nullptr || !job->active() || task->phase == TaskPhase::Done)
         return;
+    task->avoid(worker.entry.id);
+    if (job->spec(id.step).longRunning) {
+        m_ports.log.write(now(), "task.failed",
+                          { { "task", id.text() }, { "run", run }, { "worker", worker.entry.id } });
+        restartLongRunning(*job, id, run, "gang member failed");
+        return;
+    }
     const bool gang = job->spec(id.step).gang;
     auto &failures = step->failuresOf(gang ? 0 : id.index);
-    task->avoidedWorkers.push_back(worker.entry.id);
     task->notBefore = now() + retryPause;
     if (std::find(failures.runs.begin(), failures.runs.end(), run) != failures.runs.end())
         return;
@@ -195,17 +222,14 @@
                         { "worker", worker.entry.id },
                         { "failures", count },
                         { "allowed", job->record.queue.maxAttempts } });
-    if (!job->spec(id.step).longRunning && count >= job->record.queue.maxAttempts) {
+    if (count >= job->record.queue.maxAttempts) {
         endJob(*job, JobStatus::Failed);
         return;
     }
     saveProgress(*job, Urgency::Soon);
     if (gang)
         abortGang(id, run, "gang member failed");
-    m_ports.timers.after(retryPause, [this, alive = m_alive] {
-        if (*alive)
-            requestPass();
-    });
+    requestPassAfter(retryPause);
 }
 
 void Scheduler::forEachRunOf(const std::string &job,
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -50,6 +50,14 @@
     });
 }
 
+void Scheduler::requestPassAfter(Duration delay)
+{
+    m_ports.timers.after(delay, [this, alive = m_alive] {
+        if (*alive)
+            requestPass();
+    });
+}
+
 void Scheduler::runPass()
 {
     if (!m_loaded || !m_configuration)
--- a/libs/cell/src/schedulerprogress.cpp
+++ b/libs/cell/src/schedulerprogress.cpp
@@ -96,7 +96,7 @@
         return;
     const auto &id = worker.entry.id;
     task->rescheduled = true;
-    task->avoidedWorkers.push_back(id);
+    task->avoid(id);
     if (!job->spec(run.task.step).speculative)
         stopRun(worker, run, "it has fallen behind");
     else if (task->liveRuns < maxConcurrentRuns)
--- a/standins/cell/include/standincell/guaranteechecker.h
+++ b/standins/cell/include/standincell/guaranteechecker.h
@@ -76,6 +76,8 @@
     void checkStart(JobRecord &job, const cell::TaskId &task);
     void checkEnds(JobRecord &job, const cell::TaskId &task);
     [[nodiscard]] static bool copiesAllowed(const JobRecord &job, const cell::TaskId &task);
+    /// True if the task is restarted until its job is cancelled.
+    [[nodiscard]] static bool lasts(const JobRecord &job, const cell::TaskId &task);
     [[nodiscard]] static std::string attemptKey(const JobRecord &job, const cell::TaskId &task);
     [[nodiscard]] static bool stepDone(const JobRecord &job, std::uint32_t step);
 
--- a/standins/cell/src/guaranteechecker.cpp
+++ b/standins/cell/src/guaranteechecker.cpp
@@ -106,6 +106,11 @@
     return task.step < job.spec.steps.size() && job.spec.steps[task.step].speculative;
 }
 
+bool GuaranteeChecker::lasts(const JobRecord &job, const TaskId &task)
+{
+    return task.step < job.spec.steps.size() && job.spec.steps[task.step].longRunning;
+}
+
 std::string GuaranteeChecker::attemptKey(const JobRecord &job, const TaskId &task)
 {
     // The members of a gang fail together.
@@ -163,6 +168,9 @@
 
 void GuaranteeChecker::checkEnds(JobRecord &job, const TaskId &task)
 {
+    // Tasks that last are restarted however they end.
+    if (lasts(job, task))
+        return;
     const auto key = attemptKey(job, task);
     // A copy may be ordered just before the end of the other one becomes known.
     const bool copies = copiesAllowed(job, task);
