Check gangs by run in the simulation; lose answers and delay messages there

The names in the record may be those of gang steps, and the checker of the simulation could not see a gang that was started beside one of its earlier runs: it compared runs task by task, and such runs may share no index. It compares all members of a step now.

The simulation also had no call to a worker that is executed but not answered, and no standing delay between regions, which the record shows (20 ms each way). The exploration draws both.

--- a/standins/cell/include/standincell/guaranteechecker.h
+++ b/standins/cell/include/standincell/guaranteechecker.h
@@ -73,6 +73,8 @@
     };
 
     void addViolation(const char *guarantee, const cell::TaskId &task, const std::string &detail);
+    /// The members of a gang belong together: no member may run beside one of another run.
+    void checkGangRuns(const cell::TaskId &member, std::uint32_t run);
     void checkStart(JobRecord &job, const cell::TaskId &task);
     void checkEnds(JobRecord &job, const cell::TaskId &task);
     [[nodiscard]] static bool copiesAllowed(const JobRecord &job, const cell::TaskId &task);
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -84,6 +84,10 @@
     /// Stores the next version of the configuration, as the operator does.
     void changeConfiguration();
     void setLateOrderShare(double share) { m_lateOrderShare = share; }
+    /// Share of the calls to workers that are executed, but not answered.
+    void setLostAnswerShare(double share) { m_lostAnswerShare = share; }
+    /// Adds a standing delay to all messages, in each direction.
+    void setExtraDelay(Duration delay) { m_extraDelay = delay; }
     void compactStore() { m_store.compact(); }
     /// Limits the links of all nodes to the workers to this fraction of their bandwidth.
     void setLinkShare(double share) { m_linkShare = share; }
@@ -142,6 +146,10 @@
         return m_settings.inspectionCost;
     }
     [[nodiscard]] bool isOrderLate() { return m_chance(m_random) < m_lateOrderShare; }
+    [[nodiscard]] bool isAnswerLost()
+    {
+        return m_lostAnswerShare > 0 && m_chance(m_random) < m_lostAnswerShare;
+    }
     [[nodiscard]] bool allowed(const std::string &step, const std::string &worker) const;
     /// Response time of the policy service.
     [[nodiscard]] Duration adviceTime(const std::string &step, std::size_t workerCount) const;
@@ -162,6 +170,8 @@
     std::map<cell::TaskId, std::uint32_t> m_startsOfTask;
     std::uint64_t m_version = 0;
     double m_lateOrderShare = 0;
+    double m_lostAnswerShare = 0;
+    Duration m_extraDelay{};
     double m_linkShare = 1;
 };
 
--- a/standins/cell/src/guaranteechecker.cpp
+++ b/standins/cell/src/guaranteechecker.cpp
@@ -144,9 +144,27 @@
         addViolation("TWICE", task,
                      worker + " run " + std::to_string(run) + " beside " + runs.begin()->first);
     runs.emplace(worker, run);
+    if (job.spec.steps[task.step].gang)
+        checkGangRuns(task, run);
     checkStart(job, task);
 }
 
+void GuaranteeChecker::checkGangRuns(const TaskId &member, std::uint32_t run)
+{
+    const TaskId first{ member.job, member.occurrence, member.step, 0 };
+    for (auto entry = m_running.lower_bound(first); entry != m_running.end(); ++entry) {
+        const auto &[task, runs] = *entry;
+        if (task.stepText() != member.stepText())
+            break;
+        for (const auto &[worker, other] : runs) {
+            if (other != run)
+                addViolation("TWICE", member,
+                             "gang run " + std::to_string(run) + " beside run "
+                                 + std::to_string(other) + " of " + task.text() + " on " + worker);
+        }
+    }
+}
+
 void GuaranteeChecker::checkStart(JobRecord &job, const TaskId &task)
 {
     if (job.refused)
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -301,7 +301,9 @@
                                  m_world.guarantees().setOrderTime(std::nullopt);
                              });
             } else {
-                answer->complete(replyDelay(answerBytes), action(*slot->model));
+                const auto outcome = action(*slot->model);
+                if (!m_world.isAnswerLost())
+                    answer->complete(replyDelay(answerBytes), outcome);
             }
         });
 }
@@ -337,10 +339,12 @@
             answer->complete(replyDelay(resetBytes), timedOut("worker.inventory"));
             return;
         }
-        slot->model->inventory(request, [this, slot, answer](const InventoryOutcome &outcome) {
-            if (slot->reachableFrom(m_slot.name))
-                answer->complete(replyDelay(bytesOf(outcome)), outcome);
-        });
+        const bool lost = m_world.isAnswerLost();
+        slot->model->inventory(request,
+                               [this, slot, answer, lost](const InventoryOutcome &outcome) {
+                                   if (!lost && slot->reachableFrom(m_slot.name))
+                                       answer->complete(replyDelay(bytesOf(outcome)), outcome);
+                               });
     });
 }
 
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -108,7 +108,7 @@
 {
     std::uniform_int_distribution<std::int64_t> pick(Duration(minDelay).count(),
                                                      Duration(maxDelay).count());
-    return Duration(pick(m_random));
+    return m_extraDelay + Duration(pick(m_random));
 }
 
 bool World::allowed(const std::string &step, const std::string &worker) const
--- a/standins/cell/tests/exploration_test.cpp
+++ b/standins/cell/tests/exploration_test.cpp
@@ -110,7 +110,7 @@
     {
         const auto node = pick(0, nodes - 1);
         const auto worker = pick(0, workers - 1);
-        switch (pick(0, 27)) {
+        switch (pick(0, 29)) {
         case 0:
             m_world.kill(node);
             break;
@@ -184,6 +184,12 @@
         case 23:
             m_world.setWorkerSpeed(worker, 1);
             break;
+        case 24:
+            m_world.setLostAnswerShare(0.1 * pick(0, 3));
+            break;
+        case 25:
+            m_world.setExtraDelay(milliseconds(10 * pick(0, 3)));
+            break;
         default:
             for (std::uint32_t index = 0; index < nodes; ++index)
                 m_world.start(index);
@@ -196,6 +202,8 @@
         m_world.setStoreFaultForAll(StoreFault::None);
         m_world.setLinkShare(1);
         m_world.setLateOrderShare(0);
+        m_world.setLostAnswerShare(0);
+        m_world.setExtraDelay({});
         for (std::uint32_t index = 0; index < nodes; ++index)
             m_world.start(index);
         // New workers replace the draining ones.
