Do not take the end of a stray run for the end of the run in charge

Cause: a run that a worker lists but its owner did not expect is stopped, and its end lowered the count of live runs of its task all the same. If the task had one other run, the count fell to zero and the task was started a third time beside it. And a task that waited could be started while a stray run of it was still working. Class: a count that belongs to something else.

Change: a run knows whether it is stray; the end of a stray run changes nothing of its task's state, and a task is not started while a worker lists a stray run of it.

--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -22,7 +22,8 @@
 {
     TaskPhase phase = TaskPhase::Waiting;
     std::uint32_t lastRun = 0;
-    std::uint32_t liveRuns = 0; ///< Runs that may still be active on a worker.
+    std::uint32_t liveRuns = 0;  ///< Runs that may still be active on a worker, without stray ones.
+    std::uint32_t strayRuns = 0; ///< Other runs of it that a worker lists.
     std::string checkpoint;
     std::vector<std::string> avoidedWorkers; ///< Workers on which a run failed or fell behind.
     bool copyRequested = false;              ///< A speculative second run is to be started.
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -73,7 +73,7 @@
 bool Scheduler::StepView::startable(const Task &waiting, TimePoint now) const noexcept
 {
     const bool unplaced = waiting.phase == TaskPhase::Waiting || waiting.copyRequested;
-    return unplaced && waiting.notBefore <= now
+    return unplaced && waiting.strayRuns == 0 && waiting.notBefore <= now
         && (!job->mayHaveRunsOfEarlierOwner || waiting.reconciled);
 }
 
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -116,7 +116,7 @@
         [[nodiscard]] TaskId task(std::uint32_t taskIndex) const;
         [[nodiscard]] Rank rank() const noexcept;
         /// True if the task is waiting or needs a copy, its earliest start time has passed, and no
-        /// run of an earlier owner can still be active.
+        /// other run of it can still be active.
         [[nodiscard]] bool startable(const Task &waiting, TimePoint now) const noexcept;
         [[nodiscard]] std::uint32_t startableTasks(TimePoint now) const noexcept;
     };
@@ -187,6 +187,8 @@
     void processInventory(Worker &worker, const Inventory &inventory, TimePoint requestedAt);
     void processRunningTask(Worker &worker, const RunningTask &row);
     void adoptRun(Worker &worker, const RunningTask &row);
+    void logListedRun(const Worker &worker, const RunningTask &row, const Job *job,
+                      const Task *task, bool wanted);
     void markReconciled(const TaskId &adopted);
     void releaseMissingRuns(Worker &worker, const Inventory &inventory, TimePoint requestedAt);
     /// Logs that runs are missing from an inventory that does not list all ends.
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -35,6 +35,7 @@
                         { "queue", record.queue.name },
                         { "revision", created },
                         { "status", toString(job.status) },
+                        { "progress", progress.has_value() },
                         { "steps", static_cast<std::uint64_t>(record.spec.steps.size()) } });
     if (!job.active()) {
         // The previous owner recorded the end, or the job was cancelled before it had an owner.
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -113,11 +113,12 @@
     } else {
         run.sizeUnknown = true;
     }
-    m_ports.log.write(
-        now(), wanted ? "run.adopted" : "run.unexpected",
-        { { "task", row.task.text() }, { "run", row.run }, { "worker", worker.entry.id } });
+    run.stray = !wanted;
+    logListedRun(worker, row, job, task, wanted);
     Run &added = recordRun(worker, std::move(run));
     if (!wanted) {
+        if (task != nullptr)
+            ++task->strayRuns;
         stopRun(worker, added, "unexpected run");
         return;
     }
@@ -129,6 +130,19 @@
     markReconciled(row.task);
 }
 
+void Scheduler::logListedRun(const Worker &worker, const RunningTask &row, const Job *job,
+                             const Task *task, bool wanted)
+{
+    m_ports.log.write(now(), wanted ? "run.adopted" : "run.unexpected",
+                      { { "task", row.task.text() },
+                        { "run", row.run },
+                        { "worker", worker.entry.id },
+                        { "jobActive", job != nullptr && job->active() },
+                        { "lastRun", task == nullptr ? 0U : task->lastRun },
+                        { "liveRuns", task == nullptr ? 0U : task->liveRuns },
+                        { "done", task != nullptr && task->phase == TaskPhase::Done } });
+}
+
 void Scheduler::markReconciled(const TaskId &adopted)
 {
     Job &job = *m_jobs.find(adopted.job);
@@ -181,7 +195,13 @@
     for (const auto &key : missing) {
         m_ports.log.write(
             now(), "run.missing",
-            { { "task", key.first.text() }, { "run", key.second }, { "worker", worker.entry.id } });
+            { { "task", key.first.text() },
+              { "run", key.second },
+              { "worker", worker.entry.id },
+              { "stopping", worker.runs.at(key).phase == RunPhase::Stopping },
+              { "askedMsAgo", toMilliseconds(now() - requestedAt) },
+              { "confirmedMsAgo", toMilliseconds(now() - worker.runs.at(key).confirmed) },
+              { "processedEnds", worker.processedEnds } });
         const bool gang = worker.runs.at(key).gang;
         releaseRun(worker, key, "");
         if (gang)
@@ -343,14 +363,20 @@
 
 void Scheduler::releaseRun(Worker &worker, const RunKey &key, std::string checkpoint)
 {
-    if (!removeRun(worker, key))
+    const auto run = worker.runs.find(key);
+    if (run == worker.runs.end())
         return;
+    const bool stray = run->second.stray;
+    removeRun(worker, key);
     m_jobRuns.runRemoved(key.first.job, worker.entry.id);
     Task *task = m_jobs.findTask(key.first);
     if (task == nullptr)
         return;
-    if (task->liveRuns > 0)
-        --task->liveRuns;
+    auto &runs = stray ? task->strayRuns : task->liveRuns;
+    if (runs > 0)
+        --runs;
+    if (stray)
+        return;
     if (task->phase == TaskPhase::Done)
         return;
     if (!checkpoint.empty()) {
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -43,6 +43,7 @@
     RunPhase phase = RunPhase::Starting;
     bool gang = false;
     bool adopted = false; ///< Started by an earlier owner at an unknown time.
+    bool stray = false;   ///< Not the run that its task is waiting for; it is being stopped.
     TimePoint ordered{};
     TimePoint confirmed{}; ///< When the worker was first known to run it.
     bool listed = false;   ///< Listed by an inventory of the worker's current incarnation.
--- a/standins/cell/tests/takeover_test.cpp
+++ b/standins/cell/tests/takeover_test.cpp
@@ -23,6 +23,15 @@
     BOOST_REQUIRE(world.revision() != revision);
 }
 
+/// A worker that is running tasks.
+std::uint32_t workerInUse(World &world, std::uint32_t workers)
+{
+    std::uint32_t worker = 0;
+    while (worker + 1 < workers && world.worker(worker).held().cpuMillis == 0)
+        ++worker;
+    return worker;
+}
+
 } // namespace
 
 /// Which tasks a new owner starts immediately, and for which it has to wait.
@@ -191,4 +200,26 @@
     expectNoViolations(world);
 }
 
+/// The end of a run that the owner did not expect is not the end of the run that it started.
+BOOST_AUTO_TEST_CASE(endOfAnUnexpectedRunStartsNoFurtherOne)
+{
+    const World::Settings settings;
+    World world(settings);
+    world.run(startTime);
+    const auto owner = *world.owner();
+    auto plan = batch(4, seconds(30));
+    plan.spec.steps.front().speculative = true;
+    world.submit(follower(world), jobId(1), plan);
+    world.run(seconds(1));
+    // The tasks on a slow worker get a copy each.
+    world.setWorkerSpeed(workerInUse(world, settings.workers), 0.02);
+    world.run(seconds(10));
+    const auto starts = world.guarantees().starts();
+    BOOST_REQUIRE(starts > 4U);
+    world.kill(owner);
+    world.run(seconds(5));
+    BOOST_TEST(world.guarantees().starts() == starts);
+    expectNoViolations(world);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
