Wait for the end of a run that is being stopped, listed or not

Cause, as far as it can be known: a run that had been told to stop counted as ended as soon as an inventory did not list it, and a new owner counted a worker as reconciled after its first inventory. That the users' own workers leave them out is not proved.

Change: after a confirmed stop, a run counts as ended once its end is listed, or once stop_timeout_ms (a setting now; a constant before) has passed without one. A running run that its worker does not list any more is stopped first. A new owner counts a worker as reconciled once stop_timeout_ms has passed on the worker's clock since it accepted the new owner, and asks for an inventory then.

--- a/libs/cell/include/cell/node.h
+++ b/libs/cell/include/cell/node.h
@@ -45,6 +45,8 @@
         std::uint32_t shards = 1;
         Duration lease{ std::chrono::seconds(5) };     ///< Lease of tasks on a worker.
         Duration maxLease{ std::chrono::seconds(10) }; ///< Maximum that a worker grants.
+        /// Maximum time that a worker takes to stop a run.
+        Duration stopTimeout{ std::chrono::milliseconds(900) };
         /// Retention of finished jobs' states.
         Duration statusRetention{ std::chrono::seconds(130) };
         PlacementPolicy policy;
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -150,6 +150,7 @@
     shardSettings.generation = ownership.generation;
     shardSettings.lease = settings.lease;
     shardSettings.maxLease = settings.maxLease;
+    shardSettings.stopTimeout = settings.stopTimeout;
     shardSettings.statusRetention = settings.statusRetention;
     shardSettings.policy = settings.policy;
     auto &slot = slots[number];
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -26,19 +26,20 @@
     , m_fenced(std::move(fenced))
     , m_activeJobs(MoreUrgent{ settings.policy.order })
     , m_sender(ports.workers, ports.timers, m_answerTimes)
-    , m_links(ports.workers, ports.timers, ports.log, m_workers, m_answerTimes,
-              { settings.ownershipRevision, settings.lease, settings.maxLease },
-              { [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
-                   processInventory(worker, inventory, asked);
-               },
-                [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
-                    handleNewIncarnation(worker, inventory, asked);
-                },
-                [this](Worker &worker) {
-                    m_roster.updateIfNeeded(worker);
-                    duplicateSpeculativeRuns(worker);
-                },
-                [this](Worker &worker) { releaseExpiredRuns(worker); }, [this] { m_fenced(); } })
+    , m_links(
+          ports.workers, ports.timers, ports.log, m_workers, m_answerTimes,
+          { settings.ownershipRevision, settings.lease, settings.maxLease, settings.stopTimeout },
+          { [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
+               processInventory(worker, inventory, asked);
+           },
+            [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
+                handleNewIncarnation(worker, inventory, asked);
+            },
+            [this](Worker &worker) {
+                m_roster.updateIfNeeded(worker);
+                duplicateSpeculativeRuns(worker);
+            },
+            [this](Worker &worker) { releaseExpiredRuns(worker); }, [this] { m_fenced(); } })
     , m_roster(writer, ports.timers, m_workers, keys::roster(settings.shard),
                [this] { requestPass(); })
 {
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -45,6 +45,7 @@
         std::uint64_t generation = 0;
         Duration lease{};           ///< Task lease on a worker, renewed at each contact.
         Duration maxLease{};        ///< Upper bound that workers enforce on any lease.
+        Duration stopTimeout{};     ///< Maximum time that a worker takes to stop a run.
         Duration statusRetention{}; ///< Retention of the status of ended jobs.
         PlacementPolicy policy;
     };
@@ -191,6 +192,8 @@
                       const Task *task, bool wanted);
     void markReconciled(const TaskId &adopted);
     void releaseMissingRuns(Worker &worker, const Inventory &inventory, TimePoint requestedAt);
+    /// Stops a run that its worker does not list any more, which shows whether it has ended.
+    void stopUnlistedRun(Worker &worker, const RunKey &key);
     /// Logs that runs are missing from an inventory that does not list all ends.
     void logAwaitedEnds(const Worker &worker, std::size_t missing);
     void handleNewIncarnation(Worker &worker, const Inventory &inventory, TimePoint requestedAt);
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Time that a stopped run needs to save its progress.
-constexpr std::chrono::milliseconds stopAllowance{ 900 };
 constexpr std::uint32_t hundredPercent = 100;
 
 } // namespace
@@ -172,6 +170,7 @@
     for (const auto &row : inventory.running)
         listed.emplace(row.task, row.run);
     std::vector<RunKey> missing;
+    std::vector<RunKey> unlisted;
     std::vector<RunKey> notStarted;
     for (const auto &[key, run] : worker.runs) {
         if (listed.contains(key))
@@ -179,26 +178,29 @@
         // The order may still arrive; only a stop rules that out.
         if (run.phase == RunPhase::Starting && run.outcomeUnknown && run.unknownSince < requestedAt)
             notStarted.push_back(key);
-        const bool running = run.phase == RunPhase::Running && run.confirmed < requestedAt;
-        const bool stopped = run.phase == RunPhase::Stopping && run.stopConfirmed
-            && *run.stopConfirmed < requestedAt;
-        if (running || stopped)
+        if (run.phase == RunPhase::Running && run.confirmed < requestedAt)
+            unlisted.push_back(key);
+        // A run that is being stopped need not be listed until it has ended.
+        if (run.phase == RunPhase::Stopping && run.stopConfirmed
+            && *run.stopConfirmed + m_settings.stopTimeout <= requestedAt) {
             missing.push_back(key);
+        }
     }
     for (const auto &key : notStarted)
         abandonUnknownStart(worker.entry.id, worker.born, key);
     // A missing run may be among the ends that are not listed yet.
     if (inventory.moreFinished) {
-        logAwaitedEnds(worker, missing.size());
+        logAwaitedEnds(worker, missing.size() + unlisted.size());
         return;
     }
+    for (const auto &key : unlisted)
+        stopUnlistedRun(worker, key);
     for (const auto &key : missing) {
         m_ports.log.write(
             now(), "run.missing",
             { { "task", key.first.text() },
               { "run", key.second },
               { "worker", worker.entry.id },
-              { "stopping", worker.runs.at(key).phase == RunPhase::Stopping },
               { "askedMsAgo", toMilliseconds(now() - requestedAt) },
               { "confirmedMsAgo", toMilliseconds(now() - worker.runs.at(key).confirmed) },
               { "processedEnds", worker.processedEnds } });
@@ -211,6 +213,14 @@
         requestPass();
 }
 
+void Scheduler::stopUnlistedRun(Worker &worker, const RunKey &key)
+{
+    Run &run = worker.runs.at(key);
+    stopRun(worker, run, "missing from inventory");
+    if (run.gang)
+        abortGang(key.first, key.second, "gang member missing from inventory");
+}
+
 void Scheduler::logAwaitedEnds(const Worker &worker, std::size_t missing)
 {
     m_ports.metrics.count("workers.endListsCut");
@@ -274,7 +284,7 @@
     std::vector<RunKey> unfinishable;
     for (const auto &[key, run] : worker.runs) {
         if (run.phase != RunPhase::Stopping
-            && !finishesWithin(run, worker.entry.remaining - stopAllowance)) {
+            && !finishesWithin(run, worker.entry.remaining - m_settings.stopTimeout)) {
             unfinishable.push_back(key);
         }
     }
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -142,7 +142,7 @@
     if (sameLife) {
         request.leaseUntil = grantLease(worker);
         if (!worker.runs.empty() && worker.reachable)
-            request.wait = longPollWait;
+            request.wait = worker.reconciled ? longPollWait : timeUntilReconciled(worker);
     }
     request.timeout = std::max<Duration>(m_answerTimes.timeout(), inventoryAllowance);
     request.freshConnection = link.failures > 0;
@@ -234,8 +234,14 @@
     worker.reachable = true;
     worker.fenced = true;
     worker.suspect = false;
-    // Runs of an earlier owner may be among the ends that are not listed yet.
-    worker.reconciled = worker.reconciled || !inventory.moreFinished;
+    if (worker.firstInventoryClock == std::chrono::milliseconds::zero())
+        worker.firstInventoryClock = inventory.clock;
+    // Runs of an earlier owner may be among the ends that are not listed yet, or are being stopped,
+    // which need not be listed until they have ended.
+    if (!inventory.moreFinished
+        && inventory.clock >= worker.firstInventoryClock + m_settings.stopTimeout) {
+        worker.reconciled = true;
+    }
     link.failures = 0;
     if (inventory.clock < worker.inventoryClock)
         return;
@@ -244,6 +250,12 @@
     worker.clockReadAt = now;
 }
 
+Duration WorkerLinks::timeUntilReconciled(const Worker &worker) const
+{
+    const auto end = worker.firstInventoryClock + m_settings.stopTimeout;
+    return std::max<Duration>(end - worker.clockAt(m_timers.now()), coalesceDelay);
+}
+
 Duration WorkerLinks::nextDelay(const Worker &worker) const
 {
     // Ends that are not durable would end a long poll at once; pollSoon() polls as soon as they are
@@ -251,6 +263,8 @@
     // learn of further ends.
     if (worker.durableEnds != worker.processedEnds)
         return unsavedEndsPollInterval;
+    if (worker.usedByPreviousOwner && !worker.reconciled && worker.runs.empty())
+        return timeUntilReconciled(worker);
     return worker.runs.empty() ? Duration(idlePollInterval) : Duration(coalesceDelay);
 }
 
--- a/libs/cell/src/workerlinks.h
+++ b/libs/cell/src/workerlinks.h
@@ -39,8 +39,9 @@
     struct Settings
     {
         std::uint64_t ownershipRevision = 0;
-        Duration lease{};    ///< Lease granted to the tasks of a worker at each contact.
-        Duration maxLease{}; ///< Upper bound that workers enforce on any lease.
+        Duration lease{};       ///< Lease granted to the tasks of a worker at each contact.
+        Duration maxLease{};    ///< Upper bound that workers enforce on any lease.
+        Duration stopTimeout{}; ///< Maximum time that a worker takes to stop a run.
     };
 
     WorkerLinks(WorkerPort &port, Timers &timers, EventLog &log, WorkerTable &workers,
@@ -101,6 +102,8 @@
                           TimePoint requestedAt);
     void handleFailure(Worker &worker, Link &link, const Error &error);
     void handleRefusal(Worker &worker, Link &link, const OrderRefused &refusal);
+    /// Time until all runs that an earlier owner was stopping on the worker have ended.
+    [[nodiscard]] Duration timeUntilReconciled(const Worker &worker) const;
     [[nodiscard]] Duration nextDelay(const Worker &worker) const;
     [[nodiscard]] std::uint64_t tokenOf(const Link &link) const noexcept;
 
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -95,15 +95,16 @@
     std::uint64_t durableEnds = 0;          ///< Number of the last end that may be acknowledged.
     /// Jobs of ends that are processed but not yet durable.
     std::set<std::string> jobsWithUnsavedEnds;
-    std::chrono::milliseconds clock{};          ///< Last reading of its monotonic clock.
-    TimePoint clockReadAt{};                    ///< Local time of that reading.
-    std::chrono::milliseconds inventoryClock{}; ///< Its clock as of the newest inventory.
+    std::chrono::milliseconds clock{};               ///< Last reading of its monotonic clock.
+    TimePoint clockReadAt{};                         ///< Local time of that reading.
+    std::chrono::milliseconds inventoryClock{};      ///< Its clock as of the newest inventory.
+    std::chrono::milliseconds firstInventoryClock{}; ///< Its clock when it accepted this owner.
     TimePoint leaseEnds{}; ///< Time by which the leases of all its runs have expired.
     TimePoint lastContact{};
     bool reachable = false;
     bool usedByPreviousOwner = false; ///< An earlier owner may have started tasks on it.
-    bool reconciled = false; ///< It has listed all its runs since the take-over, or its leases have
-                             ///< expired.
+    /// All runs that earlier owners may have started on it are known or have ended.
+    bool reconciled = false;
     /// Jobs of which an earlier owner may have started tasks; nothing if it may be any job.
     std::optional<std::set<std::string>> previousOwnerJobs;
     RosterState rosterState = RosterState::Absent; ///< State in the stored roster.
--- a/standins/cell/include/standincell/workermodel.h
+++ b/standins/cell/include/standincell/workermodel.h
@@ -53,6 +53,7 @@
         Resources capacity;
         Duration maxLease{ std::chrono::seconds(10) };
         Duration stopTime{ std::chrono::milliseconds(50) };
+        bool listsStoppingRuns = true; ///< Lists a run as running while it is being stopped.
     };
 
     WorkerModel(Timers &timers, Settings settings, Planner planner, WorkerObserver &observer);
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -31,6 +31,7 @@
         Resources workerCapacity{ 16000, 65536, 0 };
         std::uint32_t seed = 1;
         Duration stopTime{ std::chrono::milliseconds(50) }; ///< Time to stop a task.
+        bool listsStoppingRuns = true; ///< Workers list runs that are being stopped as running.
         bool advice = false;
         /// Queues of the configuration; if empty, a single queue named "batch" is used.
         std::vector<cell::QueueSettings> queues;
--- a/standins/cell/src/workermodel.cpp
+++ b/standins/cell/src/workermodel.cpp
@@ -220,6 +220,8 @@
     inventory.born = m_born;
     inventory.clock = clock();
     for (const auto &[key, running] : m_running) {
+        if (running.stopping && !m_settings.listsStoppingRuns)
+            continue;
         auto current = running;
         accountWork(current);
         const auto percent = current.plan.work > Duration::zero()
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -44,6 +44,7 @@
         workerSettings.id = "worker-" + std::to_string(index);
         workerSettings.capacity = settings.workerCapacity;
         workerSettings.stopTime = settings.stopTime;
+        workerSettings.listsStoppingRuns = settings.listsStoppingRuns;
         slot->model = std::make_unique<WorkerModel>(
             m_time, workerSettings, [this](const TaskId &task) { return plan(task); },
             m_guarantees);
--- a/standins/cell/tests/failures_test.cpp
+++ b/standins/cell/tests/failures_test.cpp
@@ -460,4 +460,52 @@
     expectCompleted(world, other, smallTaskJobs);
 }
 
+namespace {
+
+/// Workers need some time to stop a run, and no longer list it as running meanwhile.
+World::Settings workersThatHideStoppingRuns()
+{
+    World::Settings settings;
+    settings.stopTime = milliseconds(800);
+    settings.listsStoppingRuns = false;
+    return settings;
+}
+
+/// Runs jobs on a cell in which two workers stall, until their runs are stopped.
+void stopStalledRuns(World &world)
+{
+    world.run(startTime);
+    for (std::uint32_t job = 1; job <= 6; ++job)
+        world.submit(0, jobId(job), batch(4, seconds(2)));
+    world.run(milliseconds(500));
+    world.setWorkerSpeed(0, 0);
+    world.setWorkerSpeed(1, 0);
+}
+
+} // namespace
+
+/// A run that is being stopped works until its end is listed.
+BOOST_AUTO_TEST_CASE(runBeingStoppedIsAwaitedThoughItsWorkerDoesNotListIt)
+{
+    World world(workersThatHideStoppingRuns());
+    stopStalledRuns(world);
+    world.run(seconds(15));
+    expectCompleted(world, 1, 6);
+}
+
+/// The new owner does not know which runs its predecessor was stopping.
+BOOST_AUTO_TEST_CASE(newOwnerAwaitsRunsThatItsPredecessorWasStopping)
+{
+    World world(workersThatHideStoppingRuns());
+    stopStalledRuns(world);
+    const auto owner = *world.owner();
+    const auto stops = world.callsOf(owner, "worker.stop");
+    while (world.callsOf(owner, "worker.stop") == stops)
+        world.run(milliseconds(5));
+    world.run(milliseconds(20));
+    world.terminate(owner);
+    world.run(seconds(15));
+    expectCompleted(world, follower(world), 6);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
