Give up tasks that crash the workers that start them

Cause: the loss of a worker was counted for no task, so such a task was started again without end. And since a crashed worker is followed by another one, with a new id at the same address, its owner learnt nothing: all runs waited for the lease to expire, 5 s and more, though another worker answered at the address after 3 s. Class: an end of an unexpected kind (none at all), and an answer (421, another worker) that was read as silence.

Change: when another worker answers at the address of one, that one has ended, and its runs are released at once; no lease of it can be open. The progress of a step records for each task the workers that were lost under it, so that the record survives a change of owner. Of a worker that was lost later or only became unreachable, other causes are as likely; five of those in a row give a task up too. A run that worked for 5 s clears the record. Members of a gang are counted by themselves.

Evidence: taskThatCrashesItsWorkersIsGivenUp (7 starts, BUDGET), crashesOfATaskAreCountedAcrossOwners and soundTasksBesideDeadlyOnesAreCompleted failed before; the suite of 7 and the other 132 cases of cell_test pass.

--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -12,6 +12,11 @@
 /// Upper bound on the time in transit of an order.
 constexpr std::chrono::milliseconds orderTransitAllowance{ 250 };
 
+/// Crashes of workers that had just started a task, after which it is given up.
+constexpr std::uint32_t maxCrashesAtStart = 2;
+/// Losses of workers at any time of a task, after which it is given up.
+constexpr std::uint32_t maxCrashes = 5;
+
 void computeCriticalPaths(Job &job)
 {
     const auto &steps = job.record.spec.steps;
@@ -37,6 +42,7 @@
         }
     }
     step.failures = progress.failures;
+    step.crashes = progress.crashes;
     for (const auto &failure : progress.failures) {
         if (failure.index >= step.tasks.size())
             continue;
@@ -64,6 +70,17 @@
     return failures.emplace_back(TaskFailures{ index, {} });
 }
 
+TaskCrashes &Step::crashesOf(std::uint32_t index)
+{
+    const auto found = std::find_if(crashes.begin(), crashes.end(),
+                                    [index](const auto &entry) { return entry.index == index; });
+    if (found != crashes.end())
+        return *found;
+    TaskCrashes added;
+    added.index = index;
+    return crashes.emplace_back(added);
+}
+
 bool StepTicket::usableAt(TimePoint now) const noexcept
 {
     return !value.empty() && expires >= now + orderTransitAllowance;
@@ -183,6 +200,7 @@
             for (const auto &task : step.tasks)
                 stepProgress.done.push_back(task.phase == TaskPhase::Done);
             stepProgress.failures = step.failures;
+            stepProgress.crashes = step.crashes;
             stored.steps.push_back(std::move(stepProgress));
         }
         progress.occurrences.push_back(std::move(stored));
@@ -190,6 +208,11 @@
     return progress;
 }
 
+bool crashesItsWorkers(const TaskCrashes &crashes) noexcept
+{
+    return crashes.atStart >= maxCrashesAtStart || crashes.all >= maxCrashes;
+}
+
 bool malformed(const JobSpec &spec) noexcept
 {
     if (spec.steps.empty())
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -69,6 +69,7 @@
 {
     std::vector<Task> tasks;
     std::vector<TaskFailures> failures;
+    std::vector<TaskCrashes> crashes;
     std::uint32_t waitingCount = 0;    ///< Number of tasks in the phase Waiting.
     std::uint32_t doneCount = 0;       ///< Number of tasks in the phase Done.
     std::uint32_t copiesRequested = 0; ///< Number of tasks that need a speculative copy.
@@ -77,6 +78,7 @@
 
     [[nodiscard]] bool done() const noexcept { return doneCount == tasks.size(); }
     TaskFailures &failuresOf(std::uint32_t index);
+    TaskCrashes &crashesOf(std::uint32_t index);
     /// Sets the phase of a task of this step and updates the counts.
     void move(Task &task, TaskPhase phase) noexcept;
     void setCopyRequested(Task &task, bool requested) noexcept;
@@ -145,6 +147,11 @@
 /// or a later one.
 [[nodiscard]] bool malformed(const JobSpec &spec) noexcept;
 
+/// True if the task is likely to crash each worker that starts it. A worker that crashes before it
+/// lists a run was most likely crashed by it; of one that crashes later, other runs and the loss of
+/// the machine are as likely to be the cause.
+[[nodiscard]] bool crashesItsWorkers(const TaskCrashes &crashes) noexcept;
+
 /// Jobs of a shard, by id.
 class JobTable
 {
--- a/libs/cell/src/records.cpp
+++ b/libs/cell/src/records.cpp
@@ -114,6 +114,11 @@
         for (const auto &failure : step.failures)
             list.push_back(Json::array({ failure.index, failure.runs }));
     }
+    if (!step.crashes.empty()) {
+        auto &list = json["crashes"] = Json::array();
+        for (const auto &crashes : step.crashes)
+            list.push_back(Json::array({ crashes.index, crashes.atStart, crashes.all }));
+    }
     return json;
 }
 
@@ -128,6 +133,10 @@
                 { row.at(0).get<std::uint32_t>(), row.at(1).get<std::vector<std::uint32_t>>() });
         }
     }
+    if (const auto crashes = json.find("crashes"); crashes != json.end()) {
+        for (const auto &row : *crashes)
+            step.crashes.push_back({ row.at(0), row.at(1), row.at(2) });
+    }
     return step;
 }
 
--- a/libs/cell/src/records.h
+++ b/libs/cell/src/records.h
@@ -48,10 +48,19 @@
     std::vector<std::uint32_t> runs;
 };
 
+/// Workers that were lost while they ran one task.
+struct TaskCrashes
+{
+    std::uint32_t index = 0;
+    std::uint32_t atStart = 0; ///< Workers that crashed before they listed the run.
+    std::uint32_t all = 0;
+};
+
 struct StepProgress
 {
     std::vector<bool> done;
     std::vector<TaskFailures> failures;
+    std::vector<TaskCrashes> crashes;
 };
 
 struct OccurrenceProgress
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -250,16 +250,16 @@
         else
             stopRun(worker, run, "worker restarted");
     }
-    releaseLostRuns(worker, lost, "worker restarted");
+    releaseLostRuns(worker, lost, WorkerLoss::Crashed);
     processInventory(worker, inventory, requestedAt);
 }
 
-void Scheduler::releaseExpiredRuns(Worker &worker)
+void Scheduler::releaseAllRuns(Worker &worker, WorkerLoss loss)
 {
     std::vector<RunKey> keys;
     for (const auto &[key, run] : worker.runs)
         keys.push_back(key);
-    releaseLostRuns(worker, keys, "worker leases expired");
+    releaseLostRuns(worker, keys, loss);
     m_roster.updateIfNeeded(worker);
 }
 
@@ -299,24 +299,54 @@
     }
 }
 
-void Scheduler::releaseLostRuns(Worker &worker, const std::vector<RunKey> &lost, const char *reason)
+void Scheduler::releaseLostRuns(Worker &worker, const std::vector<RunKey> &lost, WorkerLoss loss)
 {
+    const bool crashed = loss == WorkerLoss::Crashed;
     for (const auto &key : lost) {
         m_ports.log.write(now(), "run.lost",
                           { { "task", key.first.text() },
                             { "run", key.second },
                             { "worker", worker.entry.id },
-                            { "reason", reason } });
-        const auto &run = worker.runs.at(key);
-        const bool gang = run.gang;
+                            { "reason", crashed ? "worker restarted" : "worker leases expired" } });
+        const Run run = worker.runs.at(key);
         releaseRun(worker, key, run.checkpoint);
-        if (gang)
+        if (run.gang)
             abortGang(key.first, key.second, "gang member lost");
+        recordCrash(worker, run, loss);
     }
     if (!lost.empty())
         requestPass();
 }
 
+void Scheduler::recordCrash(const Worker &worker, const Run &run, WorkerLoss loss)
+{
+    Job *job = m_jobs.find(run.task.job);
+    Step *step = m_jobs.findStep(run.task);
+    if (job == nullptr || !job->active() || step == nullptr || run.stray)
+        return;
+    // The members of a gang are counted separately: only some of them crash their workers.
+    auto &crashes = step->crashesOf(run.task.index);
+    if (worksLong(run, worker.lastContact)) {
+        crashes.atStart = 0;
+        crashes.all = 0;
+        return;
+    }
+    crashes.atStart += loss == WorkerLoss::Crashed && !run.listed ? 1 : 0;
+    ++crashes.all;
+    m_ports.log.write(now(), "task.lostWithWorker",
+                      { { "task", run.task.text() },
+                        { "run", run.number },
+                        { "worker", worker.entry.id },
+                        { "crashesAtStart", crashes.atStart },
+                        { "crashes", crashes.all } });
+    if (crashesItsWorkers(crashes)) {
+        m_ports.metrics.count("tasks.givenUp");
+        endJob(*job, JobStatus::Failed);
+        return;
+    }
+    saveProgress(*job, Urgency::Soon);
+}
+
 void Scheduler::logRunEnd(const Worker &worker, const FinishedTask &end)
 {
     const auto write = end.kind == EndKind::Done ? &EventLog::writeRoutine : &EventLog::write;
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -313,6 +313,17 @@
     schedule(worker.entry.id, link.failures == 1 ? Duration::zero() : Duration(retryInterval));
 }
 
+void WorkerLinks::handleReplacement(Worker &worker)
+{
+    if (!worker.runs.empty() || !worker.reconciled)
+        m_log.write(m_timers.now(), "worker.replaced",
+                    { { "worker", worker.entry.id },
+                      { "address", worker.entry.address },
+                      { "runs", static_cast<std::uint64_t>(worker.runs.size()) } });
+    worker.reconciled = true;
+    m_listener.replaced(worker);
+}
+
 void WorkerLinks::handleRefusal(Worker &worker, Link &link, const OrderRefused &refusal)
 {
     switch (refusal.reason) {
@@ -323,6 +334,8 @@
         m_listener.fenced();
         return;
     case OrderRefusal::OtherLife:
+        handleReplacement(worker);
+        break;
     case OrderRefusal::OldRun:
     case OrderRefusal::Late:
     case OrderRefusal::NoRoom:
--- a/libs/cell/src/workerlinks.h
+++ b/libs/cell/src/workerlinks.h
@@ -32,6 +32,8 @@
         std::function<void(Worker &)> unreachable;
         /// All leases on the worker expired without an answer from it.
         std::function<void(Worker &)> leasesExpired;
+        /// Another worker answers at its address: it has ended, with all its runs.
+        std::function<void(Worker &)> replaced;
         /// A worker has seen the fencing token of a newer owner.
         std::function<void()> fenced;
     };
@@ -101,6 +103,7 @@
     void beginIncarnation(Worker &worker, Link &link, const Inventory &inventory,
                           TimePoint requestedAt);
     void handleFailure(Worker &worker, Link &link, const Error &error);
+    void handleReplacement(Worker &worker);
     void handleRefusal(Worker &worker, Link &link, const OrderRefused &refusal);
     /// Time until all runs that an earlier owner was stopping on the worker have ended.
     [[nodiscard]] Duration timeUntilReconciled(const Worker &worker) const;
--- a/standins/cell/include/standincell/guaranteechecker.h
+++ b/standins/cell/include/standincell/guaranteechecker.h
@@ -20,6 +20,8 @@
     explicit GuaranteeChecker(Timers &timers);
 
     void submitted(const std::string &job, const cell::JobSpec &spec, std::uint32_t maxAttempts);
+    /// Each start of a task of the job crashes its worker.
+    void deadly(const std::string &job) { m_jobs[job].deadly = true; }
     void accepted(const std::string &job);
     void refused(const std::string &job);
     void cancelRequested(const std::string &job);
@@ -61,6 +63,7 @@
         cell::JobSpec spec;
         std::uint32_t maxAttempts = 1;
         bool accepted = false;
+        bool deadly = false; ///< Its tasks crash their workers.
         bool refused = false;
         bool cancelRequested = false;
         bool ended = false;
@@ -68,6 +71,8 @@
         std::map<std::uint32_t, std::set<std::uint32_t>> finished; ///< Listed tasks by step.
         std::map<std::string, std::set<std::uint32_t>> failedRuns; ///< As listed.
         std::map<std::string, AcknowledgedEnds> acknowledged;
+        std::map<std::string, std::set<std::string>> crashedWorkers; ///< Lost under a task.
+        std::map<std::string, std::uint32_t> startsAfterCrashes;
         std::map<std::string, TimePoint> lastStart;
         cell::TaskId lastStartedTask;
     };
@@ -75,6 +80,8 @@
     void addViolation(const char *guarantee, const cell::TaskId &task, const std::string &detail);
     /// The members of a gang belong together: no member may run beside one of another run.
     void checkGangRuns(const cell::TaskId &member, std::uint32_t run);
+    /// A task under which several workers have crashed may be started a few times more only.
+    void checkCrashes(JobRecord &job, const cell::TaskId &task);
     void checkStart(JobRecord &job, const cell::TaskId &task);
     void checkEnds(JobRecord &job, const cell::TaskId &task);
     [[nodiscard]] static bool copiesAllowed(const JobRecord &job, const cell::TaskId &task);
--- a/standins/cell/include/standincell/workermodel.h
+++ b/standins/cell/include/standincell/workermodel.h
@@ -73,6 +73,9 @@
     /// Discards all state and begins a new generation, as after a restart.
     void crash();
 
+    /// Continues as another worker at the same address, with all state discarded.
+    void replace(const std::string &id);
+
     /// Ends the members of a gang run on this worker after another member has ended.
     void endGangRun(const cell::TaskId &member, std::uint32_t run, cell::EndKind kind);
 
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -53,6 +53,7 @@
         std::string queue = "batch";
         Duration work{ std::chrono::milliseconds(400) };
         std::set<std::uint32_t> failingRuns; ///< Failing starts of a task, counted from 1.
+        bool deadly = false;                 ///< Each start of a task crashes its worker.
     };
 
     explicit World(const Settings &settings);
@@ -78,6 +79,8 @@
     /// Sets the speed of the worker relative to normal; 0 stalls its tasks.
     void setWorkerSpeed(std::uint32_t worker, double speed);
     void crashWorker(std::uint32_t worker);
+    /// Crashes the worker; after \p downtime another one takes its place at its address.
+    void replaceWorker(std::uint32_t worker, Duration downtime);
     /// Removes the worker and all its tasks; isolateWorker(worker, false) adds it again.
     void removeWorker(std::uint32_t worker);
     /// Marks the worker as draining.
@@ -157,7 +160,7 @@
 
 private:
     void publishWorker(WorkerSlot &slot);
-    TaskPlan plan(const cell::TaskId &task);
+    TaskPlan plan(const cell::TaskId &task, std::uint32_t worker);
 
     Settings m_settings;
     VirtualTime m_time;
@@ -170,6 +173,7 @@
     std::map<std::string, JobPlan> m_jobs;
     std::map<cell::TaskId, std::uint32_t> m_startsOfTask;
     std::uint64_t m_version = 0;
+    std::uint64_t m_replacedWorkers = 0;
     double m_lateOrderShare = 0;
     double m_lostAnswerShare = 0;
     Duration m_extraDelay{};
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -77,6 +77,7 @@
     std::unique_ptr<WorkerModel> model;
     bool isolated = false;
     bool draining = false;
+    std::set<std::string> formerIds;    ///< Ids of workers that this one has replaced.
     std::set<std::string> isolatedFrom; ///< Names of the nodes whose calls are dropped.
     /// Worker instance to which the connections of each node lead; older connections were reset.
     std::map<std::string, std::int64_t> connections;
--- a/standins/cell/src/workermodel.cpp
+++ b/standins/cell/src/workermodel.cpp
@@ -46,6 +46,12 @@
     m_pendingInventories.clear();
 }
 
+void WorkerModel::replace(const std::string &id)
+{
+    m_settings.id = id;
+    crash();
+}
+
 std::chrono::milliseconds WorkerModel::clock() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - m_generationStart)
--- a/standins/cell/tests/testjobs.h
+++ b/standins/cell/tests/testjobs.h
@@ -62,6 +62,15 @@
     expectNoViolations(world);
 }
 
+/// A worker that is running tasks.
+inline std::uint32_t workerInUse(World &world, std::uint32_t workers)
+{
+    std::uint32_t worker = 0;
+    while (worker + 1 < workers && world.worker(worker).held().cpuMillis == 0)
+        ++worker;
+    return worker;
+}
+
 /// Returns a node that does not own the shard.
 inline std::uint32_t follower(const World &world)
 {
