Count crashes of workers that are back under their id

A task that crashes a worker which then starts again under its id was not given up.

Cause: such a worker's runs that were never listed are not released as lost, since their orders may still reach the new incarnation; they are stopped there, and that path counted no crash. Such runs are the ones that crash their worker.

Change: they are counted when the new incarnation is seen, each run once. The checker counts lost runs in place of worker ids, which may come back.

--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -240,16 +240,24 @@
     for (const auto &end : inventory.finished)
         listed.emplace(end.task, end.run);
     std::vector<RunKey> lost;
+    std::vector<Run> unlisted;
     for (auto &[key, run] : worker.runs) {
         if (listed.contains(key))
             continue;
-        if (!mayStillArrive(run, requestedAt))
+        if (!mayStillArrive(run, requestedAt)) {
             lost.push_back(key);
-        else if (run.phase == RunPhase::Stopping)
+            continue;
+        }
+        // The former incarnation may have crashed before it could list the run.
+        if (run.ordered < requestedAt && !std::exchange(run.lossCounted, true))
+            unlisted.push_back(run);
+        if (run.phase == RunPhase::Stopping)
             sendStop(worker, run);
         else
             stopRun(worker, run, "worker restarted");
     }
+    for (const auto &run : unlisted)
+        recordCrash(worker, run, WorkerLoss::Crashed);
     releaseLostRuns(worker, lost, WorkerLoss::Crashed);
     processInventory(worker, inventory, requestedAt);
 }
@@ -312,7 +320,8 @@
         releaseRun(worker, key, run.checkpoint);
         if (run.gang)
             abortGang(key.first, key.second, "gang member lost");
-        recordCrash(worker, run, loss);
+        if (!run.lossCounted)
+            recordCrash(worker, run, loss);
     }
     if (!lost.empty())
         requestPass();
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -253,7 +253,7 @@
 Duration WorkerLinks::timeUntilReconciled(const Worker &worker) const
 {
     const auto end = worker.firstInventoryClock + m_settings.stopTimeout;
-    return std::max<Duration>(end - worker.clockAt(m_timers.now()), coalesceDelay);
+    return std::clamp<Duration>(end - worker.clockAt(m_timers.now()), coalesceDelay, longPollWait);
 }
 
 Duration WorkerLinks::nextDelay(const Worker &worker) const
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -42,8 +42,9 @@
     std::uint32_t priority = 0;
     RunPhase phase = RunPhase::Starting;
     bool gang = false;
-    bool adopted = false; ///< Started by an earlier owner at an unknown time.
-    bool stray = false;   ///< Not the run that its task is waiting for; it is being stopped.
+    bool adopted = false;     ///< Started by an earlier owner at an unknown time.
+    bool stray = false;       ///< Not the run that its task is waiting for; it is being stopped.
+    bool lossCounted = false; ///< The loss of its worker was counted for its task.
     TimePoint ordered{};
     TimePoint confirmed{}; ///< When the worker was first known to run it.
     bool listed = false;   ///< Listed by an inventory of the worker's current incarnation.
--- a/standins/cell/include/standincell/guaranteechecker.h
+++ b/standins/cell/include/standincell/guaranteechecker.h
@@ -71,7 +71,7 @@
         std::map<std::uint32_t, std::set<std::uint32_t>> finished; ///< Listed tasks by step.
         std::map<std::string, std::set<std::uint32_t>> failedRuns; ///< As listed.
         std::map<std::string, AcknowledgedEnds> acknowledged;
-        std::map<std::string, std::set<std::string>> crashedWorkers; ///< Lost under a task.
+        std::map<std::string, std::set<std::uint32_t>> lostRuns; ///< With their workers, by task.
         std::map<std::string, std::uint32_t> startsAfterCrashes;
         std::map<std::string, TimePoint> lastStart;
         cell::TaskId lastStartedTask;
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -32,6 +32,7 @@
         std::uint32_t seed = 1;
         Duration stopTime{ std::chrono::milliseconds(50) }; ///< Time to stop a task.
         bool listsStoppingRuns = true; ///< Workers list runs that are being stopped as running.
+        bool replacedWorkersKeepTheirId = false;
         bool advice = false;
         /// Queues of the configuration; if empty, a single queue named "batch" is used.
         std::vector<cell::QueueSettings> queues;
--- a/standins/cell/src/guaranteechecker.cpp
+++ b/standins/cell/src/guaranteechecker.cpp
@@ -75,9 +75,10 @@
             std::any_of(job.failedRuns.begin(), job.failedRuns.end(), [&job](const auto &entry) {
                 return entry.second.size() >= job.maxAttempts;
             });
-        const bool crashedWorkers = std::any_of(
-            job.crashedWorkers.begin(), job.crashedWorkers.end(),
-            [](const auto &entry) { return entry.second.size() >= crashesBeforeGivingUp; });
+        const bool crashedWorkers =
+            std::any_of(job.lostRuns.begin(), job.lostRuns.end(), [](const auto &entry) {
+                return entry.second.size() >= crashesBeforeGivingUp;
+            });
         if (!attemptsExhausted && !crashedWorkers)
             m_violations.push_back("FAILED without cause: " + id);
         job.ended = true;
@@ -98,11 +99,13 @@
 void GuaranteeChecker::crashed(const std::string &worker)
 {
     for (auto &[task, runs] : m_running) {
-        const auto lost =
-            std::erase_if(runs, [&worker](const auto &run) { return run.first == worker; });
         auto &job = m_jobs[task.job];
-        if (lost > 0)
-            job.crashedWorkers[task.text()].insert(worker);
+        std::erase_if(runs, [&](const auto &run) {
+            const bool lost = run.first == worker;
+            if (lost)
+                job.lostRuns[task.text()].insert(run.second);
+            return lost;
+        });
     }
 }
 
@@ -183,7 +186,7 @@
 void GuaranteeChecker::checkCrashes(JobRecord &job, const TaskId &task)
 {
     const auto key = task.text();
-    if (!job.deadly || job.crashedWorkers[key].size() < crashesBeforeLimit)
+    if (!job.deadly || job.lostRuns[key].size() < crashesBeforeLimit)
         return;
     if (++job.startsAfterCrashes[key] >= startsBeyondLimit)
         addViolation("BUDGET", task, "started again though it crashes its workers");
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -276,10 +276,13 @@
     m_guarantees.crashed(former);
     slot.model->crash();
     slot.isolated = true;
-    m_time.after(entryExpiry, [this, former] { m_store.remove(workerKey(former)); });
-    m_time.after(downtime, [this, &slot, former] {
-        slot.formerIds.insert(former);
-        slot.model->replace("worker-new-" + std::to_string(++m_replacedWorkers));
+    const bool keepsId = m_settings.replacedWorkersKeepTheirId;
+    if (!keepsId)
+        m_time.after(entryExpiry, [this, former] { m_store.remove(workerKey(former)); });
+    m_time.after(downtime, [this, &slot, former, keepsId] {
+        if (!keepsId)
+            slot.formerIds.insert(former);
+        slot.model->replace(keepsId ? former : "worker-new-" + std::to_string(++m_replacedWorkers));
         slot.isolated = false;
         publishWorker(slot);
     });
--- a/standins/cell/tests/crash_test.cpp
+++ b/standins/cell/tests/crash_test.cpp
@@ -64,6 +64,20 @@
     expectNoViolations(world);
 }
 
+/// The workers are back under their ids, so that an order may still reach the new incarnation.
+BOOST_AUTO_TEST_CASE(taskThatCrashesWorkersWhichKeepTheirIdIsGivenUp)
+{
+    auto settings = twelveWorkers();
+    settings.replacedWorkersKeepTheirId = true;
+    World world(settings);
+    world.run(startTime);
+    world.submit(0, jobId(1), deadly(1));
+    world.run(seconds(60));
+    BOOST_TEST(world.guarantees().starts() <= 3U);
+    BOOST_TEST((world.status(1, jobId(1)) == JobStatus::Failed));
+    expectNoViolations(world);
+}
+
 BOOST_AUTO_TEST_CASE(crashesOfATaskAreCountedAcrossOwners)
 {
     World world(twelveWorkers());
