--- a/standins/cell/src/guaranteechecker.cpp
+++ b/standins/cell/src/guaranteechecker.cpp
@@ -99,11 +99,11 @@
 void GuaranteeChecker::crashed(const std::string &worker)
 {
     for (auto &[task, runs] : m_running) {
-        auto &job = m_jobs[task.job];
-        std::erase_if(runs, [&](const auto &run) {
+        auto &lostRuns = m_jobs[task.job].lostRuns[task.text()];
+        std::erase_if(runs, [&worker, &lostRuns](const auto &run) {
             const bool lost = run.first == worker;
             if (lost)
-                job.lostRuns[task.text()].insert(run.second);
+                lostRuns.insert(run.second);
             return lost;
         });
     }
