Read and commit for a cancellation in one place each

Cancelling read two keys and committed two transactions with the same four lines around each: is the handler alive, retry on failure, otherwise go on. The second pair came with the mark for jobs that are not stored. One function reads, one commits; what was passed along as three parameters is one type.

--- a/libs/cell/src/clientrequesthandler.cpp
+++ b/libs/cell/src/clientrequesthandler.cpp
@@ -221,102 +221,104 @@
 void ClientRequestHandler::cancel(const std::string &id, TimePoint deadline,
                                   const Done<CancelResult> &done)
 {
-    m_ports.store.read(
-        jobKey(id),
-        [this, alive = m_alive, id, deadline, done](const Result<std::optional<StoreItem>> &item) {
-            if (!*alive)
-                return;
-            if (!item.has_value()) {
-                retryCancel(id, deadline, done);
-                return;
-            }
-            if (!item.value()) {
-                cancelWithoutJob(id, deadline, done);
-                return;
-            }
-            writeCancellation(id, *item.value(), deadline, done);
-        });
+    readToCancel(jobKey(id), { id, deadline, done },
+                 [this](const Cancellation &cancellation, const std::optional<StoreItem> &item) {
+                     if (item)
+                         writeCancellation(cancellation, *item);
+                     else
+                         cancelWithoutJob(cancellation);
+                 });
 }
 
-void ClientRequestHandler::cancelWithoutJob(const std::string &id, TimePoint deadline,
-                                            const Done<CancelResult> &done)
+void ClientRequestHandler::readToCancel(
+    const std::string &key, const Cancellation &cancellation,
+    const std::function<void(const Cancellation &, const std::optional<StoreItem> &)> &next)
 {
     m_ports.store.read(
-        endedKey(id),
-        [this, alive = m_alive, id, deadline, done](const Result<std::optional<StoreItem>> &item) {
+        key,
+        [this, alive = m_alive, cancellation, next](const Result<std::optional<StoreItem>> &item) {
             if (!*alive)
                 return;
-            if (!item.has_value()) {
-                retryCancel(id, deadline, done);
-                return;
-            }
-            if (!item.value()) {
-                preventSubmission(id, deadline, done);
-                return;
-            }
-            // Cancelling a job that has already ended succeeds without effect.
-            const bool ended = parseJobStatus(item.value()->value).has_value();
-            done(ended ? CancelResult::Cancelled : CancelResult::NoSuchJob);
+            if (item.has_value())
+                next(cancellation, item.value());
+            else
+                retryCancel(cancellation);
         });
 }
 
-void ClientRequestHandler::preventSubmission(const std::string &id, TimePoint deadline,
-                                             const Done<CancelResult> &done)
+void ClientRequestHandler::commitToCancel(
+    const Transaction &transaction, const Cancellation &cancellation,
+    const std::function<void(const Cancellation &)> &committed)
+{
+    m_ports.store.commit(transaction,
+                         [this, alive = m_alive, cancellation,
+                          committed](const Result<TransactionOutcome> &outcome) {
+                             if (!*alive)
+                                 return;
+                             const bool stored = outcome.has_value()
+                                 && std::holds_alternative<Committed>(outcome.value());
+                             if (stored) {
+                                 committed(cancellation);
+                                 return;
+                             }
+                             // Reading again also determines the outcome of a write whose response
+                             // was lost.
+                             retryCancel(cancellation);
+                         });
+}
+
+void ClientRequestHandler::cancelWithoutJob(const Cancellation &cancellation)
+{
+    readToCancel(endedKey(cancellation.id), cancellation,
+                 [this](const Cancellation &pending, const std::optional<StoreItem> &item) {
+                     if (!item) {
+                         preventSubmission(pending);
+                         return;
+                     }
+                     // Cancelling a job that has already ended succeeds without effect.
+                     const bool ended = parseJobStatus(item->value).has_value();
+                     pending.done(ended ? CancelResult::Cancelled : CancelResult::NoSuchJob);
+                 });
+}
+
+void ClientRequestHandler::preventSubmission(const Cancellation &cancellation)
 {
     // A submission whose caller got no answer may still store the job.
     Transaction transaction;
-    transaction.conditions.push_back({ jobKey(id), 0 });
-    transaction.conditions.push_back({ endedKey(id), 0 });
-    transaction.writes.push_back({ endedKey(id), notStoredRecord, 0 });
-    m_ports.store.commit(
-        transaction,
-        [this, alive = m_alive, id, deadline, done](const Result<TransactionOutcome> &outcome) {
-            if (!*alive)
-                return;
-            if (outcome.has_value() && std::holds_alternative<Committed>(outcome.value())) {
-                m_ports.metrics.count("jobs.submissionsPrevented");
-                m_ports.log.write(m_ports.timers.now(), "job.submissionPrevented",
-                                  { { "job", id } });
-                done(CancelResult::NoSuchJob);
-                return;
-            }
-            // Reading again also determines the outcome of a write whose response was lost.
-            retryCancel(id, deadline, done);
-        });
+    transaction.conditions.push_back({ jobKey(cancellation.id), 0 });
+    transaction.conditions.push_back({ endedKey(cancellation.id), 0 });
+    transaction.writes.push_back({ endedKey(cancellation.id), notStoredRecord, 0 });
+    commitToCancel(transaction, cancellation, [this](const Cancellation &stored) {
+        m_ports.metrics.count("jobs.submissionsPrevented");
+        m_ports.log.write(m_ports.timers.now(), "job.submissionPrevented",
+                          { { "job", stored.id } });
+        stored.done(CancelResult::NoSuchJob);
+    });
 }
 
-void ClientRequestHandler::writeCancellation(const std::string &id, const StoreItem &item,
-                                             TimePoint deadline, const Done<CancelResult> &done)
+void ClientRequestHandler::writeCancellation(const Cancellation &cancellation,
+                                             const StoreItem &item)
 {
     auto record = decodeJob(item.value);
     if (!record) {
         m_ports.log.write(m_ports.timers.now(), "job.malformed", { { "key", item.key } });
-        done(CancelResult::Unavailable);
+        cancellation.done(CancelResult::Unavailable);
         return;
     }
     if (record->cancelled) {
-        done(CancelResult::Cancelled);
+        cancellation.done(CancelResult::Cancelled);
         return;
     }
     record->cancelled = true;
     Transaction transaction;
     transaction.conditions.push_back({ item.key, item.revision });
     transaction.writes.push_back({ item.key, encode(*record), 0 });
-    m_ports.store.commit(
-        transaction,
-        [this, alive = m_alive, id, deadline, done](const Result<TransactionOutcome> &outcome) {
-            if (!*alive)
-                return;
-            if (outcome.has_value() && std::holds_alternative<Committed>(outcome.value())) {
-                m_ports.metrics.count("jobs.cancelRequests");
-                m_ports.log.write(m_ports.timers.now(), "job.cancelStored", { { "job", id } });
-                notifyOwnerOfCancellation(id);
-                done(CancelResult::Cancelled);
-                return;
-            }
-            // Reading again also determines the outcome of a write whose response was lost.
-            retryCancel(id, deadline, done);
-        });
+    commitToCancel(transaction, cancellation, [this](const Cancellation &stored) {
+        m_ports.metrics.count("jobs.cancelRequests");
+        m_ports.log.write(m_ports.timers.now(), "job.cancelStored", { { "job", stored.id } });
+        notifyOwnerOfCancellation(stored.id);
+        stored.done(CancelResult::Cancelled);
+    });
 }
 
 void ClientRequestHandler::notifyOwnerOfCancellation(const std::string &id)
@@ -329,16 +331,15 @@
                        [](const Result<PeerAnswer> &) {});
 }
 
-void ClientRequestHandler::retryCancel(const std::string &id, TimePoint deadline,
-                                       const Done<CancelResult> &done)
+void ClientRequestHandler::retryCancel(const Cancellation &cancellation)
 {
-    if (m_ports.timers.now() + cancelRetryDelay >= deadline) {
-        done(CancelResult::Unavailable);
+    if (m_ports.timers.now() + cancelRetryDelay >= cancellation.deadline) {
+        cancellation.done(CancelResult::Unavailable);
         return;
     }
-    m_ports.timers.after(cancelRetryDelay, [this, alive = m_alive, id, deadline, done] {
+    m_ports.timers.after(cancelRetryDelay, [this, alive = m_alive, cancellation] {
         if (*alive)
-            cancel(id, deadline, done);
+            cancel(cancellation.id, cancellation.deadline, cancellation.done);
     });
 }
 
--- a/libs/cell/src/clientrequesthandler.h
+++ b/libs/cell/src/clientrequesthandler.h
@@ -70,18 +70,32 @@
     void statusFromStore(const std::string &id, const Done<StatusAnswer> &done);
     void statusFromJob(const std::string &id, bool begun, const Done<StatusAnswer> &done);
     void statusFromEnd(const std::string &id, const Done<StatusAnswer> &done);
+
+    /// A request to cancel a job that was not answered yet.
+    struct Cancellation
+    {
+        std::string id;
+        TimePoint deadline{};
+        Done<CancelResult> done;
+    };
+
+    /// Calls \p next with the item of the key; a failed read is retried until the deadline.
+    void readToCancel(
+        const std::string &key, const Cancellation &cancellation,
+        const std::function<void(const Cancellation &, const std::optional<StoreItem> &)> &next);
+    /// Calls \p committed once the transaction is committed; otherwise the cancellation starts
+    /// again until the deadline.
+    void commitToCancel(const Transaction &transaction, const Cancellation &cancellation,
+                        const std::function<void(const Cancellation &)> &committed);
     /// Cancels a job that has ended or is not stored.
-    void cancelWithoutJob(const std::string &id, TimePoint deadline,
-                          const Done<CancelResult> &done);
+    void cancelWithoutJob(const Cancellation &cancellation);
     /// Ensures that no submission that is still in transit stores the job.
-    void preventSubmission(const std::string &id, TimePoint deadline,
-                           const Done<CancelResult> &done);
-    void writeCancellation(const std::string &id, const StoreItem &item, TimePoint deadline,
-                           const Done<CancelResult> &done);
+    void preventSubmission(const Cancellation &cancellation);
+    void writeCancellation(const Cancellation &cancellation, const StoreItem &item);
+    void retryCancel(const Cancellation &cancellation);
     void notifyOwnerOfCancellation(const std::string &id);
     /// \p record is the encoded record as stored.
     void notifyOwnerOfJob(const std::string &id, const std::string &record, std::uint64_t revision);
-    void retryCancel(const std::string &id, TimePoint deadline, const Done<CancelResult> &done);
 
     Ports m_ports;
     Membership &m_membership;
