Look up what a failed run says of its worker for failed runs only

Found when reading the change again: each end of a run, nearly all of them "done", looked its job up and copied its id for evidence that only failures need. releaseRun() searched a run that removeRun() searched again; the removal returns the run now. failuresOf() and crashesOf() were the same search.

--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -53,6 +53,19 @@
     }
 }
 
+/// Returns the entry of a task, which is added if there is none.
+template <typename Entry>
+Entry &entryOf(std::vector<Entry> &entries, std::uint32_t index)
+{
+    const auto found = std::find_if(entries.begin(), entries.end(),
+                                    [index](const Entry &entry) { return entry.index == index; });
+    if (found != entries.end())
+        return *found;
+    Entry added;
+    added.index = index;
+    return entries.emplace_back(std::move(added));
+}
+
 } // namespace
 
 void Task::avoid(const std::string &id)
@@ -63,22 +76,12 @@
 
 TaskFailures &Step::failuresOf(std::uint32_t index)
 {
-    const auto found = std::find_if(failures.begin(), failures.end(),
-                                    [index](const auto &entry) { return entry.index == index; });
-    if (found != failures.end())
-        return *found;
-    return failures.emplace_back(TaskFailures{ index, {} });
+    return entryOf(failures, index);
 }
 
 TaskCrashes &Step::crashesOf(std::uint32_t index)
 {
-    const auto found = std::find_if(crashes.begin(), crashes.end(),
-                                    [index](const auto &entry) { return entry.index == index; });
-    if (found != crashes.end())
-        return *found;
-    TaskCrashes added;
-    added.index = index;
-    return crashes.emplace_back(added);
+    return entryOf(crashes, index);
 }
 
 bool StepTicket::usableAt(TimePoint now) const noexcept
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -211,7 +211,8 @@
     /// crash its workers.
     void recordCrash(const Worker &worker, const Run &run, WorkerLoss loss);
     void logRunEnd(const Worker &worker, const FinishedTask &end);
-    [[nodiscard]] bool isLongRunning(const TaskId &task) const;
+    /// The evidence of a failed run; \p run is null if it is not known.
+    [[nodiscard]] FailedRun failedRun(const FinishedTask &end, const Run *run) const;
     void handleRunEnd(Worker &worker, const FinishedTask &end);
     void releaseRun(Worker &worker, const RunKey &key, std::string checkpoint);
 
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -367,11 +367,17 @@
                            { "how", toString(end.kind) } });
 }
 
-bool Scheduler::isLongRunning(const TaskId &task) const
+FailedRun Scheduler::failedRun(const FinishedTask &end, const Run *run) const
 {
-    const Job *job = m_jobs.find(task.job);
-    return job != nullptr && task.step < job->record.spec.steps.size()
-        && job->spec(task.step).longRunning;
+    FailedRun failed{ end.task.job, {}, false };
+    if (run == nullptr)
+        return failed;
+    failed.ordered = run->ordered;
+    const Job *job = m_jobs.find(end.task.job);
+    const bool longRunning = job != nullptr && end.task.step < job->record.spec.steps.size()
+        && job->spec(end.task.step).longRunning;
+    failed.workedLong = longRunning && worksLong(*run, now());
+    return failed;
 }
 
 void Scheduler::handleRunEnd(Worker &worker, const FinishedTask &end)
@@ -383,19 +389,17 @@
     const bool gang = found != worker.runs.end() && found->second.gang;
     if (found != worker.runs.end() && end.kind == EndKind::Done)
         recordPace(worker, found->second, now() - found->second.confirmed);
-    FailedRun failed{ end.task.job, {}, false };
-    if (found != worker.runs.end()) {
-        failed.ordered = found->second.ordered;
-        failed.workedLong = isLongRunning(end.task) && worksLong(found->second, now());
-    }
+    std::optional<FailedRun> failed;
+    if (end.kind == EndKind::Failed)
+        failed = failedRun(end, found == worker.runs.end() ? nullptr : &found->second);
     releaseRun(worker, key, end.checkpoint);
     if (end.kind == EndKind::Done) {
         recordSuccess(worker);
         handleTaskCompleted(end.task, end.run);
         return;
     }
-    if (end.kind == EndKind::Failed) {
-        if (recordFailure(worker, failed, now()))
+    if (failed) {
+        if (recordFailure(worker, *failed, now()))
             quarantineFailingWorker(worker);
         handleTaskFailed(worker, end.task, end.run);
         return;
@@ -412,21 +416,17 @@
 
 void Scheduler::releaseRun(Worker &worker, const RunKey &key, std::string checkpoint)
 {
-    const auto run = worker.runs.find(key);
-    if (run == worker.runs.end())
+    const auto run = removeRun(worker, key);
+    if (!run)
         return;
-    const bool stray = run->second.stray;
-    removeRun(worker, key);
     m_jobRuns.runRemoved(key.first.job, worker.entry.id);
     Task *task = m_jobs.findTask(key.first);
     if (task == nullptr)
         return;
-    auto &runs = stray ? task->strayRuns : task->liveRuns;
+    auto &runs = run->stray ? task->strayRuns : task->liveRuns;
     if (runs > 0)
         --runs;
-    if (stray)
-        return;
-    if (task->phase == TaskPhase::Done)
+    if (run->stray || task->phase == TaskPhase::Done)
         return;
     if (!checkpoint.empty()) {
         const Job &job = *m_jobs.find(key.first.job);
--- a/libs/cell/src/workertable.cpp
+++ b/libs/cell/src/workertable.cpp
@@ -1,6 +1,7 @@
 #include "workertable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cowsliprock::cell {
 
@@ -58,15 +59,15 @@
     return worker.runs.insert_or_assign(key, std::move(run)).first->second;
 }
 
-bool removeRun(Worker &worker, const RunKey &key)
+std::optional<Run> removeRun(Worker &worker, const RunKey &key)
 {
-    const auto entry = worker.runs.find(key);
-    if (entry == worker.runs.end())
-        return false;
-    worker.held -= entry->second.held;
-    worker.runsOfUnknownSize -= entry->second.sizeUnknown ? 1 : 0;
-    worker.runs.erase(entry);
-    return true;
+    auto removed = worker.runs.extract(key);
+    if (removed.empty())
+        return std::nullopt;
+    Run run = std::move(removed.mapped());
+    worker.held -= run.held;
+    worker.runsOfUnknownSize -= run.sizeUnknown ? 1 : 0;
+    return run;
 }
 
 bool worksLong(const Run &run, TimePoint now) noexcept
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -135,8 +135,8 @@
 /// Adds a run to the worker and returns it.
 Run &addRun(Worker &worker, Run run);
 
-/// Removes a run from the worker; returns false if it is not there.
-bool removeRun(Worker &worker, const RunKey &key);
+/// Removes a run from the worker and returns it, or nothing if it is not there.
+std::optional<Run> removeRun(Worker &worker, const RunKey &key);
 
 /// True if the run has worked for so long that it shows its worker to be sound.
 [[nodiscard]] bool worksLong(const Run &run, TimePoint now) noexcept;
