--- a/standins/cellhttp/tests/cellhttp_test.cpp
+++ b/standins/cellhttp/tests/cellhttp_test.cpp
@@ -65,6 +65,35 @@
     int starts = 0;
 };
 
+/// A worker whose tasks take \p work, behind its HTTP interface.
+struct WorkerOverHttp
+{
+    explicit WorkerOverHttp(Duration work)
+        : model(
+            loop, settings(),
+            [work](const TaskId &) {
+                return TaskPlan{ {}, work };
+            },
+            observer)
+        , target{ settings().id, server.listen(anyPort).value().text(), "z" }
+    { }
+
+    static WorkerModel::Settings settings()
+    {
+        WorkerModel::Settings result;
+        result.id = "w1";
+        return result;
+    }
+
+    EventLoop loop;
+    StartCounter observer;
+    WorkerModel model;
+    WorkerServer server{ loop, model, 1, [](const auto &, const auto &) { return true; } };
+    HttpClient http{ loop };
+    platform::WorkerClient client{ http };
+    WorkerTarget target;
+};
+
 struct StoreFixture
 {
     StoreFixture() { client.emplace(http, server.listen(anyPort).value()); }
@@ -146,41 +175,28 @@
 
 BOOST_AUTO_TEST_CASE(orderWithAnOldFencingTokenIsRefused)
 {
-    EventLoop loop;
-    StartCounter observer;
-    WorkerModel::Settings settings;
-    settings.id = "w1";
-    WorkerModel model(
-        loop, settings,
-        [](const TaskId &) {
-            return TaskPlan{ {}, 10s };
-        },
-        observer);
-    WorkerServer server(loop, model, 1, [](const auto &, const auto &) { return true; });
-    HttpClient http(loop);
-    platform::WorkerClient client(http);
-    const WorkerTarget target{ "w1", server.listen(anyPort).value().text(), "z" };
+    WorkerOverHttp worker(10s);
     const auto start = [&](std::uint64_t token) {
         StartOrder order;
         order.task = { "00000000000000aa", 0, 0, static_cast<std::uint32_t>(token) };
         order.run = 1;
         order.leaseUntil = 5s;
         order.fencingToken = token;
-        Answer<Result<OrderOutcome>> answer(loop);
-        client.start(target, order, { 300ms, false }, answer.done());
+        Answer<Result<OrderOutcome>> answer(worker.loop);
+        worker.client.start(worker.target, order, { 300ms, false }, answer.done());
         return answer.wait().value();
     };
     BOOST_TEST(std::holds_alternative<OrderAccepted>(start(7)));
     const auto refused = start(6);
     BOOST_REQUIRE(std::holds_alternative<OrderRefused>(refused));
     BOOST_TEST((std::get<OrderRefused>(refused).reason == OrderRefusal::Fenced));
-    BOOST_TEST(observer.starts == 1);
+    BOOST_TEST(worker.observer.starts == 1);
 
-    Answer<Result<InventoryOutcome>> answer(loop);
+    Answer<Result<InventoryOutcome>> answer(worker.loop);
     InventoryRequest request;
     request.fencingToken = 7;
     request.timeout = 350ms;
-    client.inventory(target, request, answer.done());
+    worker.client.inventory(worker.target, request, answer.done());
     const auto &listed = answer.wait().value();
     BOOST_REQUIRE(std::holds_alternative<Inventory>(listed));
     BOOST_TEST(std::get<Inventory>(listed).running.size() == 1U);
@@ -190,37 +206,24 @@
 BOOST_AUTO_TEST_CASE(inventoryTellsThatItsListOfEndsIsCut)
 {
     constexpr std::uint32_t tasks = 501;
-    EventLoop loop;
-    StartCounter observer;
-    WorkerModel::Settings settings;
-    settings.id = "w1";
-    WorkerModel model(
-        loop, settings,
-        [](const TaskId &) {
-            return TaskPlan{ {}, 1ms };
-        },
-        observer);
-    WorkerServer server(loop, model, 1, [](const auto &, const auto &) { return true; });
-    HttpClient http(loop);
-    platform::WorkerClient client(http);
-    const WorkerTarget target{ "w1", server.listen(anyPort).value().text(), "z" };
+    WorkerOverHttp worker(1ms);
     for (std::uint32_t index = 0; index < tasks; ++index) {
         StartOrder order;
         order.task = { "00000000000000aa", 0, 0, index };
         order.run = 1;
         order.leaseUntil = 5s;
-        BOOST_REQUIRE(std::holds_alternative<OrderAccepted>(model.start(order)));
+        BOOST_REQUIRE(std::holds_alternative<OrderAccepted>(worker.model.start(order)));
     }
-    Answer<bool> ended(loop);
-    loop.after(100ms, [done = ended.done()] { done(true); });
+    Answer<bool> ended(worker.loop);
+    worker.loop.after(100ms, [done = ended.done()] { done(true); });
     BOOST_REQUIRE(ended.wait());
 
     const auto inventory = [&](std::uint64_t acknowledged) {
         InventoryRequest request;
         request.acknowledged = acknowledged;
         request.timeout = 2s;
-        Answer<Result<InventoryOutcome>> answer(loop);
-        client.inventory(target, request, answer.done());
+        Answer<Result<InventoryOutcome>> answer(worker.loop);
+        worker.client.inventory(worker.target, request, answer.done());
         return std::get<Inventory>(answer.wait().value());
     };
     const auto first = inventory(0);
