--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -16,6 +16,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cowsliprock::standincell {
@@ -77,6 +78,12 @@
     void isolateWorker(std::uint32_t worker, bool isolated);
     /// Drops the calls from one node to the worker.
     void isolateWorkerFrom(std::uint32_t node, std::uint32_t worker, bool isolated);
+    /// Drops the messages that one node sends to another one.
+    void cutLink(std::uint32_t from, std::uint32_t to, bool cut);
+    /// Cuts the nodes and workers off from the store and from all other nodes and workers, as when
+    /// a data centre loses its connection; \p cut = false reconnects them.
+    void cutOff(const std::set<std::uint32_t> &nodes, const std::set<std::uint32_t> &workers,
+                bool cut);
     /// Sets the speed of the worker relative to normal; 0 stalls its tasks.
     void setWorkerSpeed(std::uint32_t worker, double speed);
     void crashWorker(std::uint32_t worker);
@@ -159,8 +166,15 @@
     /// Response time of the policy service.
     [[nodiscard]] Duration adviceTime(const std::string &step, std::size_t workerCount) const;
 
+    [[nodiscard]] bool isLinkCut(const std::string &from, const std::string &to) const
+    {
+        return m_cutLinks.contains({ from, to });
+    }
+
 private:
     void publishWorker(WorkerSlot &slot);
+    /// Whether the worker can renew its entry in the store.
+    void setWorkerStorePath(WorkerSlot &slot, bool connected);
     TaskPlan plan(const cell::TaskId &task, std::uint32_t worker);
 
     Settings m_settings;
@@ -171,6 +185,8 @@
     std::uniform_real_distribution<double> m_chance{ 0.0, 1.0 };
     std::vector<std::unique_ptr<NodeSlot>> m_nodes;
     std::vector<std::unique_ptr<WorkerSlot>> m_workers;
+    /// Names of the sending and the receiving node.
+    std::set<std::pair<std::string, std::string>> m_cutLinks;
     std::map<std::string, JobPlan> m_jobs;
     std::map<cell::TaskId, std::uint32_t> m_startsOfTask;
     std::uint64_t m_version = 0;
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -380,6 +380,12 @@
     const auto generation = m_slot.generation;
     m_time.after(m_world.delay(), [this, generation, call, done] {
         auto *peer = m_world.findNode(call.address);
+        if (peer != nullptr && m_world.isLinkCut(m_slot.name, peer->name)) {
+            m_time.after(call.timeout, [this, generation, done] {
+                m_slot.timers->deliver(generation, [done] { done(timedOut("peer")); });
+            });
+            return;
+        }
         if (peer == nullptr || !peer->node) {
             m_slot.timers->deliver(generation, [done] {
                 done(Error{ ErrorKind::Unavailable, "peer", "", "refused" });
@@ -399,8 +405,9 @@
         m_time.after(call.timeout, [finish] { finish(timedOut("peer")); });
         peer->timers->deliver(peer->generation, [this, peer, call, finish] {
             peer->node->peerCall(
-                call.method, call.path, call.body, [this, finish](const PeerAnswer &answer) {
-                    m_time.after(m_world.delay(), [finish, answer] { finish(answer); });
+                call.method, call.path, call.body, [this, peer, finish](const PeerAnswer &answer) {
+                    if (!m_world.isLinkCut(peer->name, m_slot.name))
+                        m_time.after(m_world.delay(), [finish, answer] { finish(answer); });
                 });
         });
     });
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -76,6 +76,7 @@
 {
     std::unique_ptr<WorkerModel> model;
     bool isolated = false;
+    bool cutFromStore = false;
     bool draining = false;
     std::set<std::string> formerIds;    ///< Ids of workers that this one has replaced.
     std::set<std::string> isolatedFrom; ///< Names of the nodes whose calls are dropped.
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -244,6 +244,48 @@
         slot.isolatedFrom.erase(name);
 }
 
+void World::cutLink(std::uint32_t from, std::uint32_t to, bool cut)
+{
+    const auto link = std::pair(m_nodes.at(from)->name, m_nodes.at(to)->name);
+    if (cut)
+        m_cutLinks.insert(link);
+    else
+        m_cutLinks.erase(link);
+}
+
+void World::cutOff(const std::set<std::uint32_t> &nodes, const std::set<std::uint32_t> &workers,
+                   bool cut)
+{
+    for (std::uint32_t node = 0; node < m_nodes.size(); ++node) {
+        const bool inside = nodes.contains(node);
+        if (inside)
+            setStoreFault(node, cut ? StoreFault::Silent : StoreFault::None);
+        for (std::uint32_t other = 0; other < m_nodes.size(); ++other) {
+            if (inside != nodes.contains(other))
+                cutLink(node, other, cut);
+        }
+        for (std::uint32_t worker = 0; worker < m_workers.size(); ++worker) {
+            if (inside != workers.contains(worker))
+                isolateWorkerFrom(node, worker, cut);
+        }
+    }
+    for (const auto worker : workers)
+        setWorkerStorePath(*m_workers.at(worker), !cut);
+}
+
+void World::setWorkerStorePath(WorkerSlot &slot, bool connected)
+{
+    slot.cutFromStore = !connected;
+    if (connected) {
+        publishWorker(slot);
+        return;
+    }
+    m_time.after(entryExpiry, [this, &slot] {
+        if (slot.cutFromStore)
+            m_store.remove(workerKey(slot.model->id()));
+    });
+}
+
 void World::setWorkerSpeed(std::uint32_t index, double speed)
 {
     m_workers.at(index)->model->setSpeed(speed);
