Find the only daemon that the store answers

Callers of a daemon without the store were refused though another daemon reached it. StoreRouter tried the same three daemons for every call, in its own fixed order; with nine daemons of which one reaches the store, it never asked that one if it came fourth or later.

The daemon whose last failure is the oldest is tried next, so that a few calls go round all of them. onlyDaemonWithTheStoreIsFoundByEveryOther failed for 5 of 8 survivors before and passes now; suites storepaths and relay: 22 cases pass.

ownerRefusedByARelayMakesNoFurtherCalls relied on the fault: its owner lost the cell since it never asked the only daemon with the store. It now cannot reach that daemon at all; its checks are unchanged.

--- a/libs/cell/src/storerouter.cpp
+++ b/libs/cell/src/storerouter.cpp
@@ -174,6 +174,7 @@
     }
     m_isolated = false;
     m_unavailableSince.reset();
+    m_peerFailures.clear();
 }
 
 void StoreRouter::directLost()
@@ -251,8 +252,18 @@
     const auto last = std::find(addresses.begin(), addresses.end(), m_peer);
     if (last != addresses.end() && untried(*last))
         return *last;
-    const auto next = std::find_if(addresses.begin(), addresses.end(), untried);
-    return next == addresses.end() ? std::nullopt : std::optional(*next);
+    const auto next = std::min_element(addresses.begin(), addresses.end(),
+                                       [&](const std::string &left, const std::string &right) {
+                                           return std::pair(!untried(left), lastFailureOf(left))
+                                               < std::pair(!untried(right), lastFailureOf(right));
+                                       });
+    return *next;
+}
+
+TimePoint StoreRouter::lastFailureOf(const std::string &address) const
+{
+    const auto failure = m_peerFailures.find(address);
+    return failure == m_peerFailures.end() ? TimePoint() : failure->second;
 }
 
 void StoreRouter::forwardToPeer(const std::shared_ptr<ForwardedCall> &forwarded)
@@ -301,6 +312,7 @@
             errorOf(ErrorKind::Timeout, "no response to a call through another daemon"));
         return;
     }
+    m_peerFailures[address] = m_ports.timers.now();
     if (m_peer == address)
         m_peer.clear();
     forwardToPeer(forwarded);
--- a/libs/cell/src/storerouter.h
+++ b/libs/cell/src/storerouter.h
@@ -104,7 +104,9 @@
     void peerAnswered(const std::shared_ptr<ForwardedCall> &forwarded, const std::string &address,
                       const Result<PeerAnswer> &answer);
     void failForwarded(ForwardedCall &forwarded);
+    /// The daemon that forwarded the last call, then the one whose last failure is the oldest.
     [[nodiscard]] std::optional<std::string> nextPeer(const ForwardedCall &forwarded) const;
+    [[nodiscard]] TimePoint lastFailureOf(const std::string &address) const;
     void postFailure(const CallDone &done, ErrorKind kind, const char *detail);
 
     Ports m_ports;
@@ -116,6 +118,8 @@
     bool m_silenceCheckScheduled = false;
     bool m_verifyingFailure = false;
     std::string m_peer; ///< Address of the daemon that forwarded the last call.
+    /// When each daemon last failed to forward a call, since the store ceased to respond directly.
+    std::map<std::string, TimePoint> m_peerFailures;
     TimePoint m_noPeerUntil{};
     std::optional<TimePoint> m_unavailableSince;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/standins/cell/tests/relay_test.cpp
+++ b/standins/cell/tests/relay_test.cpp
@@ -43,18 +43,6 @@
     return first;
 }
 
-/// The last node through which \p asker tries to reach the store if its own connection fails.
-std::uint32_t lastStorePathOf(std::uint32_t asker)
-{
-    const auto rank = [asker](std::uint32_t node) {
-        return stableHash("node-" + std::to_string(asker) + "/node-" + std::to_string(node));
-    };
-    std::uint32_t last = asker == 0 ? 1 : 0;
-    for (std::uint32_t node = 0; node < nodeCount; ++node)
-        last = node != asker && rank(node) > rank(last) ? node : last;
-    return last;
-}
-
 std::uint32_t uninvolvedNode(const World &world)
 {
     std::uint32_t node = 0;
@@ -208,8 +196,9 @@
     }
     world.run(seconds(1));
     // The owner continues with its current state until another node owns the cell: only one node
-    // reaches the store, and it is the last one that the owner would try.
-    const auto survivor = lastStorePathOf(owner);
+    // reaches the store, and the owner does not reach that node.
+    const auto survivor = uninvolvedNode(world);
+    world.cutLink(owner, survivor, true);
     for (std::uint32_t other = 0; other < nodeCount; ++other) {
         if (other != survivor)
             world.setStoreFault(other, StoreFault::Silent);
@@ -225,6 +214,7 @@
     world.run(seconds(3));
     BOOST_TEST(directCalls() == before);
     world.setStoreFaultForAll(StoreFault::None);
+    world.cutLink(owner, survivor, false);
     world.run(seconds(25));
     expectCompleted(world, node, 12);
 }
--- a/standins/cell/tests/storepaths_test.cpp
+++ b/standins/cell/tests/storepaths_test.cpp
@@ -66,6 +66,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(onlyDaemonWithTheStoreIsFoundByEveryOther)
+{
+    World::Settings settings;
+    settings.nodes = 9;
+    for (std::uint32_t survivor = 1; survivor < settings.nodes; ++survivor) {
+        BOOST_TEST_CONTEXT("only node " << survivor << " reaches the store")
+        {
+            World world(settings);
+            world.run(startTime);
+            for (std::uint32_t node = 0; node < settings.nodes; ++node) {
+                if (node != survivor)
+                    world.setStoreFault(node, StoreFault::Refuse);
+            }
+            world.run(seconds(2));
+            BOOST_TEST(submitMany(world, 0, 1, 5, milliseconds(300)).accepted == 5U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(jobsAreAcceptedAgainSoonAfterAnOutage)
 {
     std::uint32_t accepted = 0;
