--- a/libs/cell/src/membership.cpp
+++ b/libs/cell/src/membership.cpp
@@ -4,7 +4,9 @@
 
 #include <base/parsenumber.h>
 
+#include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace cowsliprock::cell {
 
@@ -14,6 +16,8 @@
 constexpr std::chrono::milliseconds presenceTimeToLive{ 1800 };
 constexpr std::chrono::milliseconds renewInterval{ 500 };
 constexpr std::chrono::milliseconds retryDelay{ 200 };
+/// Renewals that are not confirmed for this long are logged.
+constexpr std::chrono::milliseconds renewalOverdueTime{ 1000 };
 
 constexpr PrefixWatch::Options watchOptions{ std::chrono::milliseconds(1500),
                                              std::chrono::milliseconds(5) };
@@ -88,21 +92,23 @@
 {
     if (m_leaving)
         return;
-    m_store.grantLease(presenceTimeToLive,
-                       [this, alive = m_alive](const Result<std::uint64_t> &lease) {
-                           if (!*alive || m_leaving)
-                               return;
-                           if (!lease.has_value()) {
-                               m_timers.after(retryDelay, [this, alive] {
-                                   if (*alive)
-                                       obtainLease();
-                               });
-                               return;
-                           }
-                           m_lease = lease.value();
-                           announce();
-                           keepLease(m_lease);
-                       });
+    m_store.grantLease(
+        presenceTimeToLive,
+        [this, alive = m_alive, requestedAt = m_timers.now()](const Result<std::uint64_t> &lease) {
+            if (!*alive || m_leaving)
+                return;
+            if (!lease.has_value()) {
+                m_timers.after(retryDelay, [this, alive] {
+                    if (*alive)
+                        obtainLease();
+                });
+                return;
+            }
+            m_lease = lease.value();
+            leaseKept(requestedAt);
+            announce();
+            keepLease(m_lease);
+        });
 }
 
 void Membership::announce()
@@ -127,18 +133,38 @@
     m_timers.after(renewInterval, [this, lease, alive = m_alive] {
         if (!*alive || m_leaving || lease != m_lease)
             return;
-        m_store.keepLease(lease, [this, lease, alive](const Result<bool> &kept) {
-            if (!*alive || m_leaving || lease != m_lease)
-                return;
-            // A missing response does not mean that the lease is gone: only the store can tell that
-            // it has expired.
-            if (kept.has_value() && !kept.value())
-                leaseLost("lease has expired");
-        });
+        checkRenewal();
+        m_store.keepLease(
+            lease, [this, lease, alive, requestedAt = m_timers.now()](const Result<bool> &kept) {
+                // A missing response does not mean that the lease is gone: only the store can tell
+                // that it has expired.
+                if (!*alive || m_leaving || lease != m_lease || !kept.has_value())
+                    return;
+                if (kept.value())
+                    leaseKept(requestedAt);
+                else
+                    leaseLost("lease has expired");
+            });
         keepLease(lease);
     });
 }
 
+void Membership::leaseKept(TimePoint requestedAt)
+{
+    m_renewedAt = std::max(m_renewedAt, requestedAt);
+    if (std::exchange(m_renewalOverdue, false))
+        m_log.write(m_timers.now(), "presence.renewed", { { "lease", m_lease } });
+}
+
+void Membership::checkRenewal()
+{
+    const auto unconfirmed = m_timers.now() - m_renewedAt;
+    if (unconfirmed < renewalOverdueTime || std::exchange(m_renewalOverdue, true))
+        return;
+    m_log.write(m_timers.now(), "presence.renewalOverdue",
+                { { "lease", m_lease }, { "unconfirmedMs", toMilliseconds(unconfirmed) } });
+}
+
 void Membership::leaseLost(const char *reason)
 {
     m_log.write(m_timers.now(), "presence.lost", { { "lease", m_lease }, { "reason", reason } });
--- a/libs/cell/src/membership.h
+++ b/libs/cell/src/membership.h
@@ -63,6 +63,8 @@
     void obtainLease();
     void announce();
     void keepLease(std::uint64_t lease);
+    void leaseKept(TimePoint requestedAt);
+    void checkRenewal();
     void handleListed();
     void leaseLost(const char *reason);
     void apply(const StoreItem &item);
@@ -78,6 +80,8 @@
     std::map<std::uint32_t, OwnerView> m_owners;
     std::optional<TimePoint> m_reachableSince;
     std::uint64_t m_lease = 0;
+    TimePoint m_renewedAt{}; ///< When the last confirmed renewal of the lease was sent.
+    bool m_renewalOverdue = false;
     bool m_leaving = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     PrefixWatch m_watch;
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -135,6 +135,7 @@
                       { { "task", row.task.text() },
                         { "run", row.run },
                         { "worker", worker.entry.id },
+                        { "ownershipRevision", m_settings.ownershipRevision },
                         { "jobActive", job != nullptr && job->active() },
                         { "lastRun", task == nullptr ? 0U : task->lastRun },
                         { "liveRuns", task == nullptr ? 0U : task->liveRuns },
@@ -315,6 +316,8 @@
                           { { "task", key.first.text() },
                             { "run", key.second },
                             { "worker", worker.entry.id },
+                            { "ownershipRevision", m_settings.ownershipRevision },
+                            { "silentMs", toMilliseconds(now() - worker.lastContact) },
                             { "reason", crashed ? "worker restarted" : "worker leases expired" } });
         const Run run = worker.runs.at(key);
         releaseRun(worker, key, run.checkpoint);
