Draw partitions in the exploration

The exploration hid workers from nodes and the store from nodes, but never cut a group off from all else, so it could not show two owners. Three of the draws that only started killed nodes now cut a node off with random workers, reconnect everything, or cut one link between two nodes. (Plans are short, and most cuts end soon; partition_test plays long ones.)

--- a/standins/cell/tests/exploration_test.cpp
+++ b/standins/cell/tests/exploration_test.cpp
@@ -190,6 +190,15 @@
         case 25:
             m_world.setExtraDelay(milliseconds(10 * pick(0, 3)));
             break;
+        case 26:
+            cutOffRandomGroup(m_world.owner().value_or(node));
+            break;
+        case 27:
+            reconnectAll();
+            break;
+        case 28:
+            m_world.cutLink(node, pick(0, nodes - 1), true);
+            break;
         default:
             for (std::uint32_t index = 0; index < nodes; ++index)
                 m_world.start(index);
@@ -197,8 +206,39 @@
         }
     }
 
+    /// Cuts the node, and possibly others, off from the store with a part of the workers.
+    void cutOffRandomGroup(std::uint32_t node)
+    {
+        std::set<std::uint32_t> cutNodes{ node };
+        if (pick(0, 2) == 0)
+            cutNodes.insert(pick(0, nodes - 1));
+        std::set<std::uint32_t> cutWorkers;
+        for (std::uint32_t worker = 0; worker < workers; ++worker) {
+            if (pick(0, 1) == 0)
+                cutWorkers.insert(worker);
+        }
+        m_world.cutOff(cutNodes, cutWorkers, true);
+    }
+
+    void reconnectAll()
+    {
+        std::set<std::uint32_t> allWorkers;
+        for (std::uint32_t worker = 0; worker < workers; ++worker) {
+            allWorkers.insert(worker);
+            for (std::uint32_t node = 0; node < nodes; ++node)
+                m_world.isolateWorkerFrom(node, worker, false);
+        }
+        for (std::uint32_t node = 0; node < nodes; ++node) {
+            m_world.setStoreFault(node, StoreFault::None);
+            for (std::uint32_t other = 0; other < nodes; ++other)
+                m_world.cutLink(node, other, false);
+        }
+        m_world.cutOff({}, allWorkers, false);
+    }
+
     void repair()
     {
+        reconnectAll();
         m_world.setStoreFaultForAll(StoreFault::None);
         m_world.setLinkShare(1);
         m_world.setLateOrderShare(0);
