Verify the ownership as soon as the presence is stored

A daemon that claimed a shard before its presence record was stored started nothing for up to 250 ms more, until the next check of its lease (seen in the log of a restarted successor: owned at 3614.018 s, confirmed at 3614.280 s).

--- a/libs/cell/src/leaderlease.h
+++ b/libs/cell/src/leaderlease.h
@@ -53,6 +53,9 @@
 
     void start();
 
+    /// Must be called after each change of the membership.
+    void membershipChanged() { verifyOwnership(); }
+
     /// True while no other daemon can have claimed the shard. Tasks are started, and leases of
     /// silent workers are taken for expired, only while it is.
     [[nodiscard]] bool exclusive();
--- a/libs/cell/src/membership.cpp
+++ b/libs/cell/src/membership.cpp
@@ -139,6 +139,7 @@
             } else if (!std::exchange(m_announced, true)) {
                 ++m_presenceNumber;
                 m_log.write(m_timers.now(), "presence.announced", { { "lease", m_lease } });
+                m_changed();
             }
         });
 }
--- a/libs/cell/src/membership.h
+++ b/libs/cell/src/membership.h
@@ -40,7 +40,7 @@
     Membership(const Membership &) = delete;
     Membership &operator=(const Membership &) = delete;
 
-    /// \p changed is called whenever a member or an owner has changed.
+    /// \p changed is called whenever a member, an owner or this daemon's presence has changed.
     void start(std::function<void()> changed);
 
     /// Revokes the lease, so that the other daemons notice the departure immediately.
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -143,8 +143,11 @@
 void Node::State::start()
 {
     membership.start([this] {
-        for (auto &slot : slots)
+        for (auto &slot : slots) {
             slot.election->evaluate();
+            if (slot.lease)
+                slot.lease->membershipChanged();
+        }
     });
     configuration.start([this](const CellConfiguration &newest) { configurationChanged(newest); });
 }
