Keep silent workers of an earlier owner until their leases end

A new owner waits for the longest lease of a worker that it cannot reach before it starts that worker's tasks elsewhere. If discovery did not list the worker any more, as when it is cut off from the store too, the owner dropped it from its table after 8 s, found at the next clean-up 10 s after the take-over, and no longer waited: the tasks could be started while the worker was still at work under a lease of its former owner (TWICE).

--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -203,9 +203,10 @@
     const auto current = now();
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
         const Worker &worker = entry->second;
+        const bool mayHaveUnknownRuns = worker.usedByPreviousOwner && !worker.reconciled;
         const bool gone = worker.unlistedSince
             && current - *worker.unlistedSince > unlistedRetention && worker.runs.empty()
-            && !worker.reachable;
+            && !worker.reachable && !mayHaveUnknownRuns;
         if (gone) {
             m_links.forget(entry->first);
             entry = m_workers.erase(entry);
--- a/standins/cell/tests/takeover_test.cpp
+++ b/standins/cell/tests/takeover_test.cpp
@@ -61,6 +61,26 @@
     expectCompleted(world, node, jobs);
 }
 
+BOOST_AUTO_TEST_CASE(silentWorkerThatIsUnlistedIsAwaitedUntilItsLeasesEnd)
+{
+    // Longest lease of a worker; its clock may be slow.
+    constexpr seconds longestLease{ 10 };
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    world.submit(node, jobId(1), batch(4, seconds(30)));
+    world.run(seconds(1));
+    const auto silent = workerInUse(world, World::Settings().workers);
+    world.isolateWorker(silent, true);
+    world.run(milliseconds(4500));
+    const auto before = world.guarantees().starts();
+    changeOwner(world);
+    world.run(longestLease + milliseconds(250));
+    BOOST_TEST(world.guarantees().starts() == before);
+    world.run(seconds(1));
+    BOOST_TEST(world.guarantees().starts() > before);
+}
+
 BOOST_AUTO_TEST_CASE(workersThatHaveLeftAreNotWaitedFor)
 {
     World world({});
