--- a/libs/cell/src/succession.cpp
+++ b/libs/cell/src/succession.cpp
@@ -44,12 +44,13 @@
             != dataCentres.end();
         return std::tuple(sharesDataCentre, -member->weight, stableHash(member->name));
     };
+    const auto isSelected = [&selected](const std::string &name) {
+        return std::any_of(selected.begin(), selected.end(),
+                           [&name](const Successor &each) { return each.name == name; });
+    };
     std::vector<const MemberRecord *> candidates;
     for (const auto &[name, member] : members) {
-        const bool isSelected =
-            std::any_of(selected.begin(), selected.end(),
-                        [&member](const Successor &each) { return each.name == member.name; });
-        if (name != owner.name && !isSelected)
+        if (name != owner.name && !isSelected(name))
             candidates.push_back(&member);
     }
     while (selected.size() < successorCount && !candidates.empty()) {
--- a/standins/cell/tests/succession_test.cpp
+++ b/standins/cell/tests/succession_test.cpp
@@ -29,6 +29,7 @@
 std::vector<std::string> namesOf(const std::vector<Successor> &successors)
 {
     std::vector<std::string> names;
+    names.reserve(successors.size());
     for (const auto &successor : successors)
         names.push_back(successor.name);
     return names;
