Do not restore an ownership by the promise of a younger process

A successor promises not to claim a shard unless its own process has claimed it. A process that was restarted does not know of a claim of its predecessor, so an owner whose exclusiveness had ended got promises from both successors and became exclusive again beside runs that the predecessor had adopted and renewed. It took the leases of workers that were silent for it for expired and started their tasks a second time.

A promise now says for how long the process has been running. The owner counts it only if that process ran already when the owner was last exclusive.

--- a/libs/cell/src/election.h
+++ b/libs/cell/src/election.h
@@ -56,6 +56,9 @@
     /// daemons agree on. Returns false if a claim has been sent or the owner is not the newest.
     [[nodiscard]] bool promise(std::uint64_t ownershipRevision);
 
+    /// Age of this process; claims of an earlier process of this daemon are not known.
+    [[nodiscard]] Duration runningFor() const { return m_timers.now() - m_startedAt; }
+
     /// Hands the shard over by clearing the owner record. \p done is called when this has been
     /// stored or has failed.
     void release(std::function<void()> done);
--- a/libs/cell/src/leaderlease.cpp
+++ b/libs/cell/src/leaderlease.cpp
@@ -139,11 +139,24 @@
             { successor.address, "POST", path, body, promiseTimeout },
             [this, alive = m_alive, round = m_round](const Result<PeerAnswer> &answer) {
                 if (*alive)
-                    handlePromise(*round, answer.has_value() && answer.value().status == statusOk);
+                    handlePromise(*round, countsAsPromise(answer));
             });
     }
 }
 
+bool LeaderLease::countsAsPromise(const Result<PeerAnswer> &answer)
+{
+    if (!answer.has_value() || answer.value().status != statusOk)
+        return false;
+    const auto promise = decodePromiseAnswer(answer.value().body);
+    if (!promise)
+        return false;
+    // An earlier process of the successor may have claimed the shard after this lease was last
+    // exclusive.
+    refresh();
+    return m_ports.timers.now() - shortened(promise->runningFor) <= m_exclusiveUntil;
+}
+
 void LeaderLease::handlePromise(PromiseRound &round, bool granted)
 {
     round.refused = round.refused || !granted;
--- a/libs/cell/src/leaderlease.h
+++ b/libs/cell/src/leaderlease.h
@@ -81,6 +81,7 @@
     void verifyOwnership();
     void handleOwnerRecord(std::uint64_t presence, const Result<std::optional<StoreItem>> &item);
     void requestPromises();
+    [[nodiscard]] bool countsAsPromise(const Result<PeerAnswer> &answer);
     void handlePromise(PromiseRound &round, bool granted);
     void expire(const char *reason);
 
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -379,8 +379,11 @@
         done({ statusBadRequest, "{}" });
         return;
     }
-    const bool granted = slots[*shard].election->promise(request->ownershipRevision);
-    done({ granted ? statusOk : statusConflict, "{}" });
+    auto &election = *slots[*shard].election;
+    if (election.promise(request->ownershipRevision))
+        done({ statusOk, encode(PromiseAnswer{ election.runningFor() }) });
+    else
+        done({ statusConflict, "{}" });
 }
 
 std::vector<std::string> Node::State::otherDaemons() const
--- a/libs/cell/src/peermessages.cpp
+++ b/libs/cell/src/peermessages.cpp
@@ -18,6 +18,11 @@
     return Json{ { "ownershipRevision", request.ownershipRevision } }.dump();
 }
 
+std::string encode(const PromiseAnswer &answer)
+{
+    return Json{ { "runningForUs", answer.runningFor.count() } }.dump();
+}
+
 std::string encode(const Advice &advice)
 {
     Json allowed = Json::array();
@@ -57,6 +62,13 @@
     });
 }
 
+std::optional<PromiseAnswer> decodePromiseAnswer(const std::string &text)
+{
+    return decodeJson(text, [](const Json &json) {
+        return PromiseAnswer{ Duration(json.at("runningForUs").get<std::int64_t>()) };
+    });
+}
+
 std::optional<Advice> decodeAdvice(const std::string &text)
 {
     return decodeJson(text, [](const Json &json) {
--- a/libs/cell/src/peermessages.h
+++ b/libs/cell/src/peermessages.h
@@ -34,14 +34,22 @@
     std::uint64_t ownershipRevision = 0;
 };
 
+/// Answer of a daemon that has promised not to claim a shard.
+struct PromiseAnswer
+{
+    Duration runningFor{}; ///< Age of the daemon's process, which knows only its own claims.
+};
+
 [[nodiscard]] std::string encode(const PeerAdviceRequest &question);
 [[nodiscard]] std::string encode(const PromiseRequest &request);
+[[nodiscard]] std::string encode(const PromiseAnswer &answer);
 [[nodiscard]] std::string encode(const Advice &advice);
 [[nodiscard]] std::string encodeStatus(const std::optional<JobStatus> &status);
 [[nodiscard]] std::string encodeCount(std::uint64_t count);
 
 [[nodiscard]] std::optional<PeerAdviceRequest> decodePeerAdviceRequest(const std::string &text);
 [[nodiscard]] std::optional<PromiseRequest> decodePromiseRequest(const std::string &text);
+[[nodiscard]] std::optional<PromiseAnswer> decodePromiseAnswer(const std::string &text);
 [[nodiscard]] std::optional<Advice> decodeAdvice(const std::string &text);
 /// The outer optional is empty if the text is malformed, the inner one if the job is unknown.
 [[nodiscard]] std::optional<std::optional<JobStatus>> decodeStatus(const std::string &text);
--- a/standins/cell/tests/partition_test.cpp
+++ b/standins/cell/tests/partition_test.cpp
@@ -135,6 +135,39 @@
     }
 }
 
+/// A successor that has claimed the shard and restarts without the store does not know of its
+/// claim, so its promise must not give the shard back to the earlier owner.
+BOOST_AUTO_TEST_CASE(restartedSuccessorThatHasClaimedDoesNotRestoreTheEarlierOwner)
+{
+    for (int phase = 0; phase < 8; ++phase) {
+        BOOST_TEST_CONTEXT("phase " << phase)
+        {
+            World world({});
+            world.run(startTime);
+            const auto owner = *world.owner();
+            world.submit(owner, jobId(1), batch(12, seconds(25)));
+            world.run(seconds(1));
+            const auto claimant = follower(world);
+            const auto other = 3 - owner - claimant;
+            world.cutOff({ owner, other }, ownerWorkers, true);
+            world.run(milliseconds(3000) + phase * milliseconds(250));
+            BOOST_TEST(*world.owner() == claimant);
+            world.kill(claimant);
+            world.setStoreFaultForAll(StoreFault::Refuse);
+            for (const auto node : { owner, other }) {
+                world.cutLink(node, claimant, false);
+                world.cutLink(claimant, node, false);
+            }
+            world.start(claimant);
+            world.run(seconds(15));
+            world.setStoreFaultForAll(StoreFault::None);
+            world.cutOff({ owner, other }, ownerWorkers, false);
+            world.run(seconds(60));
+            expectCompleted(world, other, 1);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(longStoreOutageEndsNoTaskWhileSuccessorsPromise)
 {
     for (const auto fault : { StoreFault::Refuse, StoreFault::Silent }) {
