Keep the promise to the newest owner

Found by the review: a daemon holds one promise. A request of an earlier owner, which a daemon with an old view grants, replaced the promise to a newer owner, so that the daemon could have claimed the shard from it. Requests for an older ownership than the one promised are refused now. promiseToAnEarlierOwnerDoesNotReplaceTheNewestOne failed before (200 instead of 409); suites promises and partition pass.

--- a/libs/cell/src/election.cpp
+++ b/libs/cell/src/election.cpp
@@ -236,7 +236,8 @@
 bool Election::promise(std::uint64_t ownershipRevision)
 {
     const auto view = m_membership.owner(m_shard);
-    const bool isNewest = !view || view->revision <= ownershipRevision;
+    const bool isNewest =
+        (!view || view->revision <= ownershipRevision) && m_promisedRevision <= ownershipRevision;
     const bool mayBeClaimed = m_claiming || m_unresolvedClaim == ownershipRevision;
     if (m_ownership || mayBeClaimed || !isNewest)
         return false;
--- /dev/null
+++ b/standins/cell/tests/promise_test.cpp
@@ -0,0 +1,55 @@
+#include "testjobs.h"
+
+#include <peermessages.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cowsliprock;
+using namespace cowsliprock::standincell;
+
+namespace {
+
+unsigned requestPromise(World &world, std::uint32_t node, std::uint64_t ownershipRevision)
+{
+    return world
+        .callPeer(node, "/peer/promise/0", encode(cell::PromiseRequest{ ownershipRevision }))
+        .status;
+}
+
+} // namespace
+
+/// Promises of successors not to claim a shard.
+BOOST_AUTO_TEST_SUITE(promises)
+
+BOOST_AUTO_TEST_CASE(promiseToAnEarlierOwnerDoesNotReplaceTheNewestOne)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    const auto revision = world.revision();
+    BOOST_TEST(requestPromise(world, node, revision + 1) == cell::statusOk);
+    BOOST_TEST(requestPromise(world, node, revision) == cell::statusConflict);
+    BOOST_TEST(requestPromise(world, node, revision + 1) == cell::statusOk);
+}
+
+BOOST_AUTO_TEST_CASE(ownerPromisesNothing)
+{
+    World world({});
+    world.run(startTime);
+    BOOST_TEST(requestPromise(world, *world.owner(), world.revision()) == cell::statusConflict);
+}
+
+BOOST_AUTO_TEST_CASE(malformedRequestsAreRefused)
+{
+    World world({});
+    world.run(startTime);
+    const auto node = follower(world);
+    for (const std::string body : { "", "[]", "{}", "{\"ownershipRevision\":\"x\"}" })
+        BOOST_TEST(world.callPeer(node, "/peer/promise/0", body).status == cell::statusBadRequest);
+    const auto body = encode(cell::PromiseRequest{ world.revision() });
+    for (const std::string shard : { "", "1", "-1", "x" })
+        BOOST_TEST(world.callPeer(node, "/peer/promise/" + shard, body).status
+                   == cell::statusBadRequest);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
