Promise again after a claim whose response was lost

A successor whose claim got no response, and that lost against the returning owner, refused all promises for as long as the ownership lasted. In the next outage of the store, however much later, the owner gave up and its tasks ended. A later claim of such a successor also counted its lease from the first claim, and expired at once.

An unresolved claim now counts for 30 s, as calls without a response may be executed seconds later.

--- a/libs/cell/src/election.cpp
+++ b/libs/cell/src/election.cpp
@@ -24,6 +24,9 @@
 /// started together appear within this time.
 constexpr std::chrono::milliseconds smallerShareDelay{ 800 };
 
+/// A claim without a response may be executed within this time.
+constexpr std::chrono::seconds maxClaimDelay{ 30 };
+
 bool contains(const std::vector<Successor> &successors, const MemberRecord &member)
 {
     return std::find(successors.begin(), successors.end(), Successor{ member.name, member.address })
@@ -169,6 +172,11 @@
     claim();
 }
 
+bool Election::isClaimUnresolved(std::uint64_t replacedRevision) const
+{
+    return m_unresolvedClaim == replacedRevision && m_timers.now() < m_unresolvedUntil;
+}
+
 void Election::claim()
 {
     const auto view = m_membership.owner(m_shard);
@@ -186,7 +194,7 @@
     transaction.writes.push_back({ keys::owner(m_shard), encode(record), 0 });
     m_claiming = true;
     const std::uint64_t replacedRevision = view ? view->revision : 0;
-    if (m_unresolvedClaim != replacedRevision)
+    if (!isClaimUnresolved(replacedRevision))
         m_claimSentAt = m_timers.now();
     m_log.write(m_timers.now(), "shard.claiming",
                 { { "shard", m_shard },
@@ -197,8 +205,10 @@
                     replacedRevision](const Result<TransactionOutcome> &outcome) {
                        if (!*alive)
                            return;
-                       if (!outcome.has_value() && mayHaveTakenEffect(outcome.error()))
+                       if (!outcome.has_value() && mayHaveTakenEffect(outcome.error())) {
                            m_unresolvedClaim = replacedRevision;
+                           m_unresolvedUntil = m_timers.now() + maxClaimDelay;
+                       }
                        handleClaimResult(record, outcome);
                    });
 }
@@ -238,7 +248,7 @@
     const auto view = m_membership.owner(m_shard);
     const bool isNewest =
         (!view || view->revision <= ownershipRevision) && m_promisedRevision <= ownershipRevision;
-    const bool mayBeClaimed = m_claiming || m_unresolvedClaim == ownershipRevision;
+    const bool mayBeClaimed = m_claiming || isClaimUnresolved(ownershipRevision);
     if (m_ownership || mayBeClaimed || !isNewest)
         return false;
     if (m_promisedRevision != ownershipRevision || m_promisedUntil <= m_timers.now())
--- a/libs/cell/src/election.h
+++ b/libs/cell/src/election.h
@@ -79,6 +79,8 @@
     [[nodiscard]] Duration claimDelay(const std::optional<OwnerView> &view) const;
     /// Earliest time at which no promise to the owner can be in force.
     [[nodiscard]] TimePoint promisesEnd(const std::optional<OwnerView> &view) const;
+    /// True if a claim that replaces the owner record with this revision may still take effect.
+    [[nodiscard]] bool isClaimUnresolved(std::uint64_t replacedRevision) const;
     void scheduleClaim(const std::optional<OwnerView> &view);
     void claim();
     void handleClaimResult(const OwnerRecord &record, const Result<TransactionOutcome> &outcome);
@@ -98,6 +100,7 @@
     const TimePoint m_startedAt;
     /// Revision of the owner record that a claim with an unknown outcome may still replace.
     std::optional<std::uint64_t> m_unresolvedClaim;
+    TimePoint m_unresolvedUntil{};
     TimePoint m_claimSentAt{}; ///< When the oldest claim that may take effect was sent.
     std::uint64_t m_promisedRevision = 0;
     TimePoint m_promisedUntil{};
--- a/standins/cell/tests/partition_test.cpp
+++ b/standins/cell/tests/partition_test.cpp
@@ -168,6 +168,39 @@
     }
 }
 
+/// A claim that got no response must not keep a successor from promising for good.
+BOOST_AUTO_TEST_CASE(successorPromisesAgainAfterAClaimWithoutResponse)
+{
+    World world(manyNodes());
+    world.run(startTime);
+    const auto owner = *world.owner();
+    world.cutOff({ owner }, {}, true);
+    const auto presence = cell::keys::member("node-" + std::to_string(owner));
+    while (world.store().read(presence))
+        world.run(milliseconds(1));
+    // The claim is lost on its way, and the owner returns.
+    world.setStoreFaultForAll(StoreFault::Reset);
+    world.cutOff({ owner }, {}, false);
+    world.run(seconds(1));
+    world.setStoreFaultForAll(StoreFault::None);
+    world.run(seconds(2));
+    BOOST_REQUIRE(*world.owner() == owner);
+    bool claimed = false;
+    for (const auto successor : successorsOf(world, nodeCount))
+        claimed = claimed || hasLogged(world, successor, "shard.claiming");
+    BOOST_REQUIRE(claimed);
+    world.run(seconds(60));
+    world.submit(owner, jobId(1), batch(6, seconds(40)));
+    world.run(seconds(1));
+    world.setStoreFaultForAll(StoreFault::Refuse);
+    world.run(seconds(20));
+    world.setStoreFaultForAll(StoreFault::None);
+    world.run(seconds(40));
+    BOOST_TEST(world.guarantees().starts() == 6U);
+    BOOST_TEST(*world.owner() == owner);
+    expectCompleted(world, owner, 1);
+}
+
 BOOST_AUTO_TEST_CASE(longStoreOutageEndsNoTaskWhileSuccessorsPromise)
 {
     for (const auto fault : { StoreFault::Refuse, StoreFault::Silent }) {
