Write a presence record only over the one that was seen

Found by the review of the leader lease: a daemon wrote its presence without a condition. A write of its previous process, executed late under a lease that still lived, replaced the record of the new process. The record then named another incarnation than the owner's, which is taken for proof that the owner has ended, so that anybody claimed at once, and it went with the old lease while the new process counted itself present.

The write names the last known revision of the record; after a conflict the stored one is looked at, which may be this process's own.

--- a/libs/cell/src/membership.cpp
+++ b/libs/cell/src/membership.cpp
@@ -125,25 +125,53 @@
 
 void Membership::announce()
 {
+    // The condition keeps out a late write of the previous process of this daemon, or of this one.
     Transaction transaction;
+    transaction.conditions.push_back({ keys::member(m_self.name), m_recordRevision });
     transaction.writes.push_back({ keys::member(m_self.name), encode(m_self), m_lease });
     m_store.commit(
         transaction,
         [this, alive = m_alive, lease = m_lease](const Result<TransactionOutcome> &outcome) {
             if (!*alive || m_leaving || lease != m_lease)
                 return;
-            if (!outcome.has_value()) {
+            if (outcome.has_value())
+                handleAnnounced(outcome.value());
+            else
                 scheduleAnnouncement();
-            } else if (std::holds_alternative<LeaseMissing>(outcome.value())) {
-                leaseLost("lease has expired before the presence record was written");
-            } else if (!std::exchange(m_announced, true)) {
-                ++m_presenceNumber;
-                m_log.write(m_timers.now(), "presence.announced", { { "lease", m_lease } });
-                m_changed();
-            }
         });
 }
 
+void Membership::handleAnnounced(const TransactionOutcome &outcome)
+{
+    if (const auto *committed = std::get_if<Committed>(&outcome))
+        recordAnnounced(committed->revision);
+    else if (const auto *failed = std::get_if<ConditionFailed>(&outcome))
+        retryAnnouncement(failed->present);
+    else
+        leaseLost("lease has expired before the presence record was written");
+}
+
+void Membership::retryAnnouncement(const std::vector<StoreItem> &present)
+{
+    const StoreItem *record = present.empty() ? nullptr : &present.front();
+    m_recordRevision = record == nullptr ? 0 : record->revision;
+    // An earlier write of this process may have taken effect without a response.
+    if (record != nullptr && record->lease == m_lease && record->value == encode(m_self))
+        recordAnnounced(record->revision);
+    else
+        announce();
+}
+
+void Membership::recordAnnounced(std::uint64_t revision)
+{
+    m_recordRevision = revision;
+    if (std::exchange(m_announced, true))
+        return;
+    ++m_presenceNumber;
+    m_log.write(m_timers.now(), "presence.announced", { { "lease", m_lease } });
+    m_changed();
+}
+
 void Membership::scheduleAnnouncement()
 {
     // The lease is kept: a write without a response may still take effect, and its record must not
@@ -217,6 +245,8 @@
             if (!m_members.contains(*name))
                 m_log.write(m_timers.now(), "member.joined",
                             { { "member", *name }, { "revision", item.revision } });
+            if (*name == m_self.name)
+                m_recordRevision = std::max(m_recordRevision, item.revision);
             m_members.insert_or_assign(*name, std::move(*record));
         }
     }
@@ -239,7 +269,9 @@
         m_log.write(m_timers.now(), "member.left",
                     { { "member", *name }, { "revision", revision } });
         m_members.erase(*name);
-        if (*name == m_self.name && m_lease != 0 && !m_leaving) {
+        // A removal that precedes the newest write of the record is outdated.
+        if (*name == m_self.name && m_lease != 0 && !m_leaving && revision > m_recordRevision) {
+            m_recordRevision = 0;
             m_announced = false;
             announce();
         }
--- a/libs/cell/src/membership.h
+++ b/libs/cell/src/membership.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cowsliprock::cell {
 
@@ -84,6 +85,9 @@
 private:
     void obtainLease();
     void announce();
+    void handleAnnounced(const TransactionOutcome &outcome);
+    void retryAnnouncement(const std::vector<StoreItem> &present);
+    void recordAnnounced(std::uint64_t revision);
     void scheduleAnnouncement();
     void keepLease(std::uint64_t lease);
     void leaseKept(TimePoint requestedAt);
@@ -105,7 +109,8 @@
     std::optional<TimePoint> m_reachableSince;
     TimePoint m_observedSince{};
     std::uint64_t m_lease = 0;
-    TimePoint m_renewedAt{}; ///< When the last confirmed renewal of the lease was sent.
+    TimePoint m_renewedAt{};            ///< When the last confirmed renewal of the lease was sent.
+    std::uint64_t m_recordRevision = 0; ///< Last known revision of the presence record.
     std::uint64_t m_presenceNumber = 0;
     bool m_announced = false; ///< The presence record is stored under the lease.
     bool m_renewalOverdue = false;
