Keep the list of successors while their promises are in force

One that was added had promised nothing, and could have claimed the shard as soon as the owner's presence was missing, while the owner still counted on the old promises (up to 2.9 s).

--- a/libs/cell/src/leaderlease.cpp
+++ b/libs/cell/src/leaderlease.cpp
@@ -76,7 +76,7 @@
         return;
     }
     logChange();
-    m_successors.update();
+    updateSuccessors();
     verifyOwnership();
     if (m_exclusiveUntil - m_ports.timers.now() <= promiseLeadTime)
         requestPromises();
@@ -93,6 +93,13 @@
         { { "shard", m_settings.shard }, { "revision", m_settings.ownershipRevision } });
 }
 
+void LeaderLease::updateSuccessors()
+{
+    // A daemon that is added to the list has promised nothing and may claim the shard at once.
+    if (m_ports.timers.now() >= m_promisedUntil)
+        m_successors.update();
+}
+
 void LeaderLease::verifyOwnership()
 {
     const auto presence = m_membership.presenceNumber();
@@ -173,7 +180,8 @@
         return;
     const auto extended = std::min<TimePoint>(finished->sentAt + shortened(promiseTime),
                                               m_confirmedUntil + shortened(maxOwnershipExtension));
-    m_exclusiveUntil = std::max(m_exclusiveUntil, extended);
+    m_promisedUntil = std::max(m_promisedUntil, extended);
+    m_exclusiveUntil = std::max(m_exclusiveUntil, m_promisedUntil);
     logChange();
 }
 
--- a/libs/cell/src/leaderlease.h
+++ b/libs/cell/src/leaderlease.h
@@ -78,6 +78,7 @@
     void check();
     void refresh();
     void logChange();
+    void updateSuccessors();
     void verifyOwnership();
     void handleOwnerRecord(std::uint64_t presence, const Result<std::optional<StoreItem>> &item);
     void requestPromises();
@@ -92,7 +93,8 @@
     SuccessorList m_successors;
     /// Presence record during which the store has shown that this daemon is still the owner.
     std::uint64_t m_verifiedPresence = 0;
-    TimePoint m_confirmedUntil; ///< As far as the store has confirmed it.
+    TimePoint m_confirmedUntil;  ///< As far as the store has confirmed it.
+    TimePoint m_promisedUntil{}; ///< As far as the successors have promised it.
     TimePoint m_exclusiveUntil;
     std::shared_ptr<PromiseRound> m_round; ///< Set while promises are requested.
     bool m_verifying = false;
--- a/standins/cell/tests/promise_test.cpp
+++ b/standins/cell/tests/promise_test.cpp
@@ -6,6 +6,8 @@
 
 using namespace cowsliprock;
 using namespace cowsliprock::standincell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -39,6 +41,26 @@
     BOOST_TEST(requestPromise(world, *world.owner(), world.revision()) == cell::statusConflict);
 }
 
+BOOST_AUTO_TEST_CASE(successorsAreNotReplacedWhileTheirPromisesAreInForce)
+{
+    constexpr std::uint32_t nodes = 5;
+    World::Settings settings;
+    settings.nodes = nodes;
+    World world(settings);
+    world.run(startTime);
+    const auto successors = successorsOf(world, nodes);
+    world.setStoreFaultForAll(StoreFault::Refuse);
+    world.store().pauseLeases(false);
+    world.run(seconds(4));
+    // The owner relies on promises for 600 ms at least: it asks for new ones 900 ms in advance.
+    world.setStoreFaultForAll(StoreFault::None);
+    world.kill(*successors.begin());
+    world.run(milliseconds(500));
+    BOOST_TEST((successorsOf(world, nodes) == successors));
+    world.run(seconds(3));
+    BOOST_TEST((successorsOf(world, nodes) != successors));
+}
+
 BOOST_AUTO_TEST_CASE(malformedRequestsAreRefused)
 {
     World world({});
