Experiments: partition daemons and workers from store and each other

No plan could separate a daemon from a part of the workers or from other daemons: all daemons reached a worker through the same proxy, and each other directly. So no run of real processes showed tasks that run twice when an owner is cut off together with some workers.

Daemons now reach each other through proxies, by advertise.control. A proxy finds the daemon behind a connection with procfs, so that all daemons keep the same addresses of the workers. The fault kinds ownerPartitioned and groupPartitioned hold the connections between two groups and the store: data of open connections arrives when the partition ends, connections begun meanwhile are reset then, as TCP does. Discovery entries of separated workers expire. Policy service and clients are reached from both sides; workers of a gang meet each other directly. Each random plan gets one partition of 4 to 16 s; its other faults are those drawn before.

randomPlansCoverEveryFaultKind expects the two new kinds as well.

--- a/apps/experiment/include/experiment/cell.h
+++ b/apps/experiment/include/experiment/cell.h
@@ -3,6 +3,7 @@
 #include <experiment/daemonprocess.h>
 #include <experiment/faultproxy.h>
 #include <experiment/plan.h>
+#include <experiment/socketowners.h>
 
 #include <standincell/storemodel.h>
 #include <standincell/workermodel.h>
@@ -18,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -100,6 +102,16 @@
     /// Drops the bytes that a daemon exchanges with the store in one direction.
     void cutStoreLink(std::uint32_t daemon, Direction direction, bool dropping);
 
+    /// Daemons and workers on the side of a partition without the store.
+    struct Group
+    {
+        std::set<std::uint32_t> daemons;
+        std::set<std::uint32_t> workers;
+    };
+    /// Separates a group from the store and from all other daemons and workers. Clients reach the
+    /// daemons on both sides. Has no effect while another partition lasts.
+    void partition(const Group &group, Duration duration);
+
     /// Publishes the configuration under a new version; its content stays the same.
     void changeConfiguration();
 
@@ -126,6 +138,15 @@
     void writeSettings(const Daemon &daemon) const;
     /// Writes the discovery entry of a worker to the store.
     void publish(Worker &worker);
+    /// Holds the connections of daemons on the other side than a server.
+    void holdAcrossPartition(FaultProxy &proxy, bool isolated);
+    /// True if the client of a connection is a daemon of the isolated group. Null if unknown.
+    [[nodiscard]] std::optional<bool> isIsolatedClient(const SocketAddress &client,
+                                                       const SocketAddress &proxy) const;
+    [[nodiscard]] SocketOwners findSocketOwners() const;
+    void healPartition();
+    /// Removes the discovery entry of a worker that is still silent or isolated after some time.
+    void expireDiscovery(Worker &worker);
     template <typename Action>
     void forEachLink(const Action &action);
     void reapDaemons();
@@ -147,6 +168,8 @@
     std::vector<std::unique_ptr<Worker>> m_workers;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
     std::vector<std::string> m_unexpectedExits;
+    std::optional<Group> m_isolated; ///< Set while a partition lasts.
+    SocketOwners m_socketOwners;     ///< Of the connections that were open when it began.
     std::uint64_t m_version = 0;
     bool m_stopping = false;
 };
--- a/apps/experiment/include/experiment/daemonprocess.h
+++ b/apps/experiment/include/experiment/daemonprocess.h
@@ -41,6 +41,9 @@
 
     [[nodiscard]] bool isRunning() const noexcept { return m_pid > 0; }
 
+    /// Process ID, or 0 if the process is not running.
+    [[nodiscard]] pid_t id() const noexcept { return m_pid; }
+
     /// Sends a signal to the process, if it is running.
     void signal(int number) const noexcept;
 
--- a/apps/experiment/include/experiment/faultproxy.h
+++ b/apps/experiment/include/experiment/faultproxy.h
@@ -5,6 +5,7 @@
 #include <eventloop/http.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace cowsliprock {
@@ -42,6 +43,17 @@
     /// affected.
     void silenceConnections();
 
+    /// Returns true for connections to hold, given the client's end and the proxy's end.
+    using HoldRule = std::function<bool(const SocketAddress &client, const SocketAddress &proxy)>;
+
+    /// Holds the data of connections selected by \p rule in both directions, as a network partition
+    /// does. The rule is called once for each open connection, and for each new one.
+    void holdConnections(HoldRule rule);
+
+    /// Forwards the held data, as TCP does when a partition heals. Connections that were opened
+    /// while they were held are reset, because they had not been established.
+    void releaseConnections();
+
     /// Bytes forwarded so far.
     [[nodiscard]] std::uint64_t bytes(Direction direction) const noexcept;
     /// Connections accepted so far.
--- a/apps/experiment/include/experiment/plan.h
+++ b/apps/experiment/include/experiment/plan.h
@@ -58,7 +58,9 @@
     LinksReset,
     LinksSilenced,
     LinksDelayed,
-    LinkCutOneWay, ///< Between a daemon and the store.
+    LinkCutOneWay,    ///< Between a daemon and the store.
+    OwnerPartitioned, ///< Separates the owner and half of the workers from store and all others.
+    GroupPartitioned, ///< Separates some daemons and workers from store and all others.
 };
 
 /// Name of a kind in a plan document.
--- a/apps/experiment/src/cell.cpp
+++ b/apps/experiment/src/cell.cpp
@@ -125,6 +125,9 @@
         std::make_unique<FaultProxy>(m_loop, SocketAddress{ daemon->ip, clientPort });
     BOOST_OUTCOME_TRY(frontAddress, daemon->clientProxy->listen(anyPort));
     daemon->frontAddress = frontAddress;
+    daemon->peerProxy = std::make_unique<FaultProxy>(m_loop, SocketAddress{ daemon->ip, peerPort });
+    BOOST_OUTCOME_TRY(peerAddress, daemon->peerProxy->listen(anyPort));
+    daemon->advertisedPeerAddress = peerAddress;
     const auto file = [this, &daemon](const char *suffix) {
         return (m_paths.folder / (daemon->name + suffix)).string();
     };
@@ -148,6 +151,7 @@
           { { "front", addressOf(clientPort) },
             { "ready", addressOf(readyPort) },
             { "control", addressOf(peerPort) } } },
+        { "advertise", { { "control", daemon.advertisedPeerAddress.text() } } },
         { "platform", { { "address", daemon.storeAddress.text() } } },
         { "advice", daemon.adviceAddress.text() },
         { "limits", { { "cpu_share", 1.0 }, { "cores", 1 } } },
@@ -159,6 +163,8 @@
 
 void Cell::publish(Worker &worker)
 {
+    if (worker.isolated)
+        return;
     m_store.put(workerKey(worker.model->id()),
                 workerDocument(*worker.model, worker.address, worker.draining));
 }
--- a/apps/experiment/src/cellfaults.cpp
+++ b/apps/experiment/src/cellfaults.cpp
@@ -63,8 +63,13 @@
         publish(worker);
         return;
     }
+    expireDiscovery(worker);
+}
+
+void Cell::expireDiscovery(Worker &worker)
+{
     m_loop.after(discoveryExpiry, [this, &worker] {
-        if (worker.fault == WorkerFault::Silent)
+        if (worker.fault == WorkerFault::Silent || worker.isolated)
             m_store.remove(workerKey(worker.model->id()));
     });
 }
--- a/apps/experiment/src/cellparts.h
+++ b/apps/experiment/src/cellparts.h
@@ -19,6 +19,7 @@
     std::unique_ptr<FaultProxy> proxy;
     std::string address;
     bool draining = false;
+    bool isolated = false; ///< Separated from the store by a partition.
     standincell::WorkerFault fault = standincell::WorkerFault::Healthy;
 };
 
@@ -31,8 +32,10 @@
     std::unique_ptr<standincell::AdviceServer> advice;
     std::unique_ptr<FaultProxy> storeProxy;
     std::unique_ptr<FaultProxy> clientProxy;
+    std::unique_ptr<FaultProxy> peerProxy;
     std::unique_ptr<DaemonProcess> process;
     SocketAddress frontAddress;
+    SocketAddress advertisedPeerAddress;
     SocketAddress storeAddress;
     SocketAddress adviceAddress;
     std::uint32_t failedProbes = 0; ///< Consecutive failures of the readiness probe.
--- a/apps/experiment/src/faultinjector.cpp
+++ b/apps/experiment/src/faultinjector.cpp
@@ -2,6 +2,7 @@
 
 #include <eventloop/eventloop.h>
 
+#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <utility>
@@ -81,7 +82,29 @@
     case FaultKind::LinkCutOneWay:
         injectLinkFault(fault, daemon);
         return;
+    case FaultKind::OwnerPartitioned:
+    case FaultKind::GroupPartitioned:
+        injectPartition(fault, daemon);
+        return;
+    }
+}
+
+void FaultInjector::injectPartition(const Fault &fault, std::uint32_t daemon)
+{
+    Cell::Group group;
+    for (std::uint32_t worker = 0; worker < m_cell.workers(); ++worker) {
+        if ((worker + fault.target) % 2 == 0)
+            group.workers.insert(worker);
+    }
+    if (fault.kind == FaultKind::OwnerPartitioned) {
+        group.daemons.insert(ownerOr(daemon));
+    } else {
+        // One daemon up to all but one.
+        const auto size = 1 + fault.target / m_cell.daemons() % std::max(1U, m_cell.daemons() - 1);
+        for (std::uint32_t offset = 0; offset < size; ++offset)
+            group.daemons.insert((daemon + offset) % m_cell.daemons());
     }
+    m_cell.partition(group, fault.duration);
 }
 
 void FaultInjector::injectDaemonFault(const Fault &fault, std::uint32_t daemon)
--- a/apps/experiment/src/faultinjector.h
+++ b/apps/experiment/src/faultinjector.h
@@ -28,6 +28,7 @@
     void injectStoreFault(const Fault &fault, std::uint32_t daemon);
     void injectWorkerFault(const Fault &fault, std::uint32_t worker);
     void injectLinkFault(const Fault &fault, std::uint32_t daemon);
+    void injectPartition(const Fault &fault, std::uint32_t daemon);
     void pauseDaemon(std::uint32_t daemon, Duration duration);
     /// Calls \p recover after the duration of \p fault.
     void scheduleRecovery(const Fault &fault, std::function<void()> recover);
--- a/apps/experiment/src/faultproxy.cpp
+++ b/apps/experiment/src/faultproxy.cpp
@@ -29,6 +29,11 @@
     return { asio::ip::make_address_v4(address.ip), address.port };
 }
 
+SocketAddress toAddress(const tcp::endpoint &endpoint)
+{
+    return { endpoint.address().to_string(), endpoint.port() };
+}
+
 } // namespace
 
 struct FaultProxy::State
@@ -43,8 +48,10 @@
     SocketAddress target;
     tcp::acceptor acceptor;
     std::vector<std::weak_ptr<Link>> links;
+    std::vector<std::shared_ptr<Link>> heldLinks;
     Duration delay{};
     std::array<bool, 2> dropping{};
+    HoldRule isHeld; ///< Null if no connections are held.
     std::array<std::uint64_t, 2> bytes{};
     std::uint64_t connections = 0;
 
@@ -62,6 +69,10 @@
 
     void start()
     {
+        hold();
+        if (m_held)
+            return;
+        m_connected = true;
         m_sides[1].async_connect(
             toEndpoint(m_proxy->target),
             [self = shared_from_this()](const boost::system::error_code &error) {
@@ -79,6 +90,35 @@
 
     void silence() noexcept { m_silent = true; }
 
+    /// Holds this connection if the rule of the proxy selects it.
+    void hold()
+    {
+        boost::system::error_code error;
+        const auto client = m_sides[0].remote_endpoint(error);
+        if (error)
+            return;
+        const auto proxy = m_sides[0].local_endpoint(error);
+        m_held = !error && m_proxy->isHeld && m_proxy->isHeld(toAddress(client), toAddress(proxy));
+    }
+
+    [[nodiscard]] bool isHeld() const noexcept { return m_held; }
+
+    void release()
+    {
+        if (!std::exchange(m_held, false))
+            return;
+        if (!m_connected) {
+            reset();
+            return;
+        }
+        for (const auto direction : { Direction::ToServer, Direction::ToClient }) {
+            if (const auto size = std::exchange(m_heldBytes[indexOf(direction)], 0); size > 0)
+                forward(direction, size);
+        }
+        if (m_ended)
+            close();
+    }
+
     void reset()
     {
         for (auto &side : m_sides) {
@@ -97,6 +137,15 @@
         }
     }
 
+    /// The end of a connection is not seen by its other side while the connection is held.
+    void handleEnd()
+    {
+        if (m_held)
+            m_ended = true;
+        else
+            close();
+    }
+
     void read(Direction direction)
     {
         auto &buffer = m_buffers[indexOf(direction)];
@@ -105,7 +154,7 @@
                              [self = shared_from_this(),
                               direction](const boost::system::error_code &error, std::size_t size) {
                                  if (error)
-                                     self->close();
+                                     self->handleEnd();
                                  else
                                      self->forward(direction, size);
                              });
@@ -113,6 +162,10 @@
 
     void forward(Direction direction, std::size_t size)
     {
+        if (m_held) {
+            m_heldBytes[indexOf(direction)] = size;
+            return;
+        }
         if (m_silent || m_proxy->dropping[indexOf(direction)]) {
             read(direction);
             return;
@@ -142,6 +195,10 @@
     std::shared_ptr<State> m_proxy;
     std::array<tcp::socket, 2> m_sides; ///< Client and server.
     std::array<std::array<char, bufferBytes>, 2> m_buffers{};
+    std::array<std::size_t, 2> m_heldBytes{}; ///< Bytes of the buffers to forward on release.
+    bool m_connected = false;                 ///< A connection to the server was begun.
+    bool m_held = false;
+    bool m_ended = false; ///< A side closed the connection while it was held.
     bool m_silent = false;
 };
 
@@ -157,6 +214,9 @@
                 std::erase_if(state->links, [](const auto &one) { return one.expired(); });
                 state->links.push_back(link);
                 link->start();
+                // No pending operation keeps a held link alive.
+                if (link->isHeld())
+                    state->heldLinks.push_back(std::move(link));
             }
             acceptNext(state);
         });
@@ -168,6 +228,7 @@
 
 FaultProxy::~FaultProxy()
 {
+    m_state->heldLinks.clear();
     boost::system::error_code ignored;
     m_state->acceptor.close(ignored);
 }
@@ -206,6 +267,24 @@
     }
 }
 
+void FaultProxy::holdConnections(HoldRule rule)
+{
+    m_state->isHeld = std::move(rule);
+    for (const auto &link : m_state->links) {
+        if (const auto open = link.lock()) {
+            open->hold();
+            m_state->heldLinks.push_back(open);
+        }
+    }
+}
+
+void FaultProxy::releaseConnections()
+{
+    m_state->isHeld = nullptr;
+    for (const auto &link : std::exchange(m_state->heldLinks, {}))
+        link->release();
+}
+
 std::uint64_t FaultProxy::bytes(Direction direction) const noexcept
 {
     return m_state->bytes[indexOf(direction)];
--- a/apps/experiment/src/plan.cpp
+++ b/apps/experiment/src/plan.cpp
@@ -48,6 +48,8 @@
     FaultName{ FaultKind::LinksSilenced, "linksSilenced" },
     FaultName{ FaultKind::LinksDelayed, "linksDelayed" },
     FaultName{ FaultKind::LinkCutOneWay, "linkCutOneWay" },
+    FaultName{ FaultKind::OwnerPartitioned, "ownerPartitioned" },
+    FaultName{ FaultKind::GroupPartitioned, "groupPartitioned" },
 };
 
 FaultKind faultKind(const std::string &name)
--- a/apps/experiment/src/planschema.cpp
+++ b/apps/experiment/src/planschema.cpp
@@ -72,7 +72,7 @@
               "storeWritesLate", "storeForgets", "workerCrashed", "workerSilent",
               "workerOrdersLate", "workerLosesAnswers", "workerRefuses", "workerLeaves",
               "configurationChanged", "linksReset", "linksSilenced", "linksDelayed",
-              "linkCutOneWay"
+              "linkCutOneWay", "ownerPartitioned", "groupPartitioned"
             ]
           },
           "atMs": { "$ref": "#/definitions/time" },
--- a/apps/experiment/src/randomplan.cpp
+++ b/apps/experiment/src/randomplan.cpp
@@ -9,7 +9,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t lastFaultKind = static_cast<std::uint32_t>(FaultKind::LinkCutOneWay);
+/// Last kind of the faults that are short and may overlap; partitions follow.
+constexpr std::uint32_t lastShortFaultKind = static_cast<std::uint32_t>(FaultKind::LinkCutOneWay);
 
 class RandomValues
 {
@@ -31,13 +32,26 @@
     Fault fault(Duration at)
     {
         Fault result;
-        result.kind = static_cast<FaultKind>(integer(0, lastFaultKind));
+        result.kind = static_cast<FaultKind>(integer(0, lastShortFaultKind));
         result.at = at;
         result.duration = duration(300, 4000);
         result.target = integer(0, 1000);
         return result;
     }
 
+    /// A partition that is longer than the leases of store and workers and ends long before the
+    /// settling time does.
+    Fault partition()
+    {
+        Fault result;
+        result.kind =
+            integer(0, 1) == 0 ? FaultKind::OwnerPartitioned : FaultKind::GroupPartitioned;
+        result.at = duration(1000, 10'000);
+        result.duration = duration(4000, 16'000);
+        result.target = integer(0, 1000);
+        return result;
+    }
+
 private:
     std::mt19937 m_random;
 };
@@ -88,6 +102,7 @@
     for (Duration at = random.duration(500, 2000); at < plan.length;
          at += random.duration(100, 1800))
         plan.faults.push_back(random.fault(at));
+    plan.faults.push_back(random.partition());
     return plan;
 }
 
--- a/apps/experiment/tests/experiment_test.cpp
+++ b/apps/experiment/tests/experiment_test.cpp
@@ -1,5 +1,6 @@
 #include <experiment/faultproxy.h>
 #include <experiment/plan.h>
+#include <experiment/socketowners.h>
 
 #include <eventloop/eventloop.h>
 #include <eventloop/httpclient.h>
@@ -8,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <set>
+#include <unistd.h>
 
 using namespace cowsliprock;
 using namespace cowsliprock::experiment;
@@ -94,6 +96,39 @@
     BOOST_TEST((answered(outcome) || !std::get<HttpFailure>(outcome).timedOut));
 }
 
+// Guards against partitions that lose data of open connections or let new connections through.
+BOOST_FIXTURE_TEST_CASE(heldDataArrivesAfterRelease, Fixture)
+{
+    BOOST_TEST(answered(call()));
+    proxy->holdConnections([](const auto &, const auto &) { return true; });
+    loop.after(200ms, [this] { proxy->releaseConnections(); });
+    BOOST_TEST(answered(call()));
+    BOOST_TEST(served == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(heldNewConnectionIsResetOnRelease, Fixture)
+{
+    proxy->holdConnections([](const auto &, const auto &) { return true; });
+    loop.after(200ms, [this] { proxy->releaseConnections(); });
+    BOOST_TEST(!answered(call()));
+    BOOST_TEST(served == 0);
+    BOOST_TEST(answered(call()));
+}
+
+BOOST_FIXTURE_TEST_CASE(connectionsThatTheRuleDoesNotSelectAreForwarded, Fixture)
+{
+    SocketAddress clientEnd;
+    proxy->holdConnections([&](const SocketAddress &from, const SocketAddress &to) {
+        clientEnd = from;
+        BOOST_TEST((to == address));
+        return false;
+    });
+    BOOST_TEST(answered(call()));
+    const auto other = SocketOwners({ getpid() + 1 }).find(clientEnd, address);
+    BOOST_TEST((other == std::nullopt));
+    BOOST_TEST((SocketOwners({ getpid() }).find(clientEnd, address) == getpid()));
+}
+
 // Guards against a random plan whose written document cannot be run again: formatPlan() and
 // parsePlan() must agree on all fields.
 BOOST_AUTO_TEST_CASE(randomPlanRoundTripsThroughItsDocument)
@@ -113,7 +148,7 @@
         for (const auto &fault : randomPlan(seed, 1).faults)
             kinds.insert(fault.kind);
     }
-    BOOST_TEST(kinds.size() == static_cast<std::size_t>(FaultKind::LinkCutOneWay) + 1);
+    BOOST_TEST(kinds.size() == static_cast<std::size_t>(FaultKind::GroupPartitioned) + 1);
 }
 
 BOOST_AUTO_TEST_CASE(allErrorsOfAPlanAreReportedTogether)
