Tests: workers that change their capacity while they run

The simulated cell kept the capacity of a worker for its whole life, so LIMIT was never checked against a capacity that shrinks. World::setWorkerCapacity() changes it and the entry in the store; GuaranteeChecker applies a lower capacity 5.5 s after the change (contact time and one heartbeat) to the time at which an order was sent.

--- a/apps/experiment/include/experiment/measurements.h
+++ b/apps/experiment/include/experiment/measurements.h
@@ -40,6 +40,7 @@
                  const Resources &heldBefore, const Resources &capacity) override;
     void ended(const std::string &worker, const cell::FinishedTask &end) override;
     void acknowledged(const std::string &worker, const cell::FinishedTask &end) override;
+    void capacityChanged(const std::string &worker, const Resources &former) override;
     void crashed(const std::string &worker) override;
 
     [[nodiscard]] std::uint64_t jobsAccepted() const noexcept { return m_accepted; }
--- a/apps/experiment/src/measurements.cpp
+++ b/apps/experiment/src/measurements.cpp
@@ -139,6 +139,11 @@
     m_guarantees.acknowledged(worker, end);
 }
 
+void Measurements::capacityChanged(const std::string &worker, const Resources &former)
+{
+    m_guarantees.capacityChanged(worker, former);
+}
+
 void Measurements::crashed(const std::string &worker)
 {
     m_guarantees.crashed(worker);
--- a/standins/cell/include/standincell/guaranteechecker.h
+++ b/standins/cell/include/standincell/guaranteechecker.h
@@ -36,6 +36,7 @@
                  const Resources &heldBefore, const Resources &capacity) override;
     void ended(const std::string &worker, const cell::FinishedTask &end) override;
     void acknowledged(const std::string &worker, const cell::FinishedTask &end) override;
+    void capacityChanged(const std::string &worker, const Resources &former) override;
     void crashed(const std::string &worker) override;
 
     /// One line per violated guarantee.
@@ -77,6 +78,16 @@
         cell::TaskId lastStartedTask;
     };
 
+    struct FormerCapacity
+    {
+        Resources capacity;
+        TimePoint until{};
+    };
+
+    /// True if the resources fit in the capacity of the worker, or in one that it had shortly
+    /// before the order was sent.
+    [[nodiscard]] bool fits(const std::string &worker, const Resources &held,
+                            const Resources &capacity) const;
     void addViolation(const char *guarantee, const cell::TaskId &task, const std::string &detail);
     /// The members of a gang belong together: no member may run beside one of another run.
     void checkGangRuns(const cell::TaskId &member, std::uint32_t run);
@@ -95,6 +106,7 @@
     /// Current runs of each task, as pairs of worker and run.
     std::map<cell::TaskId, std::set<std::pair<std::string, std::uint32_t>>> m_running;
     std::map<std::pair<cell::TaskId, std::uint32_t>, TimePoint> m_endTimes;
+    std::map<std::string, std::vector<FormerCapacity>> m_formerCapacities;
     std::optional<TimePoint> m_orderTime;
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
--- a/standins/cell/include/standincell/workermodel.h
+++ b/standins/cell/include/standincell/workermodel.h
@@ -34,6 +34,7 @@
     virtual void ended(const std::string &worker, const cell::FinishedTask &end) = 0;
     /// Called when an end was acknowledged under a valid lease; the worker may discard it.
     virtual void acknowledged(const std::string &worker, const cell::FinishedTask &end) = 0;
+    virtual void capacityChanged(const std::string &worker, const Resources &former) = 0;
     /// Called when the worker has lost all its tasks and state.
     virtual void crashed(const std::string &worker) = 0;
 };
@@ -70,6 +71,9 @@
     /// Sets the speed of all tasks relative to normal; 0 stalls them.
     void setSpeed(double speed);
 
+    /// Changes the capacity. Tasks that no longer fit go on running.
+    void setCapacity(const Resources &capacity);
+
     /// Discards all state and begins a new generation, as after a restart.
     void crash();
 
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -86,6 +86,9 @@
                 bool cut);
     /// Sets the speed of the worker relative to normal; 0 stalls its tasks.
     void setWorkerSpeed(std::uint32_t worker, double speed);
+    /// Changes the capacity of the worker and its store entry; a worker without a path to the store
+    /// publishes the change when it is reconnected.
+    void setWorkerCapacity(std::uint32_t worker, const Resources &capacity);
     void crashWorker(std::uint32_t worker);
     /// Crashes the worker; after \p downtime another one takes its place at its address.
     void replaceWorker(std::uint32_t worker, Duration downtime);
--- a/standins/cell/src/guaranteechecker.cpp
+++ b/standins/cell/src/guaranteechecker.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t crashesBeforeLimit = 3;
 /// Number of further starts that breaks the limit.
 constexpr std::uint32_t startsBeyondLimit = 3;
+/// Time after the shrinking of a worker from which its lower capacity limits new tasks: the contact
+/// time of 4 s and one heartbeat of the worker.
+constexpr std::chrono::milliseconds shrunkCapacityDelay{ 5500 };
 
 } // namespace
 
@@ -96,6 +99,28 @@
         m_violations.push_back("LOST " + id);
 }
 
+void GuaranteeChecker::capacityChanged(const std::string &worker, const Resources &former)
+{
+    m_formerCapacities[worker].push_back({ former, m_timers.now() });
+}
+
+bool GuaranteeChecker::fits(const std::string &worker, const Resources &held,
+                            const Resources &capacity) const
+{
+    auto limit = capacity;
+    const auto ordered = m_orderTime.value_or(m_timers.now());
+    if (const auto formers = m_formerCapacities.find(worker); formers != m_formerCapacities.end()) {
+        for (const auto &[former, until] : formers->second) {
+            if (ordered - until > shrunkCapacityDelay)
+                continue;
+            limit = { std::max(limit.cpuMillis, former.cpuMillis),
+                      std::max(limit.memoryMb, former.memoryMb),
+                      std::max(limit.accelerators, former.accelerators) };
+        }
+    }
+    return held.fitsIn(limit);
+}
+
 void GuaranteeChecker::crashed(const std::string &worker)
 {
     for (auto &[task, runs] : m_running) {
@@ -153,7 +178,7 @@
         addViolation("UNASKED", task, "the step was not submitted");
         return;
     }
-    if (!(heldBefore + job.spec.steps[task.step].amount).fitsIn(capacity))
+    if (!fits(worker, heldBefore + job.spec.steps[task.step].amount, capacity))
         addViolation("LIMIT", task, "on " + worker);
     auto &runs = m_running[task];
     // Copies may run concurrently where the step allows them.
--- a/standins/cell/src/workermodel.cpp
+++ b/standins/cell/src/workermodel.cpp
@@ -1,6 +1,7 @@
 #include <standincell/workermodel.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cowsliprock::standincell {
 
@@ -96,6 +97,12 @@
     return OrderAccepted{ clock() };
 }
 
+void WorkerModel::setCapacity(const Resources &capacity)
+{
+    const auto former = std::exchange(m_settings.capacity, capacity);
+    m_observer.capacityChanged(m_settings.id, former);
+}
+
 void WorkerModel::setSpeed(double speed)
 {
     for (auto &[key, running] : m_running)
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -294,6 +294,14 @@
     m_workers.at(index)->model->setSpeed(speed);
 }
 
+void World::setWorkerCapacity(std::uint32_t index, const Resources &capacity)
+{
+    auto &slot = *m_workers.at(index);
+    slot.model->setCapacity(capacity);
+    if (!slot.isolated && !slot.cutFromStore)
+        publishWorker(slot);
+}
+
 void World::removeWorker(std::uint32_t index)
 {
     auto &slot = *m_workers.at(index);
--- a/standins/cellhttp/tests/cellhttp_test.cpp
+++ b/standins/cellhttp/tests/cellhttp_test.cpp
@@ -61,6 +61,7 @@
     }
     void ended(const std::string & /*worker*/, const FinishedTask & /*end*/) override { }
     void acknowledged(const std::string & /*worker*/, const FinishedTask & /*end*/) override { }
+    void capacityChanged(const std::string & /*worker*/, const Resources & /*former*/) override { }
     void crashed(const std::string & /*worker*/) override { }
     int starts = 0;
 };
