Start no tasks on a worker that has shrunk below its tasks

A worker that had shrunk below what it runs in one resource still received tasks that need nothing of that resource: with two accelerators in use and a capacity of one, a task without accelerators was started (LIMIT). Placement counted a demand of zero as unlimited slots, even where less than nothing was free.

--- a/libs/cell/src/placement.cpp
+++ b/libs/cell/src/placement.cpp
@@ -166,6 +166,9 @@
 
 std::uint32_t availableSlots(const Worker &worker, const StepDemand &demand)
 {
+    // A worker that has shrunk below its tasks receives no others, whatever they need.
+    if (!worker.held.fitsIn(worker.entry.capacity))
+        return 0;
     Resources free = worker.free();
     if (demand.reservations != nullptr)
         free -= demand.reservations->amountSetAside(worker.entry.id);
--- a/standins/cell/tests/capacity_test.cpp
+++ b/standins/cell/tests/capacity_test.cpp
@@ -81,6 +81,26 @@
     expectCompleted(world, 0, 2);
 }
 
+/// A task that needs nothing of the resource that is overcommitted is a start over the capacity.
+BOOST_AUTO_TEST_CASE(overcommittedWorkerReceivesNoTasksThatNeedOtherResources)
+{
+    auto settings = workers(1);
+    settings.workerCapacity.accelerators = 2;
+    World world(settings);
+    world.run(startTime);
+    auto accelerated = batch(2, seconds(15));
+    accelerated.spec.steps.front().amount.accelerators = 1;
+    world.submit(0, jobId(1), accelerated);
+    world.run(seconds(1));
+    auto capacity = settings.workerCapacity;
+    capacity.accelerators = 1;
+    world.setWorkerCapacity(0, capacity);
+    world.run(shrunkTime);
+    world.submit(0, jobId(2), batch(1, seconds(1)));
+    world.run(seconds(30));
+    expectCompleted(world, 0, 2);
+}
+
 BOOST_AUTO_TEST_CASE(workersShrinkWhileStartsAreInFlight)
 {
     World world(workers(4));
