Renew promises of successors early enough for a restart

In an outage of the store the owner renewed the promises when 0.9 s were left. A successor that was away for longer than that was often missed, and the owner gave up, since the promise of a process that is younger than the lapse does not count.

Promises are now renewed when 2 s are left. Test: partition/outageEndsNoTaskWhenASuccessorRestartsSoon.

--- a/libs/cell/src/leaderlease.cpp
+++ b/libs/cell/src/leaderlease.cpp
@@ -14,6 +14,8 @@
 /// Promises are requested when the lease ends within this time; two renewals of the presence have
 /// not been confirmed then.
 constexpr std::chrono::milliseconds promiseLeadTime{ 900 };
+/// Promises are renewed when they end within this time, so that a successor can restart meanwhile.
+constexpr std::chrono::milliseconds promiseRenewalTime{ 2000 };
 constexpr std::chrono::milliseconds checkInterval{ 250 };
 constexpr std::chrono::milliseconds promiseTimeout{ 700 };
 
@@ -60,9 +62,15 @@
     m_exclusiveUntil = std::max(m_exclusiveUntil, m_confirmedUntil);
 }
 
+Duration LeaderLease::leadTime() const
+{
+    const bool promised = m_exclusiveUntil > m_confirmedUntil;
+    return promised ? promiseRenewalTime : promiseLeadTime;
+}
+
 void LeaderLease::scheduleCheck()
 {
-    const Duration untilPromises = m_exclusiveUntil - promiseLeadTime - m_ports.timers.now();
+    const Duration untilPromises = m_exclusiveUntil - leadTime() - m_ports.timers.now();
     m_ports.timers.after(std::max<Duration>(untilPromises, checkInterval), [this, alive = m_alive] {
         if (*alive)
             check();
@@ -78,7 +86,7 @@
     logChange();
     updateSuccessors();
     verifyOwnership();
-    if (m_exclusiveUntil - m_ports.timers.now() <= promiseLeadTime)
+    if (m_exclusiveUntil - m_ports.timers.now() <= leadTime())
         requestPromises();
     scheduleCheck();
 }
--- a/libs/cell/src/leaderlease.h
+++ b/libs/cell/src/leaderlease.h
@@ -74,6 +74,7 @@
         bool refused = false;
     };
 
+    [[nodiscard]] Duration leadTime() const;
     void scheduleCheck();
     void check();
     void refresh();
--- a/standins/cell/tests/partition_test.cpp
+++ b/standins/cell/tests/partition_test.cpp
@@ -201,6 +201,31 @@
     expectCompleted(world, owner, 1);
 }
 
+/// A short restart of a successor during an outage of the store must not end the ownership.
+BOOST_AUTO_TEST_CASE(outageEndsNoTaskWhenASuccessorRestartsSoon)
+{
+    for (int phase = 0; phase < 20; ++phase) {
+        BOOST_TEST_CONTEXT("phase " << phase)
+        {
+            World world(manyNodes());
+            world.run(startTime);
+            const auto owner = *world.owner();
+            const auto successor = *successorsOf(world, nodeCount).begin();
+            world.submit(owner, jobId(1), batch(6, seconds(60)));
+            world.run(seconds(1));
+            world.setStoreFaultForAll(StoreFault::Refuse);
+            world.run(seconds(6) + phase * milliseconds(150));
+            world.kill(successor);
+            world.run(milliseconds(1750));
+            world.start(successor);
+            world.run(seconds(15));
+            world.setStoreFaultForAll(StoreFault::None);
+            world.run(seconds(20));
+            BOOST_TEST(world.guarantees().starts() == 6U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(longStoreOutageEndsNoTaskWhileSuccessorsPromise)
 {
     for (const auto fault : { StoreFault::Refuse, StoreFault::Silent }) {
