Tests: capacities that change while an owner or a worker is cut off

An owner that reaches only the workers, and a worker that cannot report its new capacity, show no violation of LIMIT. The exploration draws both, and accelerators.

--- a/standins/cell/tests/capacity_test.cpp
+++ b/standins/cell/tests/capacity_test.cpp
@@ -48,6 +48,16 @@
         world.isolateWorkerFrom(node, worker, false);
 }
 
+/// Cuts the node off from the store and from all other nodes, but not from the workers.
+void cutOffFromPeers(World &world, std::uint32_t nodes, std::uint32_t node, bool cut)
+{
+    world.setStoreFault(node, cut ? StoreFault::Silent : StoreFault::None);
+    for (std::uint32_t other = 0; other < nodes; ++other) {
+        world.cutLink(node, other, cut);
+        world.cutLink(other, node, cut);
+    }
+}
+
 } // namespace
 
 /// Workers that change their capacity while they run. Too many tasks on a worker violate LIMIT.
@@ -205,6 +215,39 @@
     expectCompleted(world, owner, 1);
 }
 
+/// The owner reaches only the workers, so it cannot learn that they shrink.
+BOOST_AUTO_TEST_CASE(ownerWithoutStoreAndDaemonsDoesNotUseFormerCapacities)
+{
+    World world(workers(4));
+    world.run(startTime);
+    const auto owner = world.owner().value();
+    world.submit(owner, jobId(1), batch(300, milliseconds(500)));
+    world.run(seconds(1));
+    cutOffFromPeers(world, World::Settings().nodes, owner, true);
+    world.run(milliseconds(100));
+    setCapacities(world, 4, quarterCapacity);
+    world.run(seconds(15));
+    cutOffFromPeers(world, World::Settings().nodes, owner, false);
+    setCapacities(world, 4, wholeCapacity);
+    world.run(seconds(60));
+    expectCompleted(world, owner, 1);
+}
+
+BOOST_AUTO_TEST_CASE(workerThatCannotReportItsCapacityReceivesNoMoreThanItHas)
+{
+    World world(workers(2));
+    world.run(startTime);
+    world.submit(0, jobId(1), batch(300, milliseconds(300)));
+    world.run(seconds(1));
+    cutOffFromStore(world, 0);
+    world.run(milliseconds(100));
+    world.setWorkerCapacity(0, quarterCapacity);
+    world.run(seconds(15));
+    world.cutOff({}, { 0 }, false);
+    world.run(seconds(60));
+    expectCompleted(world, 0, 1);
+}
+
 BOOST_AUTO_TEST_CASE(grownWorkersAreUsedAgain)
 {
     World world(workers(2));
@@ -227,6 +270,7 @@
 
 constexpr std::uint32_t defaultSeeds = 10;
 constexpr std::uint32_t explorationWorkers = 6;
+constexpr Resources explorationCapacity{ 16000, 65536, 2 };
 
 std::uint32_t environmentNumber(const char *variable, std::uint32_t fallback)
 {
@@ -260,7 +304,7 @@
                 repair();
         }
         repair();
-        setCapacities(m_world, explorationWorkers, wholeCapacity);
+        setCapacities(m_world, explorationWorkers, explorationCapacity);
         m_world.run(seconds(60));
         for (std::uint32_t job = 0; job < m_jobs; ++job)
             static_cast<void>(m_world.status(pick(0, m_nodes - 1), jobId(job)));
@@ -275,6 +319,7 @@
         World::Settings result;
         result.nodes = m_nodes;
         result.workers = explorationWorkers;
+        result.workerCapacity = explorationCapacity;
         result.seed = seed;
         result.stopTime = milliseconds(seed % 2 == 0 ? 50 : 800);
         result.listsStoppingRuns = seed % 4 < 2;
@@ -295,21 +340,23 @@
         for (std::uint32_t job = 0; job < count; ++job) {
             const milliseconds work(pick(200, 6000));
             auto plan = pick(0, 3) == 0 ? gang(pick(2, 6), work) : chain(pick(1, 6), work);
+            plan.spec.steps.front().amount.accelerators = pick(0, 3) == 0 ? 1 : 0;
             m_world.submit(pick(0, m_nodes - 1), jobId(m_jobs++), plan);
         }
     }
 
     void changeCapacity()
     {
-        const std::int64_t quarters = pick(0, 4);
+        const std::int64_t cpuQuarters = pick(0, 4);
+        const std::int64_t memoryQuarters = pick(1, 4);
         m_world.setWorkerCapacity(randomWorker(),
-                                  { quarterCapacity.cpuMillis * quarters,
-                                    quarterCapacity.memoryMb * std::int64_t(pick(1, 4)), 0 });
+                                  { quarterCapacity.cpuMillis * cpuQuarters,
+                                    quarterCapacity.memoryMb * memoryQuarters, pick(0, 2) });
     }
 
     void injectFault()
     {
-        switch (pick(0, 8)) {
+        switch (pick(0, 10)) {
         case 0:
             m_world.kill(owner());
             break;
@@ -334,6 +381,12 @@
         case 7:
             m_world.replaceWorker(randomWorker(), milliseconds(pick(500, 4000)));
             break;
+        case 8:
+            cutOffFromPeers(m_world, m_nodes, owner(), true);
+            break;
+        case 9:
+            m_world.cutOff({}, { randomWorker() }, true);
+            break;
         default:
             m_world.isolateWorkerFrom(owner(), randomWorker(), true);
             break;
@@ -345,7 +398,10 @@
         m_world.setStoreFaultForAll(StoreFault::None);
         m_world.setLostAnswerShare(0);
         m_world.setLateOrderShare(0);
+        for (std::uint32_t worker = 0; worker < explorationWorkers; ++worker)
+            m_world.cutOff({}, { worker }, false);
         for (std::uint32_t node = 0; node < m_nodes; ++node) {
+            cutOffFromPeers(m_world, m_nodes, node, false);
             for (std::uint32_t worker = 0; worker < explorationWorkers; ++worker)
                 m_world.isolateWorkerFrom(node, worker, false);
             m_world.start(node);
