--- a/standins/cell/tests/capacity_test.cpp
+++ b/standins/cell/tests/capacity_test.cpp
@@ -198,6 +198,27 @@
     expectCompleted(world, world.owner().value(), 4);
 }
 
+/// Workers need not list a run that is being stopped, so a successor does not see that it still
+/// occupies the worker.
+BOOST_AUTO_TEST_CASE(successorWaitsForRunsThatItsPredecessorHasStopped)
+{
+    auto settings = workers(2);
+    settings.stopTime = milliseconds(800);
+    settings.listsStoppingRuns = false;
+    World world(settings);
+    world.run(startTime);
+    world.submit(0, jobId(1), batch(8, seconds(10)));
+    world.run(milliseconds(500));
+    world.submit(0, jobId(2), batch(8, seconds(1)));
+    world.run(milliseconds(500));
+    world.cancel(0, jobId(1));
+    world.run(milliseconds(20));
+    world.terminate(world.owner().value());
+    world.run(seconds(20));
+    expectNoViolations(world);
+    BOOST_TEST((world.status(0, jobId(2)) == cell::JobStatus::Completed));
+}
+
 BOOST_AUTO_TEST_CASE(shrunkCapacityReachesAnOwnerThatUsesAnotherDaemonForTheStore)
 {
     World world(workers(4));
