Hand a shard over when its stops have ended

A successor took the capacity of runs that its predecessor was stopping for free, if their workers do not list them (LIMIT: what is being stopped still counts): eight violations in successorWaitsForRunsThatItsPredecessorHasStopped. An owner that is told to stop now hands over when no run is being stopped, or when the time that workers take for a stop has passed; it goes on scheduling meanwhile.

A killed owner that is back within 0.9 s still leaves such runs behind (docs/incidents/deadly-tasks.md).

--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -249,7 +249,7 @@
             });
         };
         if (slot.shard)
-            slot.shard->whenDurable(release);
+            slot.shard->whenReadyForHandover(release);
         else
             release();
     }
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -198,6 +198,15 @@
         }));
 }
 
+bool Scheduler::stoppingRuns() const
+{
+    const auto isStopping = [](const auto &run) { return run.second.phase == RunPhase::Stopping; };
+    return std::any_of(m_workers.begin(), m_workers.end(), [&isStopping](const auto &entry) {
+        const auto &runs = entry.second.runs;
+        return entry.second.reachable && std::any_of(runs.begin(), runs.end(), isStopping);
+    });
+}
+
 void Scheduler::collectGarbage()
 {
     const auto current = now();
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -92,6 +92,10 @@
 
     [[nodiscard]] bool recovering() const noexcept { return m_recovering; }
 
+    /// True while a run is being stopped. Its worker need not list it, so that a successor would
+    /// take its capacity for free.
+    [[nodiscard]] bool stoppingRuns() const;
+
 private:
     /// Order in which jobs are evaluated.
     struct MoreUrgent
--- a/libs/cell/src/shard.cpp
+++ b/libs/cell/src/shard.cpp
@@ -16,6 +16,7 @@
 /// Interval of the clean-up that removes expired end records of jobs written by previous owners.
 constexpr Duration sweepInterval{ std::chrono::seconds(60) };
 constexpr Duration sweepPageInterval{ std::chrono::seconds(1) };
+constexpr std::chrono::milliseconds stopCheckInterval{ 30 };
 
 std::string lastSegment(const std::string &key)
 {
@@ -32,6 +33,7 @@
     , m_shard(settings.shard)
     , m_lost(std::move(lost))
     , m_statusRetention(settings.statusRetention)
+    , m_stopTimeout(settings.stopTimeout)
     , m_writer(store, ports.timers, std::move(fence), [this] { loseOwnership(); })
     , m_scheduler(ports, settings, m_writer, [this] { loseOwnership(); })
     , m_jobs(store, ports.timers, keys::jobsPrefix(settings.shard), jobsWatch,
@@ -58,6 +60,24 @@
     readStates("");
 }
 
+void Shard::whenReadyForHandover(std::function<void()> action)
+{
+    awaitStops(m_ports.timers.now() + m_stopTimeout, std::move(action));
+}
+
+void Shard::awaitStops(TimePoint limit, std::function<void()> action)
+{
+    if (!m_scheduler.stoppingRuns() || m_ports.timers.now() >= limit) {
+        m_writer.whenDurable(std::move(action));
+        return;
+    }
+    m_ports.timers.after(stopCheckInterval,
+                         [this, alive = m_alive, limit, action = std::move(action)] {
+                             if (*alive)
+                                 awaitStops(limit, action);
+                         });
+}
+
 void Shard::retry(void (Shard::*step)())
 {
     m_ports.timers.after(retryDelay, [this, step, alive = m_alive] {
--- a/libs/cell/src/shard.h
+++ b/libs/cell/src/shard.h
@@ -36,8 +36,9 @@
     /// Called when this or another daemon has stored a job, which the watch may report later.
     void jobAccepted(const StoreItem &item) { m_jobs.offer(item); }
 
-    /// Calls \p action when all state known so far is durable.
-    void whenDurable(std::function<void()> action) { m_writer.whenDurable(std::move(action)); }
+    /// Calls \p action when the shard can be handed over: no run is being stopped, or the time that
+    /// workers take for it has passed, and all state known by then is durable.
+    void whenReadyForHandover(std::function<void()> action);
 
     [[nodiscard]] const Scheduler &scheduler() const noexcept { return m_scheduler; }
 
@@ -55,6 +56,7 @@
     void finishLoading();
     void sweepEndRecords(const std::string &after);
     void scheduleSweep(Duration delay, const std::string &after);
+    void awaitStops(TimePoint limit, std::function<void()> action);
     void loseOwnership();
 
     Scheduler::Ports m_ports;
@@ -69,6 +71,7 @@
     std::map<std::string, TimePoint>
         m_endRecordsSeen; ///< End records of previous owners, with the time each was first seen.
     Duration m_statusRetention;
+    Duration m_stopTimeout;
     FencedWriter m_writer;
     Scheduler m_scheduler;
     PrefixWatch m_jobs;
