Experiments: parse the rows of open connections only

Traced in its logs: from the first to the last second of the partition all daemons, also those on the store's side, saw answers of the store late by 1 to 2 s, and the new owner had 8 s left for 36 jobs, all of which it ended. To tell daemons apart the program reads the table of all connections of the machine for each new connection in a partition, 20 times a second, in the loop that also serves the store and the workers. On a machine with many closed connections (TIME_WAIT) that takes its whole time: 25,000 rows, 21 jobs handed in instead of 60 to 78 in the same plan.

Reading the table still grows with the connections of the machine.

--- a/apps/experiment/src/socketowners.cpp
+++ b/apps/experiment/src/socketowners.cpp
@@ -2,11 +2,15 @@
 
 #include <boost/asio/ip/address_v4.hpp>
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace cowsliprock::experiment {
 
@@ -42,6 +46,33 @@
              static_cast<std::uint16_t>(port) };
 }
 
+std::string readFile(const char *path)
+{
+    std::ifstream file(path);
+    std::ostringstream content;
+    content << file.rdbuf();
+    return std::move(content).str();
+}
+
+/// Removes the first line from \p text and returns it.
+std::string_view nextLine(std::string_view &text)
+{
+    const auto line = text.substr(0, text.find('\n'));
+    text.remove_prefix(std::min(line.size() + 1, text.size()));
+    return line;
+}
+
+/// Length of a row of /proc/net/tcp up to the end of the column of states.
+constexpr std::size_t addressesLength = 36;
+constexpr std::size_t stateColumn = 34;
+
+/// True for a row of a connection that has been closed, of which a busy machine has thousands.
+bool isWithoutOwner(std::string_view row)
+{
+    constexpr std::string_view timeWait = "06";
+    return row.substr(stateColumn, timeWait.size()) == timeWait;
+}
+
 } // namespace
 
 SocketOwners::SocketOwners(const std::vector<pid_t> &processes)
@@ -51,11 +82,14 @@
         for (const auto &inode : socketInodes(process))
             processOf[inode] = process;
     }
-    std::ifstream table("/proc/net/tcp");
-    std::string line;
-    std::getline(table, line); // Column titles.
-    while (std::getline(table, line)) {
-        std::istringstream fields(line);
+    const auto table = readFile("/proc/net/tcp");
+    std::string_view rest = table;
+    nextLine(rest); // Column titles.
+    while (!rest.empty()) {
+        const auto row = nextLine(rest);
+        if (row.size() < addressesLength || isWithoutOwner(row))
+            continue;
+        std::istringstream fields{ std::string(row) };
         std::string local;
         std::string remote;
         std::string skipped;
