--- a/standins/cell/tests/capacity_test.cpp
+++ b/standins/cell/tests/capacity_test.cpp
@@ -1,9 +1,7 @@
-#include "testjobs.h"
+#include "seededplays.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
-#include <iostream>
 #include <random>
 
 using namespace cowsliprock;
@@ -293,12 +291,6 @@
 constexpr std::uint32_t explorationWorkers = 6;
 constexpr Resources explorationCapacity{ 16000, 65536, 2 };
 
-std::uint32_t environmentNumber(const char *variable, std::uint32_t fallback)
-{
-    const char *text = std::getenv(variable);
-    return text == nullptr ? fallback : static_cast<std::uint32_t>(std::atoi(text));
-}
-
 /// Submits random jobs while workers change their capacities and other faults occur, then clears
 /// all faults and waits.
 class CapacityExploration
@@ -332,7 +324,7 @@
     }
 
     [[nodiscard]] World &world() { return m_world; }
-    [[nodiscard]] std::uint32_t nodes() const { return m_nodes; }
+    [[nodiscard]] std::uint32_t nodeCount() const { return m_nodes; }
 
 private:
     World::Settings settings(std::uint32_t seed) const
@@ -441,23 +433,7 @@
 
 BOOST_AUTO_TEST_CASE(guaranteesHoldWhenWorkersChangeTheirCapacities)
 {
-    // Either a range of seeds, or a single seed with the logs of all nodes printed.
-    const auto singleSeed = environmentNumber("COWSLIPROCK_SEED", 0);
-    const auto first =
-        singleSeed == 0 ? environmentNumber("COWSLIPROCK_FIRST_SEED", 1) : singleSeed;
-    const auto count = singleSeed == 0 ? environmentNumber("COWSLIPROCK_SEEDS", defaultSeeds) : 1;
-    BOOST_REQUIRE(count > 0U);
-    for (std::uint32_t seed = first; seed < first + count; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            CapacityExploration exploration(seed);
-            exploration.execute();
-            expectNoViolations(exploration.world());
-            BOOST_TEST(exploration.world().guarantees().unfinishedJobs() == 0U);
-            for (std::uint32_t node = 0; seed == singleSeed && node < exploration.nodes(); ++node)
-                std::cout << exploration.world().logOf(node);
-        }
-    }
+    playSeeds<CapacityExploration>(defaultSeeds);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cell/tests/exploration_test.cpp
+++ b/standins/cell/tests/exploration_test.cpp
@@ -1,11 +1,9 @@
-#include "testjobs.h"
+#include "seededplays.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
-#include <iostream>
 #include <random>
 #include <set>
 
@@ -25,12 +23,6 @@
 constexpr std::chrono::microseconds slowEventCost{ 300 };
 constexpr std::chrono::microseconds slowInspectionCost{ 500 };
 
-std::uint32_t environmentNumber(const char *variable, std::uint32_t fallback)
-{
-    const char *text = std::getenv(variable);
-    return text == nullptr ? fallback : static_cast<std::uint32_t>(std::atoi(text));
-}
-
 /// Submits random jobs and injects random, overlapping faults, then clears all faults and waits.
 class Exploration
 {
@@ -55,6 +47,7 @@
     }
 
     [[nodiscard]] World &world() { return m_world; }
+    [[nodiscard]] std::uint32_t nodeCount() const { return nodes; }
 
 private:
     static World::Settings settings(std::uint32_t seed)
@@ -269,23 +262,7 @@
 
 BOOST_AUTO_TEST_CASE(guaranteesHoldUnderOverlappingFaults)
 {
-    // Either a range of seeds, or a single seed with the logs of all nodes printed.
-    const auto singleSeed = environmentNumber("COWSLIPROCK_SEED", 0);
-    const auto first =
-        singleSeed == 0 ? environmentNumber("COWSLIPROCK_FIRST_SEED", 1) : singleSeed;
-    const auto count = singleSeed == 0 ? environmentNumber("COWSLIPROCK_SEEDS", defaultSeeds) : 1;
-    BOOST_REQUIRE(count > 0U);
-    for (std::uint32_t seed = first; seed < first + count; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            Exploration exploration(seed);
-            exploration.execute();
-            expectNoViolations(exploration.world());
-            BOOST_TEST(exploration.world().guarantees().unfinishedJobs() == 0U);
-            for (std::uint32_t node = 0; seed == singleSeed && node < nodes; ++node)
-                std::cout << exploration.world().logOf(node);
-        }
-    }
+    playSeeds<Exploration>(defaultSeeds);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cell/tests/lateorderexploration_test.cpp
+++ b/standins/cell/tests/lateorderexploration_test.cpp
@@ -1,8 +1,7 @@
-#include "testjobs.h"
+#include "seededplays.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <deque>
 #include <optional>
 #include <random>
@@ -19,12 +18,6 @@
 constexpr std::uint32_t nodes = 4;
 constexpr std::uint32_t workers = 8;
 
-std::uint32_t environmentNumber(const char *variable, std::uint32_t fallback)
-{
-    const char *text = std::getenv(variable);
-    return text == nullptr ? fallback : static_cast<std::uint32_t>(std::atoi(text));
-}
-
 /// Injects faults that delay, repeat or hide single calls: late orders, lost answers, links of one
 /// worker or relay that are cut one way, and submissions that are repeated after the job has ended.
 class LateOrderExploration
@@ -57,6 +50,7 @@
     }
 
     [[nodiscard]] World &world() { return m_world; }
+    [[nodiscard]] std::uint32_t nodeCount() const { return nodes; }
 
 private:
     static World::Settings settings(std::uint32_t seed)
@@ -174,18 +168,7 @@
 /// submissions must not start a task twice.
 BOOST_AUTO_TEST_CASE(guaranteesHoldWithLateOrdersAndRepeatedSubmissions)
 {
-    const auto first = environmentNumber("COWSLIPROCK_FIRST_SEED", 1);
-    const auto count = environmentNumber("COWSLIPROCK_SEEDS", defaultSeeds);
-    BOOST_REQUIRE(count > 0U);
-    for (std::uint32_t seed = first; seed < first + count; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            LateOrderExploration exploration(seed);
-            exploration.execute();
-            expectNoViolations(exploration.world());
-            BOOST_TEST(exploration.world().guarantees().unfinishedJobs() == 0U);
-        }
-    }
+    playSeeds<LateOrderExploration>(defaultSeeds);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cell/tests/partitionexploration_test.cpp
+++ b/standins/cell/tests/partitionexploration_test.cpp
@@ -1,10 +1,8 @@
-#include "testjobs.h"
+#include "seededplays.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <cstdlib>
-#include <iostream>
 #include <random>
 #include <set>
 
@@ -18,12 +16,6 @@
 constexpr std::uint32_t defaultSeeds = 40;
 constexpr std::uint32_t workers = 8;
 
-std::uint32_t environmentNumber(const char *variable, std::uint32_t fallback)
-{
-    const char *text = std::getenv(variable);
-    return text == nullptr ? fallback : static_cast<std::uint32_t>(std::atoi(text));
-}
-
 /// Submits random jobs and injects a few long faults that separate daemons, store and workers from
 /// each other, then clears all faults and waits.
 class PartitionExploration
@@ -57,7 +49,7 @@
     }
 
     [[nodiscard]] World &world() { return m_world; }
-    [[nodiscard]] std::uint32_t nodes() const { return m_nodes; }
+    [[nodiscard]] std::uint32_t nodeCount() const { return m_nodes; }
 
 private:
     World::Settings settings(std::uint32_t seed) const
@@ -175,23 +167,7 @@
 
 BOOST_AUTO_TEST_CASE(guaranteesHoldWhenDaemonsAndWorkersAreSeparated)
 {
-    // Either a range of seeds, or a single seed with the logs of all nodes printed.
-    const auto singleSeed = environmentNumber("COWSLIPROCK_SEED", 0);
-    const auto first =
-        singleSeed == 0 ? environmentNumber("COWSLIPROCK_FIRST_SEED", 1) : singleSeed;
-    const auto count = singleSeed == 0 ? environmentNumber("COWSLIPROCK_SEEDS", defaultSeeds) : 1;
-    BOOST_REQUIRE(count > 0U);
-    for (std::uint32_t seed = first; seed < first + count; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            PartitionExploration exploration(seed);
-            exploration.execute();
-            expectNoViolations(exploration.world());
-            BOOST_TEST(exploration.world().guarantees().unfinishedJobs() == 0U);
-            for (std::uint32_t node = 0; seed == singleSeed && node < exploration.nodes(); ++node)
-                std::cout << exploration.world().logOf(node);
-        }
-    }
+    playSeeds<PartitionExploration>(defaultSeeds);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
