--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -201,25 +201,27 @@
     void stopUnlistedRun(Worker &worker, const RunKey &key);
     /// Logs that runs are missing from an inventory that does not list all ends.
     void logAwaitedEnds(const Worker &worker, std::size_t missing);
-    void handleNewIncarnation(Worker &worker, const Inventory &inventory, TimePoint requestedAt);
     void evacuate(Worker &worker);
     /// Returns false if the run is expected to take longer than \p time.
     [[nodiscard]] bool finishesWithin(const Run &run, Duration time) const;
+    void logRunEnd(const Worker &worker, const FinishedTask &end);
+    /// The evidence of a failed run; \p run is null if it is not known.
+    [[nodiscard]] FailedRun failedRun(const FinishedTask &end, const Run *run) const;
+    void handleRunEnd(Worker &worker, const FinishedTask &end);
+    void releaseRun(Worker &worker, const RunKey &key, std::string checkpoint);
+
+    // Runs lost with their worker (schedulerlosses.cpp).
     /// How runs were lost with their worker.
     enum class WorkerLoss {
         Crashed,    ///< Another incarnation or worker has taken its place.
         Unreachable ///< Its leases have expired without an answer.
     };
+    void handleNewIncarnation(Worker &worker, const Inventory &inventory, TimePoint requestedAt);
     void releaseLostRuns(Worker &worker, const std::vector<RunKey> &lost, WorkerLoss loss);
     void releaseAllRuns(Worker &worker, WorkerLoss loss);
     /// Counts the loss of a worker for a run that it had, and gives the task up if it is likely to
     /// crash its workers.
     void recordCrash(const Worker &worker, const Run &run, WorkerLoss loss);
-    void logRunEnd(const Worker &worker, const FinishedTask &end);
-    /// The evidence of a failed run; \p run is null if it is not known.
-    [[nodiscard]] FailedRun failedRun(const FinishedTask &end, const Run *run) const;
-    void handleRunEnd(Worker &worker, const FinishedTask &end);
-    void releaseRun(Worker &worker, const RunKey &key, std::string checkpoint);
 
     // Straggler handling (schedulerprogress.cpp).
     void checkProgress(Worker &worker);
