Ignore a late inventory of a worker's former incarnation

An answer that follows the timeout of its poll must only refresh the incarnation that is known; WorkerLinks tells it by a flag in the callback of the poll. The flag was a mutable capture, so each copy of the callback had its own. WorkerRouter copies the callbacks of relayed calls before it invokes them, so the flag was lost there, and every late answer was handled as a first one. The state of a poll is now shared by all copies.

--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -149,17 +149,18 @@
     request.timeout = std::max<Duration>(m_answerTimes.timeout(), inventoryAllowance);
     request.freshConnection = link.failures > 0;
     link.requestInFlight = true;
-    m_port.inventory(
-        targetOf(worker), request,
-        [this, alive = m_alive, id, query = InventoryQuery{ m_timers.now(), request.wait, false }](
-            const Result<InventoryOutcome> &outcome) mutable {
-            if (!*alive)
-                return;
-            if (std::exchange(query.overdue, true))
-                handleLateReply(id, query, outcome);
-            else
-                handleReply(id, query, outcome);
-        });
+    // Ports copy the callback, so its copies share the state.
+    const auto query =
+        std::make_shared<InventoryQuery>(InventoryQuery{ m_timers.now(), request.wait, false });
+    m_port.inventory(targetOf(worker), request,
+                     [this, alive = m_alive, id, query](const Result<InventoryOutcome> &outcome) {
+                         if (!*alive)
+                             return;
+                         if (std::exchange(query->overdue, true))
+                             handleLateReply(id, *query, outcome);
+                         else
+                             handleReply(id, *query, outcome);
+                     });
 }
 
 void WorkerLinks::observe(const InventoryQuery &query)
