Stop a run again that the new incarnation of its worker lists

The order of a run may be repeated on a connection to the new incarnation of its worker. If the run is to be stopped while the worker does not answer, the stop is bound to the former incarnation, and its retries end as soon as the owner meets the new one. handleNewIncarnation() sends the stop again for runs that the new incarnation does not list, but skipped those that it lists; these stayed in the phase Stopping, in which nothing sends a further stop. Now the stop is sent again to the incarnation that lists the run.

cancelledRunOfANewIncarnationIsStopped failed before: the run still held 4,000 millicores 1.5 s after the worker was reachable again.

--- a/libs/cell/src/schedulerlosses.cpp
+++ b/libs/cell/src/schedulerlosses.cpp
@@ -5,19 +5,35 @@
 
 namespace cowsliprock::cell {
 
+namespace {
+
+template <typename Rows>
+std::set<RunKey> keysOf(const Rows &rows)
+{
+    std::set<RunKey> keys;
+    for (const auto &row : rows)
+        keys.emplace(row.task, row.run);
+    return keys;
+}
+
+} // namespace
+
 void Scheduler::handleNewIncarnation(Worker &worker, const Inventory &inventory,
                                      TimePoint requestedAt)
 {
-    std::set<RunKey> listed;
-    for (const auto &row : inventory.running)
-        listed.emplace(row.task, row.run);
-    for (const auto &end : inventory.finished)
-        listed.emplace(end.task, end.run);
+    const auto running = keysOf(inventory.running);
+    const auto finished = keysOf(inventory.finished);
     std::vector<RunKey> lost;
     std::vector<Run> unlisted;
     for (auto &[key, run] : worker.runs) {
-        if (listed.contains(key))
+        if (finished.contains(key))
+            continue;
+        if (running.contains(key)) {
+            // Its stop was sent to the former incarnation.
+            if (run.phase == RunPhase::Stopping)
+                sendStop(worker, run);
             continue;
+        }
         if (!mayStillArrive(run, requestedAt)) {
             lost.push_back(key);
             continue;
