End stored jobs that cannot be run as failed

Callers saw every job of the cell wait for ever after one job whose step depends on a missing step: computeCriticalPaths() threw while the record was loaded, the shard was given up, claimed and loaded again in an endless loop. A step that depends on itself or a later one left its job queued for ever instead. malformed(), which names these jobs, was called by nobody.

findDefect() replaces it and says what is wrong. A job with a defect gets no occurrences; its owner records its end as failed (cancelled, if it was) like any other end, reports job.cannotRun, and goes on with the other jobs. The status is shown once the record is durable.

--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -1,5 +1,7 @@
 #include "jobtable.h"
 
+#include <cell/jobdefect.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -160,6 +162,23 @@
     }
 }
 
+namespace {
+
+void restoreOccurrences(Job &job, const JobProgress &progress, TimePoint now)
+{
+    const auto &steps = job.record.spec.steps;
+    for (const auto &stored : progress.occurrences) {
+        if (stored.steps.size() != steps.size())
+            continue;
+        auto &occurrence = beginOccurrence(job, stored.number, now);
+        for (std::size_t index = 0; index < stored.steps.size(); ++index)
+            restore(occurrence.steps[index], stored.steps[index], steps[index].longRunning);
+        updateReadiness(job, occurrence);
+    }
+}
+
+} // namespace
+
 Job makeJob(const JobRecord &record, std::uint64_t created, TimePoint now,
             const std::optional<JobProgress> &progress)
 {
@@ -167,23 +186,21 @@
     job.record = record;
     job.created = created;
     job.firstSeenAt = now;
-    computeCriticalPaths(job);
+    job.defect = findDefect(record.spec);
+    if (!job.defect)
+        computeCriticalPaths(job);
     if (progress) {
         job.startRecorded = true;
         job.status = progress->status;
-        for (const auto &stored : progress->occurrences) {
-            if (stored.steps.size() != record.spec.steps.size())
-                continue;
-            auto &occurrence = beginOccurrence(job, stored.number, now);
-            for (std::size_t index = 0; index < stored.steps.size(); ++index)
-                restore(occurrence.steps[index], stored.steps[index],
-                        record.spec.steps[index].longRunning);
-            updateReadiness(job, occurrence);
-        }
+        if (!job.defect)
+            restoreOccurrences(job, *progress, now);
     }
     if (record.cancelled && job.active())
         job.status = JobStatus::Cancelled;
     job.durableStatus = job.status;
+    // Its failure is durable only once the owner has recorded it.
+    if (job.defect && job.active())
+        job.status = JobStatus::Failed;
     if (!job.active())
         job.endedAt = now;
     return job;
@@ -216,21 +233,6 @@
     return crashes.atStart >= maxCrashesAtStart || crashes.all >= maxCrashes;
 }
 
-bool malformed(const JobSpec &spec) noexcept
-{
-    if (spec.steps.empty())
-        return true;
-    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
-        const auto &step = spec.steps[index];
-        if (step.count == 0
-            || std::any_of(step.after.begin(), step.after.end(),
-                           [index](std::uint32_t before) { return before >= index; })) {
-            return true;
-        }
-    }
-    return false;
-}
-
 Job *JobTable::find(const std::string &id)
 {
     const auto entry = m_jobs.find(id);
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -110,7 +110,8 @@
     TimePoint endedAt{};
     /// Estimated critical path up to and including each step.
     std::vector<Duration> criticalPathThrough;
-    Duration criticalPath{}; ///< Estimated critical path of the whole job.
+    Duration criticalPath{};           ///< Estimated critical path of the whole job.
+    std::optional<std::string> defect; ///< Why the job cannot be run; it has no occurrences then.
 
     [[nodiscard]] bool active() const noexcept
     {
@@ -143,10 +144,6 @@
 /// The progress to be stored.
 [[nodiscard]] JobProgress progressOf(const Job &job);
 
-/// True if the job cannot be run: it has no steps, an empty step, or a step that depends on itself
-/// or a later one.
-[[nodiscard]] bool malformed(const JobSpec &spec) noexcept;
-
 /// True if the task is likely to crash each worker that starts it. A worker that crashes before it
 /// lists a run was most likely crashed by it; of one that crashes later, other runs and the loss of
 /// the machine are as likely to be the cause.
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -245,6 +245,7 @@
     void stopAllRuns(const std::string &job, const char *reason);
     void endJob(Job &job, JobStatus status);
     void saveProgress(const Job &job, Urgency urgency, FencedWriter::Action durable = {});
+    void reportDefect(const Job &job);
     void persistJobEnd(Job &job);
     void handleJobEndDurable(const std::string &id);
     [[nodiscard]] bool ensureStartRecorded(Job &job);
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -38,7 +38,10 @@
                         { "progress", progress.has_value() },
                         { "steps", static_cast<std::uint64_t>(record.spec.steps.size()) } });
     if (!job.active()) {
-        // The previous owner recorded the end, or the job was cancelled before it had an owner.
+        // The previous owner recorded the end, the job was cancelled before it had an owner, or it
+        // cannot be run.
+        if (job.defect)
+            reportDefect(job);
         persistJobEnd(job);
         return;
     }
@@ -47,6 +50,13 @@
     scheduleJobEvaluation(record.id);
 }
 
+void Scheduler::reportDefect(const Job &job)
+{
+    m_ports.log.write(now(), "job.cannotRun",
+                      { { "job", job.record.id }, { "reason", *job.defect } });
+    m_ports.metrics.count("jobs.cannotRun");
+}
+
 void Scheduler::jobRemoved(const std::string &id)
 {
     Job *job = m_jobs.find(id);
