--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -7,6 +7,7 @@
 
 #include <cell/node.h>
 #include <cell/ports.h>
+#include <eventloop/httpserver.h>
 
 #include <cstdint>
 #include <functional>
@@ -117,6 +118,9 @@
     /// Requests the status of a job and waits 800 ms for the reply.
     [[nodiscard]] std::optional<cell::JobStatus> status(std::uint32_t node, const std::string &id);
 
+    /// Sends an HTTP request of a client to a node and waits for the response.
+    HttpServerResponse callClient(std::uint32_t node, const HttpRequest &request);
+
     /// Sends a call of another daemon to a node and waits for the reply.
     cell::PeerAnswer callPeer(std::uint32_t node, const std::string &path, const std::string &body);
 
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -4,6 +4,7 @@
 
 #include <standincell/documents.h>
 
+#include <ingress.h>
 #include <records.h>
 
 #include <base/id.h>
@@ -430,6 +431,20 @@
     return item ? item->revision : 0;
 }
 
+HttpServerResponse World::callClient(std::uint32_t node, const HttpRequest &request)
+{
+    auto &slot = *m_nodes.at(node);
+    const auto ingress =
+        std::make_shared<platform::Ingress>(*slot.node, *slot.timers, slot.metrics);
+    auto response = std::make_shared<HttpServerResponse>();
+    response->status = 0;
+    // The node may respond after the wait, through members of the ingress.
+    ingress->handleClient(
+        request, [response, ingress](HttpServerResponse given) { *response = std::move(given); });
+    run(std::chrono::milliseconds(600));
+    return *response;
+}
+
 PeerAnswer World::callPeer(std::uint32_t node, const std::string &path, const std::string &body)
 {
     auto answer = std::make_shared<PeerAnswer>();
--- a/standins/cell/tests/jobdefect_test.cpp
+++ b/standins/cell/tests/jobdefect_test.cpp
@@ -48,6 +48,12 @@
     world.store().put(cell::keys::job(0, id), cell::encode(record));
 }
 
+/// Submits a job through the HTTP interface of a node and returns the status of the response.
+unsigned post(World &world, const std::string &id, const std::string &body)
+{
+    return world.callClient(0, { "POST", "/q/" + id, "h", body, {} }).status;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(jobdefect)
@@ -109,4 +115,26 @@
     BOOST_TEST((world.status(0, record.id) == JobStatus::Cancelled));
 }
 
+// Guards against accepting a job that no owner can run.
+BOOST_AUTO_TEST_CASE(rejectsJobsThatCannotRun)
+{
+    World world({});
+    world.run(startTime);
+    const std::map<std::string, std::string> bodies{
+        { "no steps", R"({"steps":[]})" },
+        { "empty step", R"({"steps":[{"count":0}]})" },
+        { "depends on itself", R"({"steps":[{"after":[0]}]})" },
+        { "depends on a later step", R"({"steps":[{"after":[1]},{}]})" },
+        { "depends on a missing step", R"({"steps":[{},{"after":[7]}]})" },
+    };
+    std::uint32_t number = 10;
+    for (const auto &[what, body] : bodies) {
+        const auto id = jobId(number++);
+        BOOST_TEST(post(world, id, body) == 400U, what);
+        BOOST_TEST(!world.status(0, id).has_value(), what);
+    }
+    BOOST_TEST(post(world, jobId(1), R"({"steps":[{"cpu":100},{"cpu":100,"after":[0]}]})") == 200U);
+    BOOST_TEST(world.status(0, jobId(1)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
