HTTP server: bound the bytes that wait for the parser

Callers saw a daemon killed: clients that sent trailers without end after a chunked body filled its memory. The parser of Boost.Beast consumes trailers, and a chunk line with its extensions, only when they are complete, and its limit of the header section does not apply to them, so the buffer of the connection grew with every byte.

The buffer is now limited to headerBytes. What does not fit, be it trailers or a chunk extension, is answered 431 and the connection closed. Bodies are consumed as they arrive, so their limit is not affected.

--- a/libs/eventloop/src/httpserver.cpp
+++ b/libs/eventloop/src/httpserver.cpp
@@ -58,6 +58,7 @@
     Session(std::shared_ptr<State> state, asio::ip::tcp::socket socket)
         : m_state(std::move(state))
         , m_stream(std::move(socket))
+        , m_buffer(m_state->limits.headerBytes)
     {
         ++m_state->connections;
     }
@@ -117,10 +118,17 @@
             || error.category() != http::make_error_code(http::error::bad_target).category()) {
             return;
         }
-        const bool tooLarge =
-            error == http::error::body_limit || error == http::error::header_limit;
         m_keepAlive = false;
-        write(HttpServerResponse{ tooLarge ? 413U : 400U, {}, "{}" });
+        write(HttpServerResponse{ rejectionStatus(error), {}, "{}" });
+    }
+
+    static unsigned rejectionStatus(const boost::system::error_code &error)
+    {
+        if (error == http::error::body_limit)
+            return 413;
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            return 431;
+        return 400;
     }
 
     void write(HttpServerResponse reply)
@@ -155,6 +163,8 @@
 
     std::shared_ptr<State> m_state;
     beast::tcp_stream m_stream;
+    /// The parser consumes trailers and chunk extensions only when they are complete, and has no
+    /// limit for them, so the buffer is limited.
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
