Count the retention of a job's status from its durable end

After an outage of the store that is longer than the retention, callers were never told.

The retention counted from the last end of a task. The owner also forgot ended jobs whose end was not durable yet. Now the retention counts from the durable end, and a job without one is kept.

--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -185,7 +185,7 @@
         job.status = JobStatus::Cancelled;
     job.durableStatus = job.status;
     if (!job.active())
-        job.endedAt = now;
+        job.endDurableAt = now;
     return job;
 }
 
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -107,7 +107,7 @@
     bool startRecorded = false;      ///< The record of its start is durable; tasks may be started.
     bool everStarted = false;
     TimePoint firstSeenAt{};
-    TimePoint endedAt{};
+    TimePoint endDurableAt{}; ///< Start of the retention of its status.
     /// Estimated critical path up to and including each step.
     std::vector<Duration> criticalPathThrough;
     Duration criticalPath{}; ///< Estimated critical path of the whole job.
@@ -116,6 +116,10 @@
     {
         return status == JobStatus::Queued || status == JobStatus::Running;
     }
+    [[nodiscard]] bool endIsDurable() const noexcept
+    {
+        return !active() && durableStatus == status;
+    }
     [[nodiscard]] const StepSpec &spec(std::uint32_t step) const
     {
         return record.spec.steps.at(step);
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -186,8 +186,7 @@
     if (job->active())
         return job->status;
     // The end of a job is reported only once it is durable.
-    const bool durable = job->durableStatus == job->status;
-    return durable ? job->status : JobStatus::Running;
+    return job->endIsDurable() ? job->status : JobStatus::Running;
 }
 
 std::uint64_t Scheduler::pending(const std::string &queue) const
@@ -228,7 +227,7 @@
     }
     std::vector<std::string> ended;
     for (const auto &[id, job] : m_jobs.all()) {
-        if (!job->active() && current - job->endedAt > m_settings.statusRetention)
+        if (job->endIsDurable() && current - job->endDurableAt > m_settings.statusRetention)
             ended.push_back(id);
     }
     for (const auto &id : ended) {
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -74,6 +74,7 @@
     if (job == nullptr)
         return;
     job->durableStatus = job->status;
+    job->endDurableAt = now();
     const auto time = now() - job->firstSeenAt;
     m_ports.metrics.observe("job.seconds." + job->record.queue.name,
                             std::chrono::duration<double>(time).count());
@@ -275,7 +276,6 @@
 void Scheduler::endJob(Job &job, JobStatus status)
 {
     job.status = status;
-    job.endedAt = now();
     m_activeJobs.erase(&job);
     persistJobEnd(job);
     m_ports.metrics.count(std::string("jobs.") + toString(status));
--- a/standins/cell/tests/failures_test.cpp
+++ b/standins/cell/tests/failures_test.cpp
@@ -373,6 +373,26 @@
     expectCompleted(world, node, 3);
 }
 
+/// The retention of a status counts from the time at which callers can see it: a job that ended in
+/// an outage of the store was forgotten too early, and never reported if the outage was longer.
+BOOST_AUTO_TEST_CASE(endOfAJobIsReportedForTheWholeRetentionAfterAnOutage)
+{
+    constexpr seconds outages[]{ seconds(60), seconds(150) };
+    for (const auto outage : outages) {
+        World world({});
+        world.run(startTime);
+        const auto node = follower(world);
+        world.submit(node, jobId(1), batch(2, seconds(1)));
+        world.run(milliseconds(500));
+        world.setStoreFaultForAll(StoreFault::Refuse);
+        world.run(outage);
+        BOOST_TEST((world.status(node, jobId(1)) != JobStatus::Completed));
+        world.setStoreFaultForAll(StoreFault::None);
+        world.run(cell::Node::Settings().statusRetention - seconds(5));
+        expectCompleted(world, node, 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(daemonWithTheHighestWeightOwnsTheCellAfterAllRestart)
 {
     World::Settings settings;
