Simulated cell: a worker that crashes resets and then refuses connections

A worker of the simulation that crashed let its pending polls time out, and one that was down until its replacement started was silent. Machines that are removed, and workers that are cut off, stay silent.

--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -35,6 +35,11 @@
     return Error{ ErrorKind::Timeout, step, "", "no answer" };
 }
 
+Error refused(const char *step)
+{
+    return Error{ ErrorKind::Unavailable, step, "", "connection refused" };
+}
+
 } // namespace
 
 World::NodeSlot::NodeSlot(World &world, VirtualTime &time, StoreModel &storeModel,
@@ -56,6 +61,13 @@
     return std::exchange(entry->second, model->born()) == model->born();
 }
 
+void World::WorkerSlot::crash()
+{
+    model->crash();
+    for (const auto &[number, reset] : std::exchange(pendingPolls, {}))
+        reset();
+}
+
 void NodeTimers::after(Duration delay, std::function<void()> action)
 {
     m_time.after(delay,
@@ -287,6 +299,8 @@
         requestDelay(bytes),
         [this, worker, connection = connect(worker), late = m_world.isOrderLate(), action, answer] {
             auto *slot = connection.slot;
+            if (slot != nullptr && slot->refuses(m_slot.name))
+                answer->complete(replyDelay(resetBytes), refused("worker.order"));
             if (slot == nullptr || !slot->reachableFrom(m_slot.name))
                 return;
             if (isStale(connection)) {
@@ -337,6 +351,8 @@
     m_time.after(
         requestDelay(requestBytes), [this, worker, connection = connect(worker), request, answer] {
             auto *slot = connection.slot;
+            if (slot != nullptr && slot->refuses(m_slot.name))
+                answer->complete(replyDelay(resetBytes), refused("worker.inventory"));
             if (slot == nullptr || !slot->reachableFrom(m_slot.name))
                 return;
             if (isStale(connection)) {
@@ -349,11 +365,17 @@
                 return;
             }
             const bool lost = m_world.isAnswerLost();
-            slot->model->inventory(request,
-                                   [this, slot, answer, lost](const InventoryOutcome &outcome) {
-                                       if (!lost && slot->reachableFrom(m_slot.name))
-                                           answer->complete(replyDelay(bytesOf(outcome)), outcome);
-                                   });
+            const auto poll = ++slot->lastPoll;
+            slot->pendingPolls.emplace(poll, [this, slot, answer] {
+                if (slot->reachableFrom(m_slot.name))
+                    answer->complete(replyDelay(resetBytes), timedOut("worker.inventory"));
+            });
+            slot->model->inventory(
+                request, [this, slot, poll, answer, lost](const InventoryOutcome &outcome) {
+                    slot->pendingPolls.erase(poll);
+                    if (!lost && slot->reachableFrom(m_slot.name))
+                        answer->complete(replyDelay(bytesOf(outcome)), outcome);
+                });
         });
 }
 
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -76,21 +76,33 @@
 {
     std::unique_ptr<WorkerModel> model;
     bool isolated = false;
+    bool down = false; ///< Its process has crashed: connections are refused.
     bool cutFromStore = false;
     bool draining = false;
     std::set<std::string> formerIds;    ///< Ids of workers that this one has replaced.
     std::set<std::string> isolatedFrom; ///< Names of the nodes whose calls are dropped.
     /// Worker instance to which the connections of each node lead; older connections were reset.
     std::map<std::string, std::int64_t> connections;
+    /// Resets the connection of each pending poll.
+    std::map<std::uint64_t, std::function<void()>> pendingPolls;
+    std::uint64_t lastPoll = 0;
 
     [[nodiscard]] bool reachableFrom(const std::string &node) const
     {
         return !isolated && !isolatedFrom.contains(node);
     }
 
+    [[nodiscard]] bool refuses(const std::string &node) const
+    {
+        return down && !isolatedFrom.contains(node);
+    }
+
     /// Returns false if the node's connection was reset since its last call; it is reopened for the
     /// next call.
     bool checkConnection(const std::string &node);
+
+    /// Ends the process of the worker, which resets its connections.
+    void crash();
 };
 
 /// Connection of one node to the store.
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -306,7 +306,9 @@
 {
     auto &slot = *m_workers.at(index);
     m_guarantees.crashed(slot.model->id());
-    slot.model->crash();
+    // Its machine is gone: nothing resets its connections.
+    slot.pendingPolls.clear();
+    slot.crash();
     slot.isolated = true;
     slot.draining = false;
     m_store.remove(workerKey(slot.model->id()));
@@ -316,7 +318,7 @@
 {
     auto &slot = *m_workers.at(index);
     m_guarantees.crashed(slot.model->id());
-    slot.model->crash();
+    slot.crash();
     publishWorker(slot);
 }
 
@@ -327,8 +329,9 @@
         return;
     const auto former = slot.model->id();
     m_guarantees.crashed(former);
-    slot.model->crash();
+    slot.crash();
     slot.isolated = true;
+    slot.down = true;
     const bool keepsId = m_settings.replacedWorkersKeepTheirId;
     if (!keepsId)
         m_time.after(entryExpiry, [this, former] { m_store.remove(workerKey(former)); });
@@ -337,6 +340,7 @@
             slot.formerIds.insert(former);
         slot.model->replace(keepsId ? former : "worker-new-" + std::to_string(++m_replacedWorkers));
         slot.isolated = false;
+        slot.down = false;
         publishWorker(slot);
     });
 }
