--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -202,7 +202,7 @@
     if (job.defect && job.active())
         job.status = JobStatus::Failed;
     if (!job.active())
-        job.endedAt = now;
+        job.endDurableAt = now;
     return job;
 }
 
