Authenticate callers by the API keys of customers

With customers in the configuration every call was still served without a key. A daemon answers 401 to a missing or unknown key, after it has matched the route. The keys are indexed once per configuration version, in a directory that cannot list them, so that they reach no log or record. Without the check in CellConfiguration::authenticate, the tests callsNeedTheKeyOfACustomer and addedAndRevokedKeysApplyOnEveryNode fail with 200 in place of 401.

--- a/libs/cell/include/cell/model.h
+++ b/libs/cell/include/cell/model.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cell/customers.h>
+
 #include <base/resources.h>
 #include <base/time.h>
 
@@ -36,6 +38,7 @@
     Duration targetRuntime{};
     Duration timeout{};
     std::optional<AdviceSettings> advice;
+    bool anonymous = false; ///< Its callers need no API key.
 };
 
 /// Configuration of one service.
@@ -47,17 +50,28 @@
     bool standby = false;
 };
 
+/// The caller of a request.
+struct Caller
+{
+    std::string customer; ///< Empty if the queue or the configuration requires no API key.
+};
+
 /// One version of the operator's configuration.
 struct CellConfiguration
 {
     std::uint64_t version = 0;
     std::vector<QueueSettings> queues;
     std::vector<ServiceSettings> services;
+    CustomerDirectory customers;
 
     /// Returns the queue of \p host with the longest prefix matching \p path, or null.
     [[nodiscard]] const QueueSettings *matchQueue(const std::string &host,
                                                   const std::string &path) const;
     [[nodiscard]] const QueueSettings *findQueue(const std::string &name) const;
+    /// Identifies the caller of a queue by the API key that was sent; nothing if the key is
+    /// required, but missing or unknown.
+    [[nodiscard]] std::optional<Caller>
+    authenticate(const QueueSettings &queue, const std::optional<std::string> &apiKey) const;
 };
 
 /// A step of a job: a set of identical tasks.
@@ -94,7 +108,8 @@
 struct JobRecord
 {
     std::string id;
-    QueueSettings queue; ///< Configuration at the time the job was accepted.
+    std::string customer; ///< Empty if it was submitted without an API key.
+    QueueSettings queue;  ///< Configuration at the time the job was accepted.
     std::uint64_t configurationVersion = 0;
     JobSpec spec;
     bool cancelled = false;
--- a/libs/cell/include/cell/node.h
+++ b/libs/cell/include/cell/node.h
@@ -75,9 +75,9 @@
     /// The current configuration, or null until the first one has been read.
     [[nodiscard]] const CellConfiguration *configuration() const noexcept;
 
-    /// Submits a job to a queue. \p done is called by \p deadline.
-    void submit(const std::string &id, const QueueSettings &queue, JobSpec spec, TimePoint deadline,
-                const Done<SubmitResult> &done);
+    /// Submits a job of the caller to a queue. \p done is called by \p deadline.
+    void submit(const std::string &id, const Caller &caller, const QueueSettings &queue,
+                JobSpec spec, TimePoint deadline, const Done<SubmitResult> &done);
     /// Delay after which a caller that is rejected now should retry.
     [[nodiscard]] std::chrono::seconds retryAfter() const noexcept;
     void status(const std::string &id, const Done<StatusAnswer> &done);
--- a/libs/cell/src/model.cpp
+++ b/libs/cell/src/model.cpp
@@ -36,6 +36,16 @@
     return nullptr;
 }
 
+std::optional<Caller>
+CellConfiguration::authenticate(const QueueSettings &queue,
+                                const std::optional<std::string> &apiKey) const
+{
+    if (customers.empty() || queue.anonymous)
+        return Caller{};
+    const auto *customer = apiKey ? customers.findByKey(*apiKey) : nullptr;
+    return customer == nullptr ? std::nullopt : std::optional(Caller{ customer->name });
+}
+
 const char *toString(JobStatus status) noexcept
 {
     return statusNames.at(static_cast<std::size_t>(status));
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -438,11 +438,12 @@
     return m_state->configuration.current();
 }
 
-void Node::submit(const std::string &id, const QueueSettings &queue, JobSpec spec,
-                  TimePoint deadline, const Done<SubmitResult> &done)
+void Node::submit(const std::string &id, const Caller &caller, const QueueSettings &queue,
+                  JobSpec spec, TimePoint deadline, const Done<SubmitResult> &done)
 {
     JobRecord record;
     record.id = id;
+    record.customer = caller.customer;
     record.queue = queue;
     record.configurationVersion = configuration()->version;
     record.spec = std::move(spec);
--- a/libs/cell/src/records.cpp
+++ b/libs/cell/src/records.cpp
@@ -187,6 +187,7 @@
     put(json, "firstStartMs", record.spec.firstStart.count());
     put(json, "intervalMs", record.spec.interval.count());
     put(json, "cancelled", record.cancelled);
+    put(json, "customer", record.customer);
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -287,6 +288,7 @@
         record.spec.interval =
             std::chrono::milliseconds(json.value("intervalMs", std::int64_t{ 0 }));
         record.cancelled = json.value("cancelled", false);
+        record.customer = json.value("customer", "");
         return record;
     });
 }
--- a/standins/cell/include/standincell/documents.h
+++ b/standins/cell/include/standincell/documents.h
@@ -19,8 +19,16 @@
 
 extern const char *const configurationKey;
 
+/// A customer as listed by the operator.
+struct CustomerPlan
+{
+    cell::CustomerSettings settings;
+    std::vector<std::string> apiKeys;
+};
+
 [[nodiscard]] std::string configurationDocument(std::uint64_t version,
-                                                const std::vector<cell::QueueSettings> &queues);
+                                                const std::vector<cell::QueueSettings> &queues,
+                                                const std::vector<CustomerPlan> &customers = {});
 
 /// Key of the ownership record of the only shard.
 extern const char *const ownerKey;
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <standincell/documents.h>
 #include <standincell/guaranteechecker.h>
 #include <standincell/storemodel.h>
 #include <standincell/virtualtime.h>
@@ -7,6 +8,7 @@
 
 #include <cell/node.h>
 #include <cell/ports.h>
+#include <eventloop/httpserver.h>
 
 #include <cstdint>
 #include <functional>
@@ -37,6 +39,7 @@
         bool advice = false;
         /// Queues of the configuration; if empty, a single queue named "batch" is used.
         std::vector<cell::QueueSettings> queues;
+        std::vector<CustomerPlan> customers;
         cell::PlacementPolicy policy;
         double adviceAllowedShare = 0.6; ///< Fraction of the workers allowed for a step.
         std::size_t minWorkersForRelay = 100;
@@ -53,6 +56,7 @@
     {
         cell::JobSpec spec;
         std::string queue = "batch";
+        std::string customer; ///< Empty: submitted without an API key.
         Duration work{ std::chrono::milliseconds(400) };
         std::set<std::uint32_t> failingRuns; ///< Failing starts of a task, counted from 1.
         bool deadly = false;                 ///< Each start of a task crashes its worker.
@@ -98,6 +102,8 @@
     void drainWorker(std::uint32_t worker);
     /// Stores the next version of the configuration, as the operator does.
     void changeConfiguration();
+    /// Stores the next version of the configuration, with these customers.
+    void changeCustomers(std::vector<CustomerPlan> customers);
     void setLateOrderShare(double share) { m_lateOrderShare = share; }
     /// Share of the calls to workers that are executed, but not answered.
     void setLostAnswerShare(double share) { m_lostAnswerShare = share; }
@@ -110,6 +116,10 @@
     // Client calls through a node.
     void submit(std::uint32_t node, const std::string &id, const JobPlan &plan,
                 std::optional<cell::SubmitResult> *result = nullptr);
+    /// Sends an HTTP request of a client to the node and waits 800 ms for the response; nothing if
+    /// there is none by then.
+    [[nodiscard]] std::optional<HttpServerResponse> request(std::uint32_t node,
+                                                            const HttpRequest &request);
     /// Retry delay that the node advises to callers that it refuses now.
     [[nodiscard]] std::chrono::seconds retryAfter(std::uint32_t node) const;
     void cancel(std::uint32_t node, const std::string &id,
--- a/standins/cell/src/documents.cpp
+++ b/standins/cell/src/documents.cpp
@@ -30,9 +30,27 @@
                             { "period_ms", inMilliseconds(queue.advice->perWorker) },
                             { "validity_ms", inMilliseconds(queue.advice->validity) } };
     }
+    if (queue.anonymous)
+        route["anonymous"] = true;
     return route;
 }
 
+Json toJson(const Resources &amount)
+{
+    return { { "cpu", amount.cpuMillis },
+             { "mem_mb", amount.memoryMb },
+             { "gpu", amount.accelerators } };
+}
+
+Json toJson(const CustomerPlan &customer)
+{
+    return { { "name", customer.settings.name },
+             { "api_keys", customer.apiKeys },
+             { "weight", customer.settings.weight },
+             { "max_count", toJson(customer.settings.quota) },
+             { "priority", 0 } };
+}
+
 } // namespace
 
 const char *const configurationKey = "op/config";
@@ -48,7 +66,6 @@
 
 std::string workerDocument(const WorkerModel &worker, const std::string &address, bool draining)
 {
-    const auto &capacity = worker.capacity();
     return Json{
         { "service", "s" },
         { "address", address },
@@ -58,23 +75,24 @@
         { "state", draining ? "draining" : "ready" },
         { "cold_remaining_ms", 0 },
         { "remaining_ms", draining ? drainNoticeTime.count() : 0 },
-        { "capacity",
-          { { "cpu", capacity.cpuMillis },
-            { "mem_mb", capacity.memoryMb },
-            { "gpu", capacity.accelerators } } },
+        { "capacity", toJson(worker.capacity()) },
         { "labels", { "a", "r1" } },
         { "born", worker.born() }
     }.dump();
 }
 
-std::string configurationDocument(std::uint64_t version, const std::vector<QueueSettings> &queues)
+std::string configurationDocument(std::uint64_t version, const std::vector<QueueSettings> &queues,
+                                  const std::vector<CustomerPlan> &customers)
 {
     Json routes = Json::array();
     for (const auto &queue : queues)
         routes.push_back(toJson(queue));
-    return Json{
-        { "version", version }, { "routes", std::move(routes) }, { "services", Json::array() }
-    }.dump();
+    Json document{ { "version", version },
+                   { "routes", std::move(routes) },
+                   { "services", Json::array() } };
+    for (const auto &customer : customers)
+        document["tenants"].push_back(toJson(customer));
+    return document.dump();
 }
 
 std::string ownerName(const std::string &value)
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -4,6 +4,8 @@
 
 #include <standincell/world.h>
 
+#include <ingress.h>
+
 #include <base/eventlog.h>
 #include <base/metrics.h>
 
@@ -70,6 +72,7 @@
     std::unique_ptr<NodeAdvice> advice;
     std::unique_ptr<NodePeers> peers;
     std::unique_ptr<cell::Node> node;
+    std::unique_ptr<platform::Ingress> ingress;
 };
 
 struct World::WorkerSlot
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -86,7 +86,13 @@
     auto queues = m_settings.queues;
     if (queues.empty())
         queues.push_back(queue);
-    m_store.put(configurationKey, configurationDocument(++m_version, queues));
+    m_store.put(configurationKey, configurationDocument(++m_version, queues, m_settings.customers));
+}
+
+void World::changeCustomers(std::vector<CustomerPlan> customers)
+{
+    m_settings.customers = std::move(customers);
+    changeConfiguration();
 }
 
 void World::publishWorker(WorkerSlot &slot)
@@ -172,6 +178,7 @@
         std::make_unique<Node>(Node::Ports{ *slot.store, *slot.workers, *slot.advice, *slot.peers,
                                             *slot.timers, slot.log, slot.metrics },
                                settings, platform::platformRecords());
+    slot.ingress = std::make_unique<platform::Ingress>(*slot.node, *slot.timers, slot.metrics);
     slot.node->start();
 }
 
@@ -179,6 +186,7 @@
 {
     auto &slot = *m_nodes.at(index);
     ++slot.generation;
+    slot.ingress.reset();
     slot.node.reset();
 }
 
@@ -352,7 +360,8 @@
     m_guarantees.submitted(id, jobPlan.spec, attempts);
     if (jobPlan.deadly)
         m_guarantees.deadly(id);
-    slot.node->submit(id, *queue, jobPlan.spec, m_time.now() + std::chrono::milliseconds(2500),
+    slot.node->submit(id, Caller{ jobPlan.customer }, *queue, jobPlan.spec,
+                      m_time.now() + std::chrono::milliseconds(2500),
                       [this, id, result](SubmitResult answer) {
                           if (result != nullptr)
                               *result = answer;
@@ -363,6 +372,18 @@
                       });
 }
 
+std::optional<HttpServerResponse> World::request(std::uint32_t node, const HttpRequest &request)
+{
+    auto &slot = *m_nodes.at(node);
+    auto answer = std::make_shared<std::optional<HttpServerResponse>>();
+    if (slot.ingress) {
+        slot.ingress->handleClient(
+            request, [answer](HttpServerResponse response) { *answer = std::move(response); });
+    }
+    run(std::chrono::milliseconds(800));
+    return *answer;
+}
+
 std::chrono::seconds World::retryAfter(std::uint32_t node) const
 {
     return m_nodes.at(node)->node->retryAfter();
