Do not give a sound task up because its workers were lost for other reasons

A crash counted if the worker restarted before it had listed the run. Now the crash counts as one at the start only if the worker confirmed the run and is known to have crashed within 0.5 s of that: it refuses connections since then, or the clock of its new incarnation shows when that began.

--- a/libs/cell/src/records.h
+++ b/libs/cell/src/records.h
@@ -69,7 +69,7 @@
 struct TaskCrashes
 {
     std::uint32_t index = 0;
-    std::uint32_t atStart = 0; ///< Workers that crashed before they listed the run.
+    std::uint32_t atStart = 0; ///< Workers that crashed when they had just begun the run.
     std::uint32_t all = 0;
 };
 
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -39,9 +39,10 @@
                 m_roster.updateIfNeeded(worker);
                 duplicateSpeculativeRuns(worker);
             },
-            [this](Worker &worker) { releaseAllRuns(worker, WorkerLoss::Unreachable); },
-            [this](Worker &worker) { releaseAllRuns(worker, WorkerLoss::Crashed); },
-            [this] { m_fenced(); } })
+            [this](Worker &worker) {
+                releaseAllRuns(worker, { "worker leases expired", std::nullopt });
+            },
+            [this](Worker &worker) { handleReplacement(worker); }, [this] { m_fenced(); } })
     , m_roster(writer, ports.timers, m_workers, keys::roster(settings.shard),
                [this] { requestPass(); })
 {
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -212,16 +212,18 @@
 
     // Runs lost with their worker (schedulerlosses.cpp).
     /// How runs were lost with their worker.
-    enum class WorkerLoss {
-        Crashed,    ///< Another incarnation or worker has taken its place.
-        Unreachable ///< Its leases have expired without an answer.
+    struct WorkerLoss
+    {
+        const char *reason;
+        std::optional<TimePoint> crashedAt; ///< When it crashed, if that is known.
     };
+    void handleReplacement(Worker &worker);
     void handleNewIncarnation(Worker &worker, const Inventory &inventory, TimePoint requestedAt);
-    void releaseLostRuns(Worker &worker, const std::vector<RunKey> &lost, WorkerLoss loss);
-    void releaseAllRuns(Worker &worker, WorkerLoss loss);
+    void releaseLostRuns(Worker &worker, const std::vector<RunKey> &lost, const WorkerLoss &loss);
+    void releaseAllRuns(Worker &worker, const WorkerLoss &loss);
     /// Counts the loss of a worker for a run that it had, and gives the task up if it is likely to
     /// crash its workers.
-    void recordCrash(const Worker &worker, const Run &run, WorkerLoss loss);
+    void recordCrash(const Worker &worker, const Run &run, const WorkerLoss &loss);
 
     // Straggler handling (schedulerprogress.cpp).
     void checkProgress(Worker &worker);
--- a/libs/cell/src/schedulerlosses.cpp
+++ b/libs/cell/src/schedulerlosses.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+/// A worker that crashes within this time of the start of a task may have crashed because of it.
+constexpr std::chrono::milliseconds crashAtStartWindow{ 500 };
+/// Upper bound on the time from a crash until a poll shows that connections are refused.
+constexpr std::chrono::milliseconds refusalDelay{ 500 };
+
 template <typename Rows>
 std::set<RunKey> keysOf(const Rows &rows)
 {
@@ -16,6 +21,24 @@
     return keys;
 }
 
+/// When the worker crashed, as far as its refusal of connections tells.
+std::optional<TimePoint> crashShownByRefusal(const Worker &worker)
+{
+    if (!worker.refusedSince)
+        return std::nullopt;
+    return *worker.refusedSince - refusalDelay;
+}
+
+/// True if the worker is known to have crashed soon after it began the run. A worker that did not
+/// confirm the start may have crashed before the order arrived; one that was silent may have
+/// crashed long after the start; and one that has listed the run has survived its start.
+bool crashedAtStart(const Run &run, const std::optional<TimePoint> &crashedAt)
+{
+    return run.confirmed != TimePoint() && !run.listed && crashedAt
+        && *crashedAt >= run.confirmed - refusalDelay
+        && *crashedAt <= run.confirmed + crashAtStartWindow;
+}
+
 } // namespace
 
 void Scheduler::handleNewIncarnation(Worker &worker, const Inventory &inventory,
@@ -23,6 +46,9 @@
 {
     const auto running = keysOf(inventory.running);
     const auto finished = keysOf(inventory.finished);
+    // The former incarnation has crashed before the new one started.
+    const auto refusal = crashShownByRefusal(worker);
+    const WorkerLoss loss{ "worker restarted", refusal ? *refusal : now() - inventory.clock };
     std::vector<RunKey> lost;
     std::vector<Run> unlisted;
     for (auto &[key, run] : worker.runs) {
@@ -47,12 +73,17 @@
             stopRun(worker, run, "worker restarted");
     }
     for (const auto &run : unlisted)
-        recordCrash(worker, run, WorkerLoss::Crashed);
-    releaseLostRuns(worker, lost, WorkerLoss::Crashed);
+        recordCrash(worker, run, loss);
+    releaseLostRuns(worker, lost, loss);
     processInventory(worker, inventory, requestedAt);
 }
 
-void Scheduler::releaseAllRuns(Worker &worker, WorkerLoss loss)
+void Scheduler::handleReplacement(Worker &worker)
+{
+    releaseAllRuns(worker, { "worker replaced", crashShownByRefusal(worker) });
+}
+
+void Scheduler::releaseAllRuns(Worker &worker, const WorkerLoss &loss)
 {
     std::vector<RunKey> keys;
     for (const auto &[key, run] : worker.runs)
@@ -61,9 +92,9 @@
     m_roster.updateIfNeeded(worker);
 }
 
-void Scheduler::releaseLostRuns(Worker &worker, const std::vector<RunKey> &lost, WorkerLoss loss)
+void Scheduler::releaseLostRuns(Worker &worker, const std::vector<RunKey> &lost,
+                                const WorkerLoss &loss)
 {
-    const bool crashed = loss == WorkerLoss::Crashed;
     for (const auto &key : lost) {
         m_ports.log.write(now(), "run.lost",
                           { { "task", key.first.text() },
@@ -71,7 +102,7 @@
                             { "worker", worker.entry.id },
                             { "ownershipRevision", m_settings.ownershipRevision },
                             { "silentMs", toMilliseconds(now() - worker.lastContact) },
-                            { "reason", crashed ? "worker restarted" : "worker leases expired" } });
+                            { "reason", loss.reason } });
         const Run run = worker.runs.at(key);
         releaseRun(worker, key, run.checkpoint);
         if (run.gang)
@@ -83,7 +114,7 @@
         requestPass();
 }
 
-void Scheduler::recordCrash(const Worker &worker, const Run &run, WorkerLoss loss)
+void Scheduler::recordCrash(const Worker &worker, const Run &run, const WorkerLoss &loss)
 {
     Job *job = m_jobs.find(run.task.job);
     Step *step = m_jobs.findStep(run.task);
@@ -96,7 +127,7 @@
         crashes.all = 0;
         return;
     }
-    crashes.atStart += loss == WorkerLoss::Crashed && !run.listed ? 1 : 0;
+    crashes.atStart += crashedAtStart(run, loss.crashedAt) ? 1 : 0;
     ++crashes.all;
     m_ports.log.write(now(), "task.lostWithWorker",
                       { { "task", run.task.text() },
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -101,6 +101,7 @@
     if (clock <= std::chrono::milliseconds::zero())
         return;
     const auto now = m_timers.now();
+    worker.refusedSince.reset();
     if (worker.clock > std::chrono::milliseconds::zero()
         && clock + clockTolerance < worker.clockAt(now)) {
         m_log.write(now, "worker.clockWentBack",
@@ -234,6 +235,7 @@
     }
     worker.born = inventory.born;
     worker.lastContact = now;
+    worker.refusedSince.reset();
     worker.reachable = true;
     worker.fenced = true;
     worker.suspect = false;
@@ -300,6 +302,8 @@
     const auto now = m_timers.now();
     ++link.failures;
     worker.suspect = true;
+    if (!mayHaveTakenEffect(error) && !worker.refusedSince)
+        worker.refusedSince = now;
     if (link.failures == failuresUntilUnreachable) {
         worker.reachable = false;
         m_log.write(now, "worker.unreachable",
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -102,6 +102,7 @@
     std::chrono::milliseconds firstInventoryClock{}; ///< Its clock when it accepted this owner.
     TimePoint leaseEnds{}; ///< Time by which the leases of all its runs have expired.
     TimePoint lastContact{};
+    std::optional<TimePoint> refusedSince; ///< It has refused connections since its last answer.
     bool reachable = false;
     bool usedByPreviousOwner = false; ///< An earlier owner may have started tasks on it.
     /// All runs that earlier owners may have started on it are known or have ended.
--- a/standins/cell/tests/crash_test.cpp
+++ b/standins/cell/tests/crash_test.cpp
@@ -32,6 +32,14 @@
     return worker;
 }
 
+/// Runs the world until the only worker runs a task, and the answer to its start has arrived.
+void awaitTask(World &world)
+{
+    for (int wait = 0; world.worker(0).held().cpuMillis == 0 && wait < 20000; ++wait)
+        world.run(milliseconds(1));
+    world.run(milliseconds(20));
+}
+
 } // namespace
 
 /// Workers that crash and are replaced, and tasks that crash them.
@@ -64,6 +72,24 @@
     expectNoViolations(world);
 }
 
+/// The owner learns of a crash later over relays and over long distances.
+BOOST_AUTO_TEST_CASE(taskThatCrashesDistantWorkersIsGivenUp)
+{
+    for (const bool relays : { false, true }) {
+        auto settings = twelveWorkers();
+        if (relays)
+            settings.minWorkersForRelay = 1;
+        World world(settings);
+        world.setExtraDelay(milliseconds(40));
+        world.run(startTime);
+        world.submit(0, jobId(1), deadly(1));
+        world.run(seconds(60));
+        BOOST_TEST(world.guarantees().starts() == 2U);
+        BOOST_TEST((world.status(1, jobId(1)) == JobStatus::Failed));
+        expectNoViolations(world);
+    }
+}
+
 /// The workers are back under their ids, so that an order may still reach the new incarnation.
 BOOST_AUTO_TEST_CASE(taskThatCrashesWorkersWhichKeepTheirIdIsGivenUp)
 {
@@ -149,6 +175,52 @@
     expectNoViolations(world);
 }
 
+/// The owner does not hear of a worker for some time after each start; then the worker crashes. The
+/// task is not the cause if it had been running for long.
+BOOST_AUTO_TEST_CASE(taskThatRanOnSilentWorkersBeforeTheyCrashedIsNotGivenUp)
+{
+    World::Settings settings;
+    settings.workers = 1;
+    World world(settings);
+    world.run(startTime);
+    const auto owner = *world.owner();
+    world.submit(owner, jobId(1), batch(1, seconds(4)));
+    for (int loss = 0; loss < 3; ++loss) {
+        awaitTask(world);
+        world.isolateWorkerFrom(owner, 0, true);
+        world.run(seconds(3));
+        world.crashWorker(0);
+        world.isolateWorkerFrom(owner, 0, false);
+        world.run(milliseconds(500));
+    }
+    world.run(seconds(20));
+    expectCompleted(world, owner, 1);
+}
+
+/// Orders to a worker that has crashed already are no evidence against their task.
+BOOST_AUTO_TEST_CASE(taskThatNeverReachedItsWorkersIsNotGivenUp)
+{
+    World::Settings settings;
+    settings.workers = 1;
+    World world(settings);
+    world.run(startTime);
+    const auto owner = *world.owner();
+    world.submit(owner, jobId(1), batch(1, seconds(1)));
+    for (int loss = 0; loss < 3; ++loss) {
+        const auto sent = world.counterOf(owner, "starts.sent");
+        for (int wait = 0; world.counterOf(owner, "starts.sent") == sent && wait < 20000; ++wait)
+            world.run(milliseconds(1));
+        world.isolateWorkerFrom(owner, 0, true);
+        world.run(milliseconds(20));
+        BOOST_TEST(world.worker(0).held().cpuMillis == 0);
+        world.run(milliseconds(200));
+        world.crashWorker(0);
+        world.isolateWorkerFrom(owner, 0, false);
+    }
+    world.run(seconds(30));
+    expectCompleted(world, owner, 1);
+}
+
 /// A rack may lose its power more than once.
 BOOST_AUTO_TEST_CASE(repeatedLossOfManyWorkersGivesNoTaskUp)
 {
