--- a/standins/cell/tests/jobdefect_test.cpp
+++ b/standins/cell/tests/jobdefect_test.cpp
@@ -6,7 +6,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
+#include <limits>
 #include <map>
+#include <optional>
+#include <string>
 
 using namespace cowsliprock;
 using namespace cowsliprock::standincell;
@@ -137,4 +141,49 @@
     BOOST_TEST(world.status(0, jobId(1)).has_value());
 }
 
+// Guards against one request that exhausts the memory of its owner or makes its sums overflow.
+BOOST_AUTO_TEST_CASE(rejectsJobsAboveTheLimits)
+{
+    World world({});
+    world.run(startTime);
+    // Other limits are tested without a node, since the owner of such a job would run out of
+    // memory.
+    BOOST_TEST(post(world, jobId(10), R"({"steps":[{"cpu":-1}]})") == 400U);
+    BOOST_TEST(post(world, jobId(11), R"({"steps":[{}],"repeat_count":2,"interval_ms":-1})")
+               == 400U);
+}
+
+// Guards against limits that jobs of an ordinary size reach.
+BOOST_AUTO_TEST_CASE(acceptsJobsWithinTheLimits)
+{
+    auto many = batch(10'000);
+    BOOST_TEST(!cell::findDefect(many.spec).has_value());
+    auto steps = batch(100);
+    steps.spec.steps.resize(100, steps.spec.steps.front());
+    BOOST_TEST(!cell::findDefect(steps.spec).has_value());
+    auto daily = chain(2);
+    daily.spec.repeatCount = 365;
+    daily.spec.interval = std::chrono::hours(24);
+    daily.spec.firstStart = std::chrono::hours(24 * 365 * 60);
+    BOOST_TEST(!cell::findDefect(daily.spec).has_value());
+}
+
+// Guards against a stored job of an earlier version that is too large to be loaded.
+BOOST_AUTO_TEST_CASE(endsStoredJobsAboveTheLimitsAsFailed)
+{
+    World world({});
+    world.run(startTime);
+    auto overflow = batch(2).spec;
+    overflow.steps.front().amount.cpuMillis = std::numeric_limits<std::int64_t>::max();
+    auto manySteps = batch(1).spec;
+    manySteps.steps.resize(101, manySteps.steps.front());
+    storeUnchecked(world, jobId(10), overflow);
+    storeUnchecked(world, jobId(11), manySteps);
+    world.submit(0, jobId(1), chain(3));
+    world.run(seconds(4));
+    expectCompleted(world, 0, 1);
+    BOOST_TEST((world.status(0, jobId(10)) == JobStatus::Failed));
+    BOOST_TEST((world.status(0, jobId(11)) == JobStatus::Failed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
