Reject documents that are nested too deeply

A worker's entry, or a job, with a member nested 100,000 levels deep ended the process: reading the member copied it, and copies of nlohmann::json are recursive. A message to /peer/store or /peer/accepted of 100,000 bytes did the same, since CBOR is parsed recursively, arrays as well as the chunks of strings.

parseJson() and parseCbor() in libs/base first scan the bytes without recursion and discard what is nested more than 64 levels deep; the deepest document of the platform has six. All parsers of cowsliprock-celld use them.

--- a/libs/base/include/base/readjson.h
+++ b/libs/base/include/base/readjson.h
@@ -12,6 +12,15 @@
 
 using Json = nlohmann::json;
 
+/// Levels of arrays and objects in a document. Copying, comparing and writing a document, and
+/// parsing CBOR, are recursive: 100,000 levels overflow the stack of the process.
+constexpr std::size_t maxJsonDepth = 64;
+
+/// Parses a document from outside the process. The result is discarded (Json::is_discarded()) if
+/// the document is malformed or nested more than maxJsonDepth levels deep.
+[[nodiscard]] Json parseJson(const std::string &text);
+[[nodiscard]] Json parseCbor(const std::string &bytes);
+
 /// Returns the result of \p read, or std::nullopt if it throws because a member is missing, has the
 /// wrong type or is out of range. The caller reports the source of the malformed JSON.
 template <typename Read>
@@ -29,7 +38,7 @@
 auto decodeJson(const std::string &text, const Read &read)
     -> std::optional<decltype(read(std::declval<const Json &>()))>
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = parseJson(text);
     if (!json.is_object())
         return std::nullopt;
     return readJson(json, read);
--- a/libs/cell/src/storecalls.cpp
+++ b/libs/cell/src/storecalls.cpp
@@ -249,7 +249,7 @@
 template <typename Read>
 auto decodeMessage(const std::string &bytes, const Read &read)
 {
-    const Json json = Json::from_cbor(bytes, true, false);
+    const Json json = parseCbor(bytes);
     return readJson(json, [&read](const Json &message) {
         return read(enumOf(message.at(0), Kind::Keep), message.at(1));
     });
--- a/standins/cell/tests/storepaths_test.cpp
+++ b/standins/cell/tests/storepaths_test.cpp
@@ -241,4 +241,30 @@
     expectNoViolations(world);
 }
 
+// Guards against a message whose nesting overflows the stack of the daemon that receives it.
+BOOST_AUTO_TEST_CASE(rejectsDeeplyNestedMessages)
+{
+    World world({});
+    world.run(startTime);
+    constexpr char arrayOfOne = '\x81';
+    const auto message = std::string(100'000, arrayOfOne) + std::string(1, '\0');
+    BOOST_TEST(world.callPeer(0, "/peer/store", message).status == 400U);
+    BOOST_TEST(world.callPeer(0, "/peer/accepted/0", message).status == 400U);
+    BOOST_TEST(!cell::decodeStoreReply(message).has_value());
+}
+
+// Guards against values that a daemon partitioned from the store cannot read through others.
+BOOST_AUTO_TEST_CASE(passesOnValuesThatAreNotText)
+{
+    const std::string value("\xff\xc3\x28\0\xed\xa0\x80", 7);
+    cell::StorePage page;
+    page.items.push_back({ "servers/w", value, 5, 4, 0 });
+    const auto reply = cell::decodeStoreReply(encode(cell::StoreReply(page)));
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_REQUIRE(std::holds_alternative<cell::StorePage>(*reply));
+    const auto &items = std::get<cell::StorePage>(*reply).items;
+    BOOST_REQUIRE(items.size() == 1U);
+    BOOST_TEST((items.front().value == value));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
