Start steps behind a task with a second run only once its end is durable

A run that its owner had taken for lost turned out to be done while the next run of its task was at work. The owner started the following step at once, as it may, because the worker keeps the end until it is acknowledged. Cut off from the store and from the other run's worker, it could neither store the end nor stop that run. Its successor adopted that run, and concluded that nothing behind a step that is still at work has been started.

The conclusion holds if no step is started on an end that is not durable while another run of the task, or of its gang, may be found by a successor. In this case the steps behind it now wait for the durable end, as those of jobs that wait for their first record do. Speculative tasks are not concerned: their successors draw no such conclusion. Ends without a second run are as fast as before.

--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -155,7 +155,8 @@
         const auto &after = job.record.spec.steps[index].after;
         occurrence.steps[index].ready =
             std::all_of(after.begin(), after.end(), [&occurrence](std::uint32_t before) {
-                return occurrence.steps.at(before).done();
+                const Step &step = occurrence.steps.at(before);
+                return step.done() && step.unsavedEnds == 0;
             });
     }
 }
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -73,6 +73,7 @@
     std::uint32_t waitingCount = 0;    ///< Number of tasks in the phase Waiting.
     std::uint32_t doneCount = 0;       ///< Number of tasks in the phase Done.
     std::uint32_t copiesRequested = 0; ///< Number of tasks that need a speculative copy.
+    std::uint32_t unsavedEnds = 0;     ///< Ends that must be durable before the step counts.
     bool ready = false;                ///< All steps that it depends on are done.
     StepAdvice advice;
 
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -239,6 +239,10 @@
 
     // Jobs (schedulerjobs.cpp).
     void handleTaskCompleted(const TaskId &task, std::uint32_t run);
+    /// True if another run of the task, or of its gang, may still be active.
+    [[nodiscard]] bool hasOtherRuns(const TaskId &task, std::uint32_t run);
+    /// Has the steps that depend on the task wait until its end is durable.
+    void awaitDurableEnd(const Job &job, const TaskId &task);
     /// Has the task of a long-running step started again after an end of any kind.
     void restartLongRunning(Job &job, const TaskId &id, std::uint32_t run, const char *reason);
     void handleTaskFailed(Worker &worker, const TaskId &task, std::uint32_t run);
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -156,6 +156,8 @@
         restartLongRunning(*job, id, run, "gang member ended");
         return;
     }
+    // A successor that adopts another run of the task concludes that nothing behind it has started.
+    const bool otherRuns = !job->spec(id.step).speculative && hasOtherRuns(id, run);
     if (job->spec(id.step).gang) {
         // The end of one member completes the whole gang.
         for (auto &member : step->tasks)
@@ -165,6 +167,8 @@
         if (task->liveRuns > 0)
             stopOtherRuns(id, run);
     }
+    if (otherRuns)
+        awaitDurableEnd(*job, id);
     auto &occurrence = job->occurrences.at(id.occurrence);
     if (step->done()) {
         updateReadiness(*job, occurrence);
@@ -180,6 +184,34 @@
     scheduleJobEvaluation(id.job);
 }
 
+bool Scheduler::hasOtherRuns(const TaskId &id, std::uint32_t run)
+{
+    const bool gang = m_jobs.find(id.job)->spec(id.step).gang;
+    const Task &task = *m_jobs.findTask(id);
+    if (!gang && task.liveRuns + task.strayRuns == 0)
+        return false;
+    bool found = false;
+    forEachRunOf(id.job, [&](Worker &, const Run &other) {
+        const bool same = gang ? other.task.stepText() == id.stepText() : other.task == id;
+        found = found || (same && other.number != run);
+    });
+    return found;
+}
+
+void Scheduler::awaitDurableEnd(const Job &job, const TaskId &id)
+{
+    ++m_jobs.findStep(id)->unsavedEnds;
+    saveProgress(job, Urgency::Now, [this, id] {
+        Step *step = m_jobs.findStep(id);
+        if (step == nullptr || step->unsavedEnds == 0)
+            return;
+        --step->unsavedEnds;
+        Job &known = *m_jobs.find(id.job);
+        updateReadiness(known, known.occurrences.at(id.occurrence));
+        scheduleJobEvaluation(id.job);
+    });
+}
+
 void Scheduler::restartLongRunning(Job &job, const TaskId &id, std::uint32_t run,
                                    const char *reason)
 {
--- a/standins/cell/tests/partition_test.cpp
+++ b/standins/cell/tests/partition_test.cpp
@@ -282,4 +282,39 @@
     BOOST_TEST(*world.owner() != owner);
 }
 
+/// A run that was taken for lost turns out to be done while the next run of its task is at work.
+/// The owner then starts the following step, but can neither store the end nor stop the other run.
+/// Its successor sees only that run, and must not conclude that the following step was not started.
+BOOST_AUTO_TEST_CASE(stepBehindATaskWithASecondRunStartsOnce)
+{
+    World::Settings settings;
+    settings.workers = 4;
+    World world(settings);
+    world.run(startTime);
+    const auto owner = *world.owner();
+    // Each task fills its worker, so that the following step starts on a third one.
+    auto plan = chain(1, seconds(6));
+    for (auto &step : plan.spec.steps)
+        step.amount = settings.workerCapacity;
+    world.submit(owner, jobId(1), plan);
+    world.run(seconds(3));
+    const auto first = workerInUse(world, settings.workers);
+    world.isolateWorker(first, true);
+    for (int wait = 0; world.guarantees().starts() == 1 && wait < 10000; ++wait)
+        world.run(milliseconds(1));
+    world.run(seconds(1));
+    const auto second = workerInUse(world, settings.workers);
+    std::set<std::uint32_t> others;
+    for (std::uint32_t worker = 0; worker < settings.workers; ++worker) {
+        if (worker != second)
+            others.insert(worker);
+    }
+    world.isolateWorker(first, false);
+    world.cutOff({ owner }, others, true);
+    world.run(seconds(15));
+    world.cutOff({ owner }, others, false);
+    world.run(seconds(25));
+    expectCompleted(world, owner, 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
