Explorations: keep the status of jobs until the end of the play

The jobs had ended and their status was durable; the play asked for it more than 130 s later, after the retention, when a cell may have forgotten it. Plays of up to six long episodes and their final wait last longer than that. The cells of the explorations now keep a status for 30 minutes, so that the play still asks for each job; the product's default and its test are unchanged.

--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -45,6 +45,7 @@
         /// disables it. Other events of the node wait meanwhile.
         Duration eventCost{};
         std::chrono::nanoseconds inspectionCost{};
+        Duration statusRetention = cell::Node::Settings().statusRetention;
         /// Bandwidth of a node's link to the workers in each direction; 0 means unlimited.
         double linkBytesPerSecond = 0;
     };
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -165,6 +165,7 @@
     settings.dataCentre = "z";
     settings.address = slot.name;
     settings.policy = m_settings.policy;
+    settings.statusRetention = m_settings.statusRetention;
     if (index < m_settings.weights.size())
         settings.weight = m_settings.weights[index];
     settings.minWorkersForRelay = m_settings.minWorkersForRelay;
--- a/standins/cell/tests/capacity_test.cpp
+++ b/standins/cell/tests/capacity_test.cpp
@@ -334,6 +334,7 @@
         result.workers = explorationWorkers;
         result.workerCapacity = explorationCapacity;
         result.seed = seed;
+        result.statusRetention = explorationStatusRetention;
         result.stopTime = milliseconds(seed % 2 == 0 ? 50 : 800);
         result.listsStoppingRuns = seed % 4 < 2;
         result.minWorkersForRelay = seed % 3 == 0 ? 1 : result.minWorkersForRelay;
--- a/standins/cell/tests/exploration_test.cpp
+++ b/standins/cell/tests/exploration_test.cpp
@@ -56,6 +56,7 @@
         result.nodes = nodes;
         result.workers = workers;
         result.seed = seed;
+        result.statusRetention = explorationStatusRetention;
         result.advice = seed % 3 == 0;
         // Every second cell calls its workers through relays, and some have slow links.
         result.minWorkersForRelay = seed % 2 == 1 ? 1 : result.minWorkersForRelay;
--- a/standins/cell/tests/lateorderexploration_test.cpp
+++ b/standins/cell/tests/lateorderexploration_test.cpp
@@ -59,6 +59,7 @@
         result.nodes = nodes;
         result.workers = workers;
         result.seed = seed;
+        result.statusRetention = explorationStatusRetention;
         // Two of three cells call their workers through relays.
         result.minWorkersForRelay = seed % 3 == 0 ? result.minWorkersForRelay : 1;
         return result;
--- a/standins/cell/tests/partitionexploration_test.cpp
+++ b/standins/cell/tests/partitionexploration_test.cpp
@@ -58,6 +58,7 @@
         result.nodes = m_nodes;
         result.workers = workers;
         result.seed = seed;
+        result.statusRetention = explorationStatusRetention;
         result.minWorkersForRelay = seed % 3 == 0 ? 1 : result.minWorkersForRelay;
         return result;
     }
--- a/standins/cell/tests/seededplays.h
+++ b/standins/cell/tests/seededplays.h
@@ -10,6 +10,10 @@
 
 namespace cowsliprock::standincell {
 
+/// A play asks for the status of its jobs at its end, which is longer after some of their ends than
+/// a status is kept by default.
+constexpr std::chrono::minutes explorationStatusRetention{ 30 };
+
 inline std::uint32_t environmentNumber(const char *variable, std::uint32_t fallback)
 {
     const char *text = std::getenv(variable);
