Reject numbers and addresses that are out of range

Numbers wrapped around or overflowed when they were read. A configuration with the version -1 was taken as version 2^64 - 1, so that no later one was ever applied; a job with a count of ran one task, one with an estimate of 1e300 ms was undefined behaviour; a worker with a capacity near 2^63 or with an address whose port is out of range was listed as usable; settings with an address that is no IP address, a negative lease or a grace period of 1e300 s replaced the current ones on a reload.

The callers already treat what cannot be read as described in the design page: 400 for a job, no usable worker, the current configuration and settings stay in force.

--- a/libs/base/include/base/readjson.h
+++ b/libs/base/include/base/readjson.h
@@ -2,7 +2,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
 #include <exception>
+#include <limits>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -44,6 +49,40 @@
     return readJson(json, read);
 }
 
+/// Reads a number as an integer, for use within readJson(). Throws std::out_of_range if it is out
+/// of range for T, unlike Json::get(), which lets it wrap around. A fraction is cut off.
+template <std::integral T>
+T integerOf(const Json &json)
+{
+    const auto checked = [](auto number) {
+        if (!std::in_range<T>(number))
+            throw std::out_of_range("number out of range");
+        return static_cast<T>(number);
+    };
+    if (json.is_number_unsigned())
+        return checked(json.get<std::uint64_t>());
+    if (json.is_number_integer())
+        return checked(json.get<std::int64_t>());
+    if (json.is_number_float()) {
+        const auto number = json.get<double>();
+        const double end = std::ldexp(1.0, std::numeric_limits<T>::digits);
+        if (!(number >= static_cast<double>(std::numeric_limits<T>::min()) && number < end))
+            throw std::out_of_range("number out of range");
+        return static_cast<T>(number);
+    }
+    return json.get<T>();
+}
+
+/// The same for a member of an object, which may be missing.
+template <std::integral T>
+T integerOr(const Json &object, const char *key, T fallback)
+{
+    if (!object.is_object())
+        throw std::invalid_argument("not an object");
+    const auto member = object.find(key);
+    return member == object.end() ? fallback : integerOf<T>(*member);
+}
+
 /// Converts a number to an enumerator, for use within readJson(). Throws std::out_of_range if the
 /// number is negative or above \p last.
 template <typename T>
--- a/libs/eventloop/src/http.cpp
+++ b/libs/eventloop/src/http.cpp
@@ -2,6 +2,8 @@
 
 #include <base/parsenumber.h>
 
+#include <boost/asio/ip/address_v4.hpp>
+
 namespace cowsliprock {
 
 SocketAddress parseSocketAddress(const std::string &text)
@@ -11,9 +13,12 @@
     if (colon == std::string::npos)
         return result;
     const auto port = parseNumber<std::uint16_t>(std::string_view(text).substr(colon + 1));
-    if (!port)
+    boost::system::error_code error;
+    const auto ip = text.substr(0, colon);
+    static_cast<void>(boost::asio::ip::make_address_v4(ip, error));
+    if (!port || error)
         return result;
-    result.ip = text.substr(0, colon);
+    result.ip = ip;
     result.port = *port;
     return result;
 }
--- a/libs/eventloop/tests/http_test.cpp
+++ b/libs/eventloop/tests/http_test.cpp
@@ -227,6 +227,9 @@
     BOOST_TEST(parseSocketAddress("10.0.0.1").port == 0);
     BOOST_TEST(parseSocketAddress("10.0.0.1:99999").port == 0);
     BOOST_TEST(parseSocketAddress("10.0.0.1:8x").port == 0);
+    BOOST_TEST(parseSocketAddress("10.0.0.1:-8").port == 0);
+    for (const auto *ip : { "", "nowhere", "10.0.0", "10.0.0.256", "::1" })
+        BOOST_TEST((parseSocketAddress(std::string(ip) + ":80") == SocketAddress{}), ip);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -34,6 +34,16 @@
     return "node-" + std::to_string(index);
 }
 
+/// Address that differs between any two workers.
+std::string workerAddress(const std::string &id)
+{
+    const auto bits = static_cast<std::uint32_t>(stableHash(id));
+    std::string address;
+    for (const unsigned shift : { 24U, 16U, 8U, 0U })
+        address += std::to_string(bits >> shift & 0xFFU) + (shift == 0 ? ":80" : ".");
+    return address;
+}
+
 } // namespace
 
 World::World(const Settings &settings)
@@ -93,7 +103,8 @@
 void World::publishWorker(WorkerSlot &slot)
 {
     const auto &model = *slot.model;
-    m_store.put(workerKey(model.id()), workerDocument(model, model.id(), slot.draining));
+    m_store.put(workerKey(model.id()),
+                workerDocument(model, workerAddress(model.id()), slot.draining));
 }
 
 TaskPlan World::plan(const TaskId &task, std::uint32_t worker)
