Reject store messages with keys or numbers that cannot be used

A message to /peer/store may name any key, and its numbers wrapped around. A write with a key that is not valid UTF-8 reached the store client, whose request cannot be written as JSON: nlohmann::json::dump() throws type_error 316, which the event loop reports as an unexpected error, after which the daemon gives up its shards and claims them again. A wait of 2^62 us overflowed when the timeout was added to it.

The messages are now decoded with integerOf(), with timeOf(), which bounds times to 100 years, and with a check that keys are valid UTF-8; otherwise the call is answered 400. Values still carry any bytes.

--- a/libs/base/include/base/readjson.h
+++ b/libs/base/include/base/readjson.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cmath>
 #include <concepts>
 #include <cstddef>
@@ -21,6 +22,9 @@
 /// parsing CBOR, are recursive: 100,000 levels overflow the stack of the process.
 constexpr std::size_t maxJsonDepth = 64;
 
+/// Upper bound on times that are read. It includes clocks that count from the start of a machine.
+constexpr std::chrono::hours maxJsonTime{ 24 * 366 * 100 };
+
 /// Parses a document from outside the process. The result is discarded (Json::is_discarded()) if
 /// the document is malformed or nested more than maxJsonDepth levels deep.
 [[nodiscard]] Json parseJson(const std::string &text);
@@ -83,12 +87,24 @@
     return member == object.end() ? fallback : integerOf<T>(*member);
 }
 
+/// Reads a time in whole units. Throws std::out_of_range above maxJsonTime, so that it can be added
+/// to others.
+template <typename Time>
+Time timeOf(const Json &json)
+{
+    constexpr Time last = maxJsonTime;
+    const Time time(integerOf<std::int64_t>(json));
+    if (time < -last || time > last)
+        throw std::out_of_range("time out of range");
+    return time;
+}
+
 /// Converts a number to an enumerator, for use within readJson(). Throws std::out_of_range if the
 /// number is negative or above \p last.
 template <typename T>
 T enumOf(const Json &json, T last)
 {
-    const int number = json;
+    const auto number = integerOf<int>(json);
     if (number < 0 || number > static_cast<int>(last))
         throw std::out_of_range("enumerator value out of range");
     return static_cast<T>(number);
--- a/libs/cell/src/storecalls.cpp
+++ b/libs/cell/src/storecalls.cpp
@@ -59,9 +59,30 @@
     return Json::array({ item.key, item.value, item.revision, item.created, item.lease });
 }
 
+/// Throws if the key is not valid UTF-8, since it could not be sent to the store.
+std::string keyOf(const Json &json)
+{
+    static_cast<void>(json.dump());
+    return json.get<std::string>();
+}
+
+std::uint64_t numberOf(const Json &json)
+{
+    return integerOf<std::uint64_t>(json);
+}
+
+Duration durationOf(const Json &json)
+{
+    const auto duration = timeOf<Duration>(json);
+    if (duration < Duration::zero())
+        throw std::out_of_range("negative time");
+    return duration;
+}
+
 StoreItem itemOf(const Json &json)
 {
-    return { json.at(0), json.at(1), json.at(2), json.at(3), json.at(4) };
+    return { keyOf(json.at(0)), json.at(1), numberOf(json.at(2)), numberOf(json.at(3)),
+             numberOf(json.at(4)) };
 }
 
 Json toJson(const std::vector<StoreItem> &items)
@@ -95,10 +116,11 @@
 {
     Transaction transaction;
     for (const auto &row : json.at(0))
-        transaction.conditions.push_back({ row.at(0), row.at(1) });
+        transaction.conditions.push_back({ keyOf(row.at(0)), numberOf(row.at(1)) });
     for (const auto &row : json.at(1))
-        transaction.writes.push_back({ row.at(0), row.at(1), row.at(2) });
-    transaction.removals = json.at(2).get<std::vector<std::string>>();
+        transaction.writes.push_back({ keyOf(row.at(0)), row.at(1), numberOf(row.at(2)) });
+    for (const auto &key : json.at(2))
+        transaction.removals.push_back(keyOf(key));
     return transaction;
 }
 
@@ -187,20 +209,20 @@
 {
     switch (kind) {
     case Kind::Read:
-        return StoreReadCall{ members.at(0) };
+        return StoreReadCall{ keyOf(members.at(0)) };
     case Kind::List:
-        return StoreListCall{ members.at(0), members.at(1) };
+        return StoreListCall{ keyOf(members.at(0)), keyOf(members.at(1)) };
     case Kind::Watch:
-        return StoreWatchCall{ members.at(0), members.at(1),
-                               Duration(members.at(2).get<std::int64_t>()) };
+        return StoreWatchCall{ keyOf(members.at(0)), numberOf(members.at(1)),
+                               durationOf(members.at(2)) };
     case Kind::Commit:
         return StoreCommitCall{ transactionOf(members.at(0)) };
     case Kind::Grant:
-        return StoreGrantCall{ Duration(members.at(0).get<std::int64_t>()) };
+        return StoreGrantCall{ durationOf(members.at(0)) };
     case Kind::Keep:
         break;
     }
-    return StoreKeepCall{ members.at(0) };
+    return StoreKeepCall{ numberOf(members.at(0)) };
 }
 
 StoreEvents eventsOf(const Json &members)
@@ -208,16 +230,16 @@
     StoreEvents events;
     for (const auto &row : members.at(0))
         events.events.push_back({ itemOf(row.at(0)), row.at(1) });
-    events.asOf = members.at(1);
+    events.asOf = numberOf(members.at(1));
     events.historyLost = members.at(2);
     return events;
 }
 
 TransactionOutcome outcomeOf(const Json &members)
 {
-    switch (members.at(0).get<std::size_t>()) {
+    switch (numberOf(members.at(0))) {
     case 0:
-        return Committed{ members.at(1) };
+        return Committed{ numberOf(members.at(1)) };
     case 1:
         return ConditionFailed{ itemsOf(members.at(1)) };
     case 2:
@@ -233,13 +255,13 @@
     case Kind::Read:
         return members.empty() ? std::nullopt : std::optional(itemOf(members.at(0)));
     case Kind::List:
-        return StorePage{ itemsOf(members.at(0)), members.at(1), members.at(2) };
+        return StorePage{ itemsOf(members.at(0)), members.at(1), numberOf(members.at(2)) };
     case Kind::Watch:
         return eventsOf(members);
     case Kind::Commit:
         return outcomeOf(members);
     case Kind::Grant:
-        return LeaseGranted{ members.at(0) };
+        return LeaseGranted{ numberOf(members.at(0)) };
     case Kind::Keep:
         break;
     }
--- a/standins/cell/tests/storepaths_test.cpp
+++ b/standins/cell/tests/storepaths_test.cpp
@@ -3,6 +3,8 @@
 #include <keys.h>
 #include <storecalls.h>
 
+#include <base/readjson.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
@@ -267,4 +269,52 @@
     BOOST_TEST((items.front().value == value));
 }
 
+// Guards against a key that cannot be sent to the store: the daemon that was asked to store it gave
+// up its shards because of the exception.
+BOOST_AUTO_TEST_CASE(rejectsKeysThatAreNotText)
+{
+    const std::string key = "cowsliprock/\xff";
+    cell::Transaction write;
+    write.writes.push_back({ key, "value", 0 });
+    cell::Transaction condition;
+    condition.conditions.push_back({ key, 0 });
+    cell::Transaction removal;
+    removal.removals.push_back(key);
+    const std::vector<cell::StoreCall> calls{ cell::StoreReadCall{ key },
+                                              cell::StoreListCall{ key, "" },
+                                              cell::StoreListCall{ "cowsliprock/", key },
+                                              cell::StoreWatchCall{ key, 0, {} },
+                                              cell::StoreCommitCall{ write },
+                                              cell::StoreCommitCall{ condition },
+                                              cell::StoreCommitCall{ removal } };
+    for (const auto &call : calls)
+        BOOST_TEST(!cell::decodeStoreCall(encode(call)).has_value(), call.index());
+    const std::optional<cell::StoreItem> item = cell::StoreItem{ key, "value", 2, 1, 0 };
+    BOOST_TEST(!cell::decodeStoreReply(encode(cell::StoreReply(item))).has_value());
+
+    World world({});
+    world.run(startTime);
+    BOOST_TEST(world.callPeer(0, "/peer/store", encode(calls.at(4))).status == 400U);
+}
+
+// Guards against numbers of other daemons that wrap around or overflow.
+BOOST_AUTO_TEST_CASE(rejectsMessagesOutOfRange)
+{
+    const auto message = [](const Json &json) {
+        const auto bytes = Json::to_cbor(json);
+        return std::string(bytes.begin(), bytes.end());
+    };
+    constexpr int watch = 2;
+    const auto watchCall = [&](const Json &after, const Json &wait) {
+        return message(Json::array({ watch, Json::array({ "cowsliprock/", after, wait }) }));
+    };
+    BOOST_TEST(cell::decodeStoreCall(watchCall(7, 1000)).has_value());
+    for (const auto &call :
+         { watchCall(-1, 1000), watchCall(1e300, 1000), watchCall(7, 1e300), watchCall(7, -1),
+           watchCall(7, std::uint64_t{ 1 } << 62U), message(Json::array({ 1e300, Json::array() })),
+           message(Json::array({ 4294967296, Json::array({ "key" }) })) }) {
+        BOOST_TEST(!cell::decodeStoreCall(call).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
