celld: server limits from the machine, the settings and the configuration

The limits of the HTTP servers were fixed in the code and not derived from the machine's memory and descriptors, "limits" of op/config was not read, and nothing told an operator that a limit had closed a connection.

"limits" of the configuration applies to the client server where it is stricter, from the next message on; a value of no use is ignored.

--- a/libs/cell/include/cell/model.h
+++ b/libs/cell/include/cell/model.h
@@ -4,6 +4,7 @@
 #include <base/time.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -47,12 +48,22 @@
     bool standby = false;
 };
 
+/// Limits on the requests of clients. Those that are not set are left to the daemon.
+struct RequestLimits
+{
+    std::optional<std::size_t> headerBytes;
+    std::optional<std::size_t> bodyBytes;
+    std::optional<Duration> headerTimeout;
+    std::optional<Duration> idleTimeout;
+};
+
 /// One version of the operator's configuration.
 struct CellConfiguration
 {
     std::uint64_t version = 0;
     std::vector<QueueSettings> queues;
     std::vector<ServiceSettings> services;
+    RequestLimits limits;
 
     /// Returns the queue of \p host with the longest prefix matching \p path, or null.
     [[nodiscard]] const QueueSettings *matchQueue(const std::string &host,
--- a/libs/cell/include/cell/node.h
+++ b/libs/cell/include/cell/node.h
@@ -72,6 +72,9 @@
     /// Hands over all shards. \p done is called exactly once, after \p limit at the latest.
     void shutdown(Duration limit, std::function<void()> done);
 
+    /// Sets the callback for each new configuration. Must be called before start().
+    void onConfiguration(std::function<void(const CellConfiguration &)> action);
+
     /// The current configuration, or null until the first one has been read.
     [[nodiscard]] const CellConfiguration *configuration() const noexcept;
 
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -86,6 +86,7 @@
     PlatformRecords records;
     Membership membership;
     ConfigurationFollower configuration;
+    std::function<void(const CellConfiguration &)> configurationCallback;
     AdviceQueue advice;
     RelayAgent agent;
     ClientRequestHandler requestHandler;
@@ -202,6 +203,8 @@
         if (slot.shard)
             slot.shard->configure(newest);
     }
+    if (configurationCallback)
+        configurationCallback(newest);
 }
 
 const Shard *Node::State::loadedShard(std::uint32_t number) const
@@ -433,6 +436,11 @@
     m_state->shutdown(limit, std::move(done));
 }
 
+void Node::onConfiguration(std::function<void(const CellConfiguration &)> action)
+{
+    m_state->configurationCallback = std::move(action);
+}
+
 const CellConfiguration *Node::configuration() const noexcept
 {
     return m_state->configuration.current();
--- a/libs/eventloop/include/eventloop/httplimits.h
+++ b/libs/eventloop/include/eventloop/httplimits.h
@@ -21,6 +21,8 @@
     Duration idleTimeout{ std::chrono::seconds(60) };
     /// For writing a whole response.
     Duration writeTimeout{ std::chrono::seconds(10) };
+
+    bool operator==(const HttpServerLimits &) const = default;
 };
 
 /// The limit for which a server rejected a message or closed a connection.
