--- a/libs/cell/include/cell/model.h
+++ b/libs/cell/include/cell/model.h
@@ -6,6 +6,7 @@
 #include <base/time.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -56,6 +57,15 @@
     std::string customer; ///< Empty if the queue or the configuration requires no API key.
 };
 
+/// Limits on the requests of clients. Those that are not set are left to the daemon.
+struct RequestLimits
+{
+    std::optional<std::size_t> headerBytes;
+    std::optional<std::size_t> bodyBytes;
+    std::optional<Duration> headerTimeout;
+    std::optional<Duration> idleTimeout;
+};
+
 /// One version of the operator's configuration.
 struct CellConfiguration
 {
@@ -63,6 +73,7 @@
     std::vector<QueueSettings> queues;
     std::vector<ServiceSettings> services;
     CustomerDirectory customers;
+    RequestLimits limits;
 
     /// Returns the queue of \p host with the longest prefix matching \p path, or null.
     [[nodiscard]] const QueueSettings *matchQueue(const std::string &host,
