--- a/tests/process/untrusted.py
+++ b/tests/process/untrusted.py
@@ -5,16 +5,19 @@
 issues are listed in KNOWN-RED.txt in lines "untrusted NAME: WHAT WAS SEEN".
 """
 
+import concurrent.futures
 import re
 import signal
 import sys
 import time
 
 import untrustedclients
+import untrustedpeers
+import untrustedrequestd
 from cell import ROOT, StepFailed
 from untrustedcell import raise_descriptor_limit
 
-CASES = untrustedclients.CASES
+CASES = {**untrustedclients.CASES, **untrustedpeers.CASES, **untrustedrequestd.CASES}
 
 
 def known_red():
@@ -27,8 +30,8 @@
     try:
         report = case()
         return report.breaches, report.figures
-    except StepFailed as error:
-        return [f"cannot be judged: {error}"], ""
+    except (StepFailed, OSError, ValueError, concurrent.futures.TimeoutError) as error:
+        return [f"cannot be judged: {type(error).__name__}: {error}"], ""
 
 
 def main():
--- a/tests/process/untrustedcell.py
+++ b/tests/process/untrustedcell.py
@@ -62,10 +62,12 @@
 
     def sample(self):
         try:
-            count = len(os.listdir(f"/proc/{self.process.pid}/fd"))
-        except OSError:
+            self.peak_descriptors = max(self.peak_descriptors, self.descriptors())
+        except OSError:  # The process has ended.
             return
-        self.peak_descriptors = max(self.peak_descriptors, count)
+
+    def descriptors(self):
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
     def stop(self):
         self.stopping.set()
@@ -202,8 +204,14 @@
     def address(self, server):
         return getattr(self.daemon, server)
 
+    def ready_status(self):
+        return call(self.daemon.ready, "GET", "/v1/readyz")[0]
+
     def ready(self):
-        return call(self.daemon.ready, "GET", "/v1/readyz")[0] == 200
+        return self.ready_status() == 200
+
+    def new_job(self):
+        return f"{next(self.jobs):016x}"
 
     def post(self, job, prefix=PREFIX):
         body = {"spec": "ordinary", "steps": [{"count": 1, "cpu": 1000, "mem_mb": 512,
@@ -219,7 +227,7 @@
 
     def run_job(self, patience_s, prefix=PREFIX):
         """An ordinary client: submits a job and asks for its state until it has completed."""
-        job = f"{next(self.jobs):016x}"
+        job = self.new_job()
         end = time.monotonic() + patience_s
         wait_until(patience_s, "a job is accepted", lambda: self.post(job, prefix) == 200)
         left = max(end - time.monotonic(), 1)
--- a/tests/process/untrustedcrowd.py
+++ b/tests/process/untrustedcrowd.py
@@ -45,9 +45,7 @@
         if segment_bytes:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
-        failure = self.socket.connect_ex(address)
-        if failure not in (0, errno.EINPROGRESS):
-            raise OSError(failure, "connect")
+        return self.socket.connect_ex(address) in (0, errno.EINPROGRESS)
 
     def close(self):
         if self.socket:
@@ -97,6 +95,7 @@
         self.settled = threading.Event()
         self.epoll = select.epoll()
         self.by_descriptor = {}
+        self.failure = None  # Error that ended the crowd early.
         self.thread = threading.Thread(target=self.run, daemon=True)
 
     def __enter__(self):
@@ -117,34 +116,42 @@
         self.settled.wait(limit_s)
 
     def run(self):
-        end = time.monotonic() + MAX_LIFETIME_S
-        for client in self.clients:
-            self.open(client)
-        next_piece = time.monotonic()
         try:
-            while not self.stopping.is_set() and time.monotonic() < end:
-                for descriptor, events in self.epoll.poll(POLL_S):
-                    self.handle(self.by_descriptor[descriptor], events)
-                if self.script.interval_s and time.monotonic() >= next_piece:
-                    next_piece = time.monotonic() + self.script.interval_s
-                    self.trickle()
-                self.reopen()
-                if all(client.socket is None or self.at_rest(client) for client in self.clients):
-                    self.settled.set()
+            self.serve_clients()
+        except OSError as error:  # Such as too few descriptors for the crowd itself.
+            self.failure = error
+            self.settled.set()
         finally:
             for client in self.clients:
                 client.close()
             self.epoll.close()
 
+    def serve_clients(self):
+        end = time.monotonic() + MAX_LIFETIME_S
+        for client in self.clients:
+            self.open(client)
+        next_piece = time.monotonic()
+        while not self.stopping.is_set() and time.monotonic() < end:
+            for descriptor, events in self.epoll.poll(POLL_S):
+                self.handle(self.by_descriptor[descriptor], events)
+            if self.script.interval_s and time.monotonic() >= next_piece:
+                next_piece = time.monotonic() + self.script.interval_s
+                self.trickle()
+            self.reopen()
+            if all(client.socket is None or self.at_rest(client) for client in self.clients):
+                self.settled.set()
+
     def at_rest(self, client):
         opened = client.sent >= len(self.script.opening)
         return client.complete() or (opened and self.script.interval_s > 0)
 
     def open(self, client):
-        client.connect(self.address, self.segment_bytes)
+        connecting = client.connect(self.address, self.segment_bytes)
         self.by_descriptor[client.socket.fileno()] = client
         wanted = select.EPOLLRDHUP | (0 if self.at_rest(client) else select.EPOLLOUT)
         self.epoll.register(client.socket, wanted)
+        if not connecting:
+            self.drop(client)
 
     def drop(self, client):
         self.closed_by_peer += 1
