Keep each customer within its quota

A customer could use all workers of the cell, whatever quota the operator had set. The owner of the shard now counts what the runs of each customer hold, where runs are added to and removed from the table of workers, so that starting, unanswered, stopping and adopted runs count and several starts of one pass are counted together. A step starts as many tasks as fit on the workers and in the quota, a gang all or none.

A step that waits for the quota does not count as a failure of the pass, does not outrank others and reserves no worker. A gang that can still meet its objective reserves its part of the quota, since smaller jobs of the customer would starve it otherwise. After a take-over, tasks that may still run on workers that have not reported count as in use, up to the capacity of those workers. Customers that a version removes keep their last quota. A job of which one task or gang exceeds the quota can never run and is answered with 400.

The simulated cell checks each start against the highest quota that may be in force.

--- a/libs/cell/include/cell/customers.h
+++ b/libs/cell/include/cell/customers.h
@@ -3,12 +3,17 @@
 #include <base/resources.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace cowsliprock::cell {
 
+/// True if \p count tasks of \p each fit in the quota, whose zero components are unlimited.
+[[nodiscard]] bool fitsQuota(const Resources &quota, const Resources &each,
+                             std::uint32_t count) noexcept;
+
 /// Configuration of one customer.
 struct CustomerSettings
 {
--- a/libs/cell/include/cell/model.h
+++ b/libs/cell/include/cell/model.h
@@ -104,6 +104,12 @@
     std::chrono::milliseconds interval{};
 };
 
+/// True if each task of the job, and each gang as a whole, fits in the quota of the customer.
+[[nodiscard]] bool fitsQuota(const CustomerSettings &customer, const JobSpec &spec) noexcept;
+
+/// Capacity occupied by a task of the step.
+[[nodiscard]] Resources heldBy(const StepSpec &step) noexcept;
+
 /// A job as persisted in the store.
 struct JobRecord
 {
--- /dev/null
+++ b/libs/cell/src/customerquotas.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cell/customers.h>
+
+#include <base/resources.h>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace cowsliprock::cell {
+
+/// What the customers of a shard use of their quotas. The empty name stands for work without a
+/// customer, which has no quota.
+class CustomerQuotas
+{
+public:
+    /// Applies the quotas of a configuration version. Customers that it does not list keep their
+    /// last quota.
+    void configure(const CustomerDirectory &customers);
+
+    void runAdded(const std::string &customer, const Resources &held);
+    void runRemoved(const std::string &customer, const Resources &held);
+
+    /// Sets upper bounds of what runs unseen on workers that have not reported after a take-over.
+    void setUnreported(std::unordered_map<std::string, Resources> bounds);
+
+    /// Deducts \p amount from what is available to steps evaluated later.
+    void reserve(const std::string &customer, const Resources &amount);
+    void releaseReservations() noexcept { m_reserved.clear(); }
+
+    /// What the customer's runs hold on all workers that may still execute them.
+    [[nodiscard]] Resources inUse(const std::string &customer) const;
+    /// Number of further tasks, each of which holds \p each, that the quota permits now. While the
+    /// use of any resource exceeds the quota, it permits none.
+    [[nodiscard]] std::uint32_t availableSlots(const std::string &customer,
+                                               const Resources &each) const;
+    /// True if \p count tasks fit in the quota while nothing else is in use.
+    [[nodiscard]] bool canEverFit(const std::string &customer, const Resources &each,
+                                  std::uint32_t count) const;
+
+private:
+    using Amounts = std::unordered_map<std::string, Resources>;
+
+    Amounts m_quotas;
+    Amounts m_used;
+    Amounts m_unreported;
+    Amounts m_reserved;
+};
+
+} // namespace cowsliprock::cell
--- a/libs/cell/src/customers.cpp
+++ b/libs/cell/src/customers.cpp
@@ -4,6 +4,16 @@
 
 namespace cowsliprock::cell {
 
+bool fitsQuota(const Resources &quota, const Resources &each, std::uint32_t count) noexcept
+{
+    // Divides the quota, since the product may exceed the range of the numbers.
+    const auto fits = [count](std::int64_t limit, std::int64_t amount) {
+        return limit <= 0 || count == 0 || amount <= limit / count;
+    };
+    return fits(quota.cpuMillis, each.cpuMillis) && fits(quota.memoryMb, each.memoryMb)
+        && fits(quota.accelerators, each.accelerators);
+}
+
 void CustomerDirectory::add(CustomerSettings settings, const std::vector<std::string> &apiKeys)
 {
     const auto index = m_customers.size();
--- a/libs/cell/src/model.cpp
+++ b/libs/cell/src/model.cpp
@@ -2,6 +2,7 @@
 
 #include <base/parsenumber.h>
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 
@@ -46,6 +47,21 @@
     return customer == nullptr ? std::nullopt : std::optional(Caller{ customer->name });
 }
 
+Resources heldBy(const StepSpec &step) noexcept
+{
+    Resources amount = step.amount;
+    if (step.bestEffort)
+        amount.cpuMillis = 0;
+    return amount;
+}
+
+bool fitsQuota(const CustomerSettings &customer, const JobSpec &spec) noexcept
+{
+    return std::all_of(spec.steps.begin(), spec.steps.end(), [&customer](const StepSpec &step) {
+        return fitsQuota(customer.quota, heldBy(step), step.gang ? step.count : 1);
+    });
+}
+
 const char *toString(JobStatus status) noexcept
 {
     return statusNames.at(static_cast<std::size_t>(status));
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -90,6 +90,7 @@
 void Scheduler::configure(const CellConfiguration &configuration)
 {
     m_configuration = configuration;
+    m_quotas.configure(configuration.customers);
     // Priorities may have changed, so the ordered set is rebuilt.
     const auto jobs =
         std::exchange(m_activeJobs, ActiveJobs(MoreUrgent{ m_settings.policy.order }));
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "advicechoice.h"
 #include "advicequeue.h"
+#include "customerquotas.h"
 #include "fencedwriter.h"
 #include "jobruns.h"
 #include "jobtable.h"
@@ -141,9 +142,13 @@
     /// step is then left to the next pass.
     [[nodiscard]] bool isOutranked(const StepView &view) const;
     void recordBlockedStep(const StepView &view);
-    /// Starts the tasks of a step that can be placed, or requests advice. Returns false if some
-    /// tasks have to wait for room.
-    bool tryPlaceStep(const StepView &view);
+    enum class Placement {
+        Complete,     ///< No task waits for room or for the quota.
+        WaitsForRoom, ///< Some tasks have to wait for room on the workers.
+        WaitsForQuota ///< Some tasks have to wait until their customer uses less of its quota.
+    };
+    /// Starts the tasks of a step that can be placed, or requests advice.
+    Placement tryPlaceStep(const StepView &view);
     [[nodiscard]] StepDemand demandOf(const StepView &view) const;
     void refreshUsableWorkers();
     /// Counts inspected workers and steps, as a measure of the cost of decisions.
@@ -156,10 +161,21 @@
     /// allowed by the advice for the step.
     [[nodiscard]] std::vector<Worker *> candidates(const StepView &view, const StepDemand &demand,
                                                    TicketFilter filter);
-    bool placeTasks(const StepView &view, const StepDemand &demand);
-    bool placeGang(const StepView &view, const StepDemand &demand);
+    Placement placeTasks(const StepView &view, const StepDemand &demand);
+    Placement placeGang(const StepView &view, const StepDemand &demand);
     void reserveForGang(const StepView &view);
 
+    // Quotas of customers (schedulerquotas.cpp).
+    /// Number of further tasks of the step that the quota of its customer permits now.
+    [[nodiscard]] std::uint32_t quotaSlots(const StepView &view) const;
+    /// True if the quota permits no task of the step, or not the whole gang.
+    [[nodiscard]] bool reachesQuota(const StepView &view) const;
+    /// Keeps less urgent steps of the customer from using what the gang needs of the quota.
+    void reserveQuotaForGang(const StepView &view);
+    /// Capacity of the workers that have not reported since the take-over.
+    [[nodiscard]] Resources unreportedCapacity() const;
+    void updateUnreportedUsage();
+
     // Advice (scheduleradvice.cpp).
     [[nodiscard]] bool canRequestAdvice(const AdviceSettings &settings, std::uint32_t tasks);
     void requestAdvice(const StepView &view, const StepDemand &demand);
@@ -266,6 +282,7 @@
     JobTable m_jobs;
     WorkerTable m_workers;
     JobRuns m_jobRuns;
+    CustomerQuotas m_quotas;
     ActiveJobs m_activeJobs;
     std::optional<CellConfiguration> m_configuration;
     ResponseTimes m_answerTimes;
--- a/libs/cell/src/scheduleradvice.cpp
+++ b/libs/cell/src/scheduleradvice.cpp
@@ -18,7 +18,7 @@
 {
     AdviceDemand need;
     need.gang = view.spec->gang;
-    need.tasks = view.startableTasks(now());
+    need.tasks = std::min(view.startableTasks(now()), quotaSlots(view));
     return need;
 }
 
@@ -122,7 +122,7 @@
             m_reservations.reserve(id, demand.priority);
         return;
     }
-    auto unassigned = view.startableTasks(now());
+    auto unassigned = std::min(view.startableTasks(now()), quotaSlots(view));
     for (const auto &id : advice.renewingWorkers) {
         const auto worker = m_workers.find(id);
         if (worker == m_workers.end())
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -71,11 +71,19 @@
     m_slowAdviceSaturated = false;
     m_windowFull = false;
     m_highestBlockedRank.reset();
+    m_quotas.releaseReservations();
     int failures = 0;
     int reservedGangs = 0;
+    bool quotaReached = false;
     const auto waiting = waitingSteps(m_activeJobs);
     for (const auto &view : waiting) {
-        if (tryPlaceStep(view))
+        const auto placement = tryPlaceStep(view);
+        if (placement == Placement::WaitsForQuota) {
+            quotaReached = true;
+            if (view.spec->gang && view.band == bandOnTime)
+                reserveQuotaForGang(view);
+        }
+        if (placement != Placement::WaitsForRoom)
             continue;
         recordBlockedStep(view);
         if (m_windowFull)
@@ -88,24 +96,26 @@
             break;
     }
     logLoad(waiting);
-    if (failures > 0 || m_windowFull)
+    if (failures > 0 || m_windowFull || quotaReached)
         requestDelayedPass();
 }
 
-bool Scheduler::tryPlaceStep(const StepView &view)
+Scheduler::Placement Scheduler::tryPlaceStep(const StepView &view)
 {
     // The step cannot be placed before the first advice has arrived.
     if (view.step->advice.awaitsFirstAnswer())
-        return true;
+        return Placement::Complete;
+    if (reachesQuota(view))
+        return Placement::WaitsForQuota;
     const auto demand = demandOf(view);
     // If no worker has room, placement is skipped; gangs still request advice.
     const bool anyRoom = heldBy(*view.spec).fitsIn(m_maxFree);
-    const bool placed = !anyRoom ? false
-        : view.spec->gang        ? placeGang(view, demand)
-                                 : placeTasks(view, demand);
-    if (!placed && !m_windowFull && (anyRoom || view.spec->gang))
+    const auto placement = !anyRoom ? Placement::WaitsForRoom
+        : view.spec->gang           ? placeGang(view, demand)
+                                    : placeTasks(view, demand);
+    if (placement == Placement::WaitsForRoom && !m_windowFull && (anyRoom || view.spec->gang))
         requestAdvice(view, demand);
-    return placed;
+    return placement;
 }
 
 StepDemand Scheduler::demandOf(const StepView &view) const
@@ -156,7 +166,10 @@
     bool unplaced = false;
     for (const auto &view : waitingSteps(changed)) {
         const bool immediate = !isOutranked(view) && !m_windowFull;
-        unplaced = !(immediate && tryPlaceStep(view)) || unplaced;
+        const auto placement = immediate ? tryPlaceStep(view) : Placement::WaitsForRoom;
+        unplaced = placement == Placement::WaitsForRoom || unplaced;
+        if (placement == Placement::WaitsForQuota)
+            requestDelayedPass();
     }
     if (unplaced)
         requestPass();
@@ -296,6 +309,7 @@
 {
     const auto current = now();
     countInspections(m_workers.size());
+    updateUnreportedUsage();
     m_usableRefreshedAt = current;
     m_usableWorkers.clear();
     m_maxFree = {};
@@ -316,29 +330,33 @@
         m_usableWorkers.push_back(worker);
 }
 
-bool Scheduler::placeTasks(const StepView &view, const StepDemand &demand)
+Scheduler::Placement Scheduler::placeTasks(const StepView &view, const StepDemand &demand)
 {
     const auto current = now();
     const auto workers = candidates(view, demand, TicketFilter::Usable);
     const std::uint64_t firstRun = m_settings.generation * runsPerOwner;
     std::uint32_t started = 0;
-    bool all = true;
+    auto result = Placement::Complete;
     for (std::uint32_t index = 0; index < view.step->tasks.size(); ++index) {
         Task &task = view.step->tasks[index];
         if (!view.startable(task, current))
             continue;
+        if (reachesQuota(view)) {
+            result = Placement::WaitsForQuota;
+            break;
+        }
         Worker *worker = chooseForTask(workers, demand, task);
         if (worker == nullptr) {
-            all = false;
+            result = Placement::WaitsForRoom;
             break;
         }
         if (!m_sender.canStart()) {
             m_windowFull = true;
-            all = false;
+            result = Placement::WaitsForRoom;
             break;
         }
         if (!ensureStartRecorded(*view.job))
-            return true;
+            return Placement::Complete;
         const auto number = std::max<std::uint64_t>(task.lastRun, firstRun) + 1;
         startTask(view, index, *worker, static_cast<std::uint32_t>(number));
         ++started;
@@ -350,25 +368,25 @@
                             { "band", view.band },
                             { "candidates", static_cast<std::uint64_t>(workers.size()) } });
     }
-    return all;
+    return result;
 }
 
-bool Scheduler::placeGang(const StepView &view, const StepDemand &demand)
+Scheduler::Placement Scheduler::placeGang(const StepView &view, const StepDemand &demand)
 {
     const auto count = static_cast<std::uint32_t>(view.step->tasks.size());
     // A gang can start only after its previous run has ended on all workers.
     if (view.startableTasks(now()) != count)
-        return true;
+        return Placement::Complete;
     const auto workers = candidates(view, demand, TicketFilter::Usable);
     const auto chosen = chooseForGang(workers, demand, count);
     if (chosen.empty())
-        return false;
+        return Placement::WaitsForRoom;
     if (!m_sender.canStart()) {
         m_windowFull = true;
-        return false;
+        return Placement::WaitsForRoom;
     }
     if (!ensureStartRecorded(*view.job))
-        return true;
+        return Placement::Complete;
     std::uint64_t last = m_settings.generation * runsPerOwner;
     for (const auto &task : view.step->tasks)
         last = std::max<std::uint64_t>(last, task.lastRun);
@@ -380,7 +398,7 @@
                         { "run", last + 1 },
                         { "band", view.band },
                         { "candidates", static_cast<std::uint64_t>(workers.size()) } });
-    return true;
+    return Placement::Complete;
 }
 
 void Scheduler::reserveForGang(const StepView &view)
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -414,6 +414,9 @@
 Run &Scheduler::recordRun(Worker &worker, Run run)
 {
     m_jobRuns.runAdded(run.task.job, worker.entry.id);
+    if (const Job *job = m_jobs.find(run.task.job))
+        run.customer = job->record.customer;
+    m_quotas.runAdded(run.customer, run.held);
     return addRun(worker, std::move(run));
 }
 
@@ -423,6 +426,7 @@
     if (!run)
         return;
     m_jobRuns.runRemoved(key.first.job, worker.entry.id);
+    m_quotas.runRemoved(run->customer, run->held);
     Task *task = m_jobs.findTask(key.first);
     if (task == nullptr)
         return;
--- a/libs/cell/src/workertable.cpp
+++ b/libs/cell/src/workertable.cpp
@@ -35,14 +35,6 @@
     return run.startPending || run.outcomeUnknown || !run.listed || run.ordered >= requestedAt;
 }
 
-Resources heldBy(const StepSpec &step) noexcept
-{
-    Resources amount = step.amount;
-    if (step.bestEffort)
-        amount.cpuMillis = 0;
-    return amount;
-}
-
 bool usable(const Worker &worker, TimePoint now)
 {
     return worker.rosterState == RosterState::Open && worker.fenced && worker.reachable
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -38,6 +38,7 @@
     TaskId task;
     std::uint32_t number = 0;
     Resources held;
+    std::string customer;     ///< Customer whose quota it uses; empty if it has none.
     bool sizeUnknown = false; ///< Its job is no longer known.
     std::uint32_t priority = 0;
     RunPhase phase = RunPhase::Starting;
@@ -126,9 +127,6 @@
 /// by an unknown incarnation.
 [[nodiscard]] bool mayStillArrive(const Run &run, TimePoint requestedAt) noexcept;
 
-/// Capacity occupied by a run of a task of the step.
-[[nodiscard]] Resources heldBy(const StepSpec &step) noexcept;
-
 /// True if the worker may receive new tasks now.
 [[nodiscard]] bool usable(const Worker &worker, TimePoint now);
 
--- a/standins/cell/include/standincell/guaranteechecker.h
+++ b/standins/cell/include/standincell/guaranteechecker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <standincell/quotachecker.h>
 #include <standincell/workermodel.h>
 
 #include <cell/model.h>
@@ -17,11 +18,15 @@
 class GuaranteeChecker : public WorkerObserver
 {
 public:
-    explicit GuaranteeChecker(Timers &timers);
+    GuaranteeChecker(Timers &timers, const QuotaChecker &quotas);
 
     void submitted(const std::string &job, const cell::JobSpec &spec, std::uint32_t maxAttempts);
     /// Each start of a task of the job crashes its worker.
     void deadly(const std::string &job) { m_jobs[job].deadly = true; }
+    void belongsTo(const std::string &job, const std::string &customer)
+    {
+        m_jobs[job].customer = customer;
+    }
     void accepted(const std::string &job);
     void refused(const std::string &job);
     void cancelRequested(const std::string &job);
@@ -62,6 +67,7 @@
     struct JobRecord
     {
         cell::JobSpec spec;
+        std::string customer; ///< Empty if it has none.
         std::uint32_t maxAttempts = 1;
         bool accepted = false;
         bool deadly = false; ///< Its tasks crash their workers.
@@ -91,6 +97,8 @@
     void addViolation(const char *guarantee, const cell::TaskId &task, const std::string &detail);
     /// The members of a gang belong together: no member may run beside one of another run.
     void checkGangRuns(const cell::TaskId &member, std::uint32_t run);
+    /// The running tasks of a customer may not exceed its quota when a task of it is started.
+    void checkQuota(const JobRecord &job, const cell::TaskId &task);
     /// A task under which several workers have crashed may be started a few times more only.
     void checkCrashes(JobRecord &job, const cell::TaskId &task);
     void checkStart(JobRecord &job, const cell::TaskId &task);
@@ -102,6 +110,7 @@
     [[nodiscard]] static bool stepDone(const JobRecord &job, std::uint32_t step);
 
     Timers &m_timers;
+    const QuotaChecker &m_quotas;
     std::map<std::string, JobRecord> m_jobs;
     /// Current runs of each task, as pairs of worker and run.
     std::map<cell::TaskId, std::set<std::pair<std::string, std::uint32_t>>> m_running;
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -185,6 +185,8 @@
     }
 
 private:
+    /// Oldest configuration version that a running node applies.
+    [[nodiscard]] std::uint64_t oldestConfiguration() const;
     void publishWorker(WorkerSlot &slot);
     /// Whether the worker can renew its entry in the store.
     void setWorkerStorePath(WorkerSlot &slot, bool connected);
@@ -193,6 +195,7 @@
     Settings m_settings;
     VirtualTime m_time;
     StoreModel m_store;
+    QuotaChecker m_quotas;
     GuaranteeChecker m_guarantees;
     std::mt19937 m_random;
     std::uniform_real_distribution<double> m_chance{ 0.0, 1.0 };
--- a/standins/cell/src/guaranteechecker.cpp
+++ b/standins/cell/src/guaranteechecker.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-GuaranteeChecker::GuaranteeChecker(Timers &timers)
+GuaranteeChecker::GuaranteeChecker(Timers &timers, const QuotaChecker &quotas)
     : m_timers(timers)
+    , m_quotas(quotas)
 { }
 
 void GuaranteeChecker::submitted(const std::string &job, const JobSpec &spec,
@@ -188,10 +189,28 @@
     runs.emplace(worker, run);
     if (job.spec.steps[task.step].gang)
         checkGangRuns(task, run);
+    checkQuota(job, task);
     checkCrashes(job, task);
     checkStart(job, task);
 }
 
+void GuaranteeChecker::checkQuota(const JobRecord &job, const TaskId &task)
+{
+    if (job.customer.empty())
+        return;
+    Resources inUse;
+    for (const auto &[other, runs] : m_running) {
+        const auto record = m_jobs.find(other.job);
+        if (record == m_jobs.end() || record->second.customer != job.customer)
+            continue;
+        inUse += heldBy(record->second.spec.steps.at(other.step))
+            * static_cast<std::int64_t>(runs.size());
+    }
+    if (!m_quotas.allows(job.customer, inUse, m_orderTime.value_or(m_timers.now())))
+        addViolation("QUOTA", task,
+                     job.customer + " uses " + std::to_string(inUse.cpuMillis) + " mCPU");
+}
+
 void GuaranteeChecker::checkGangRuns(const TaskId &member, std::uint32_t run)
 {
     const TaskId first{ member.job, member.occurrence, member.step, 0 };
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -38,7 +38,8 @@
 World::World(const Settings &settings)
     : m_settings(settings)
     , m_store(m_time)
-    , m_guarantees(m_time)
+    , m_quotas([this] { return oldestConfiguration(); })
+    , m_guarantees(m_time, m_quotas)
     , m_random(settings.seed)
 {
     changeConfiguration();
@@ -87,6 +88,7 @@
     if (queues.empty())
         queues.push_back(queue);
     m_store.put(configurationKey, configurationDocument(++m_version, queues, m_settings.customers));
+    m_quotas.configured(m_version, m_settings.customers, m_time.now());
 }
 
 void World::changeCustomers(std::vector<CustomerPlan> customers)
@@ -358,6 +360,7 @@
     m_jobs[id] = jobPlan;
     const auto *queue = slot.node->configuration()->findQueue(jobPlan.queue);
     m_guarantees.submitted(id, jobPlan.spec, attempts);
+    m_guarantees.belongsTo(id, jobPlan.customer);
     if (jobPlan.deadly)
         m_guarantees.deadly(id);
     slot.node->submit(id, Caller{ jobPlan.customer }, *queue, jobPlan.spec,
@@ -432,6 +435,16 @@
     return configuration == nullptr ? 0 : configuration->version;
 }
 
+std::uint64_t World::oldestConfiguration() const
+{
+    auto oldest = m_version;
+    for (std::uint32_t node = 0; node < m_nodes.size(); ++node) {
+        if (const auto version = configurationOf(node); version != 0)
+            oldest = std::min(oldest, version);
+    }
+    return oldest;
+}
+
 std::optional<std::uint32_t> World::owner() const
 {
     const auto item = m_store.read(ownerKey);
--- a/standins/cell/tests/customers_test.cpp
+++ b/standins/cell/tests/customers_test.cpp
@@ -18,6 +18,7 @@
 /// Time within which a new configuration applies on every connected daemon.
 constexpr milliseconds configurationTime{ 4000 };
 constexpr unsigned statusOk = 200;
+constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusUnauthorized = 401;
 constexpr unsigned statusNotFound = 404;
 
@@ -36,6 +37,7 @@
     settings.targetRuntime = seconds(2);
     settings.timeout = seconds(20);
     settings.anonymous = anonymous;
+    settings.priority = anonymous ? 2 : 0;
     return settings;
 }
 
@@ -64,6 +66,29 @@
     return response ? response->status : 0;
 }
 
+/// CPU of one task of the test jobs.
+constexpr std::int64_t taskCpu = 4000;
+
+CustomerPlan customerWithQuota(const std::string &name, std::int64_t cpuMillis)
+{
+    return { { name, 1.0, { cpuMillis, 0, 0 } }, { name } };
+}
+
+World::JobPlan ofCustomer(const std::string &name, World::JobPlan plan)
+{
+    plan.customer = name;
+    plan.queue = "keyed";
+    return plan;
+}
+
+std::int64_t cpuHeld(World &world)
+{
+    std::int64_t sum = 0;
+    for (std::uint32_t worker = 0; worker < World::Settings().workers; ++worker)
+        sum += world.worker(worker).held().cpuMillis;
+    return sum;
+}
+
 std::string keyedPath(std::uint32_t job)
 {
     return "/keyed/" + jobId(job);
@@ -151,3 +176,127 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+/// Quotas of customers. Tasks above a quota violate QUOTA.
+BOOST_AUTO_TEST_SUITE(quotas)
+
+// Guards against several starts of one pass that are each compared with the use before the pass.
+BOOST_AUTO_TEST_CASE(customerUsesNoMoreThanItsQuota)
+{
+    World world(cellWith({ customerWithQuota("a", 5 * taskCpu) }));
+    world.run(startTime);
+    world.submit(0, jobId(1), ofCustomer("a", batch(8, seconds(2))));
+    world.submit(1, jobId(2), ofCustomer("a", batch(8, seconds(2))));
+    world.run(seconds(1));
+    BOOST_TEST(cpuHeld(world) == 5 * taskCpu);
+    world.run(seconds(20));
+    expectCompleted(world, 0, 2);
+}
+
+// Guards against a customer at its quota that blocks others: its pending steps used up the failures
+// that a pass tolerates, and outranked the less urgent steps of others.
+BOOST_AUTO_TEST_CASE(customerAtItsQuotaDoesNotDelayOthers)
+{
+    World world(cellWith({ customerWithQuota("a", taskCpu), customerWithQuota("b", 0) }));
+    world.run(startTime);
+    constexpr std::uint32_t blocked = 150;
+    for (std::uint32_t job = 1; job <= blocked; ++job)
+        world.submit(0, jobId(job), ofCustomer("a", batch(1, seconds(30))));
+    world.run(seconds(1));
+    auto later = ofCustomer("b", batch(6, seconds(10)));
+    later.queue = "open";
+    world.submit(0, jobId(blocked + 1), later);
+    world.run(milliseconds(500));
+    BOOST_TEST(cpuHeld(world) == 7 * taskCpu);
+    expectNoViolations(world);
+}
+
+BOOST_AUTO_TEST_CASE(gangStartsOnlyIfTheQuotaPermitsAllMembers)
+{
+    World world(cellWith({ customerWithQuota("a", 4 * taskCpu) }));
+    world.run(startTime);
+    world.submit(0, jobId(1), ofCustomer("a", batch(2, seconds(3))));
+    world.run(milliseconds(200));
+    world.submit(0, jobId(2), ofCustomer("a", gang(4, seconds(1))));
+    world.run(seconds(1));
+    BOOST_TEST(cpuHeld(world) == 2 * taskCpu);
+    world.run(seconds(10));
+    expectCompleted(world, 0, 2);
+}
+
+// Guards against small jobs of a customer that keep its gang waiting for the quota for ever.
+BOOST_AUTO_TEST_CASE(gangOfACustomerAtItsQuotaIsNotStarved)
+{
+    World world(cellWith({ customerWithQuota("a", 4 * taskCpu) }));
+    world.run(startTime);
+    world.submit(0, jobId(1), ofCustomer("a", batch(4, seconds(1))));
+    world.run(milliseconds(100));
+    world.submit(0, jobId(2), ofCustomer("a", gang(4, seconds(1))));
+    for (std::uint32_t job = 3; job < 30; ++job) {
+        world.submit(0, jobId(job), ofCustomer("a", batch(1, milliseconds(900))));
+        world.run(milliseconds(100));
+    }
+    BOOST_TEST((world.status(0, jobId(2)) == cell::JobStatus::Completed));
+    expectNoViolations(world);
+}
+
+BOOST_AUTO_TEST_CASE(loweredQuotaAdmitsNothingUntilThereIsRoom)
+{
+    World world(cellWith({ customerWithQuota("a", 8 * taskCpu) }));
+    world.run(startTime);
+    world.submit(0, jobId(1), ofCustomer("a", batch(6, seconds(8))));
+    world.run(seconds(1));
+    world.changeCustomers({ customerWithQuota("a", 2 * taskCpu) });
+    world.run(configurationTime);
+    world.submit(0, jobId(2), ofCustomer("a", batch(4, seconds(1))));
+    world.run(seconds(2));
+    BOOST_TEST(world.guarantees().starts() == 6U);
+    world.run(seconds(12));
+    expectCompleted(world, 0, 2);
+}
+
+// Guards against a new owner that does not count what an earlier one has started on workers that it
+// cannot reach yet.
+BOOST_AUTO_TEST_CASE(newOwnerCountsTasksOfUnreachableWorkers)
+{
+    World world(cellWith({ customerWithQuota("a", 6 * taskCpu) }));
+    world.run(startTime);
+    world.submit(0, jobId(1), ofCustomer("a", batch(6, seconds(20))));
+    world.run(seconds(1));
+    const auto owner = world.owner().value();
+    const auto worker = workerInUse(world, World::Settings().workers);
+    for (std::uint32_t node = 0; node < nodes; ++node) {
+        if (node != owner)
+            world.isolateWorkerFrom(node, worker, true);
+    }
+    world.kill(owner);
+    const auto other = owner == 0 ? 1U : 0U;
+    for (std::uint32_t job = 2; job < 12; ++job) {
+        world.submit(other, jobId(job), ofCustomer("a", batch(2, seconds(1))));
+        world.run(seconds(1));
+    }
+    BOOST_TEST(world.owner().value() != owner);
+    expectNoViolations(world);
+}
+
+// Guards against jobs that are accepted although they can never run.
+BOOST_AUTO_TEST_CASE(jobThatExceedsTheQuotaIsRejected)
+{
+    auto limited = customerWithQuota("a", taskCpu);
+    limited.apiKeys = { "k" };
+    World world(cellWith({ limited }));
+    world.run(startTime);
+    const auto statusOf = [&world](std::uint32_t job, const std::string &step) {
+        const auto body = R"({"spec":"t","steps":[{"mem_mb":100,"estimate_ms":300,)" + step + "}]}";
+        const auto response =
+            world.request(0, { "POST", keyedPath(job), "h", body, { { "Api-Key", "k" } } });
+        return response ? response->status : 0;
+    };
+    BOOST_TEST(statusOf(1, R"("count":9,"cpu":4000)") == statusOk);
+    BOOST_TEST(statusOf(2, R"("count":1,"cpu":4001)") == statusBadRequest);
+    BOOST_TEST(statusOf(3, R"("count":5,"cpu":1000,"gang":true)") == statusBadRequest);
+    BOOST_TEST(statusOf(4, R"("count":4,"cpu":1000,"gang":true)") == statusOk);
+    BOOST_TEST(statusOf(5, R"("count":1,"cpu":9000,"fills":true)") == statusOk);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cell/tests/exploration_test.cpp
+++ b/standins/cell/tests/exploration_test.cpp
@@ -28,18 +28,22 @@
 {
 public:
     explicit Exploration(std::uint32_t seed)
-        : m_random(seed)
-        , m_world(settings(seed))
+        : Exploration(seed, {})
     { }
+    virtual ~Exploration() = default;
+    Exploration(const Exploration &) = delete;
+    Exploration &operator=(const Exploration &) = delete;
 
     void execute()
     {
         m_world.run(startTime);
         for (std::uint32_t step = 0; step < steps; ++step) {
+            beforeStep();
             submitRandomJob();
             injectFault();
             m_world.run(milliseconds(pick(50, 500)));
         }
+        beforeRepair();
         repair();
         m_world.run(seconds(30));
         for (std::uint32_t job = 0; job < m_jobs; ++job)
@@ -49,10 +53,21 @@
     [[nodiscard]] World &world() { return m_world; }
     [[nodiscard]] std::uint32_t nodeCount() const { return nodes; }
 
+protected:
+    Exploration(std::uint32_t seed, const std::vector<CustomerPlan> &customers)
+        : m_random(seed)
+        , m_world(settings(seed, customers))
+    { }
+
+    virtual void beforeStep() { }
+    virtual void beforeRepair() { }
+    virtual std::string drawCustomer() { return {}; }
+
 private:
-    static World::Settings settings(std::uint32_t seed)
+    static World::Settings settings(std::uint32_t seed, const std::vector<CustomerPlan> &customers)
     {
         World::Settings result;
+        result.customers = customers;
         result.nodes = nodes;
         result.workers = workers;
         result.seed = seed;
@@ -90,6 +105,7 @@
             for (auto &step : plan.spec.steps)
                 step.speculative = !step.gang;
         }
+        plan.customer = drawCustomer();
         if (pick(0, 9) == 0)
             plan.failingRuns = { 1 };
         if (pick(0, 19) == 0)
@@ -256,6 +272,54 @@
     std::set<std::uint32_t> m_drained;
 };
 
+constexpr std::uint32_t customers = 3;
+constexpr std::int64_t cpuPerTask = 4000;
+/// Quota of each customer at the end, which permits any job.
+constexpr std::int64_t largestQuota = 16 * cpuPerTask;
+
+std::vector<CustomerPlan> customersWithQuota(std::int64_t cpuMillis)
+{
+    std::vector<CustomerPlan> plans;
+    for (std::uint32_t index = 0; index < customers; ++index) {
+        const auto name = "customer-" + std::to_string(index);
+        plans.push_back({ { name, 1.0, { cpuMillis, 0, 0 } }, { name } });
+    }
+    return plans;
+}
+
+/// An exploration in which the jobs belong to customers, whose quotas change.
+class CustomerExploration final : public Exploration
+{
+public:
+    explicit CustomerExploration(std::uint32_t seed)
+        : Exploration(seed, customersWithQuota(largestQuota / 2))
+        , m_customerRandom(seed)
+    { }
+
+private:
+    std::uint32_t draw(std::uint32_t low, std::uint32_t high)
+    {
+        return std::uniform_int_distribution<std::uint32_t>(low, high)(m_customerRandom);
+    }
+
+    std::string drawCustomer() override
+    {
+        // Some jobs have no customer.
+        const auto index = draw(0, customers);
+        return index == customers ? std::string() : "customer-" + std::to_string(index);
+    }
+
+    void beforeStep() override
+    {
+        if (draw(0, 9) == 0)
+            world().changeCustomers(customersWithQuota(cpuPerTask * draw(1, 10)));
+    }
+
+    void beforeRepair() override { world().changeCustomers(customersWithQuota(largestQuota)); }
+
+    std::mt19937 m_customerRandom;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(exploration)
@@ -265,4 +329,11 @@
     playSeeds<Exploration>(defaultSeeds);
 }
 
+/// Guards against starts above a quota: after a take-over, while starts are unanswered, and after a
+/// reduction of the quota.
+BOOST_AUTO_TEST_CASE(quotasHoldUnderOverlappingFaults)
+{
+    playSeeds<CustomerExploration>(defaultSeeds);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
