Long tasks on sound workers are no stragglers

Callers of a cell where three of a hundred tasks take seven times as long got their jobs later than necessary: each long task was stopped and restarted, which lost its work, and its worker received no new tasks for five seconds, up to a third of all workers at a time. The cause was that a run was compared with its siblings only, so a long task looked like a slow worker.

A run without progress is handled as before. A slow run is a straggler only if other tasks show its worker to be slow: three of four of the other runs on it, or the runs that ended on it. Its expected time takes the known speeds of its worker and of those of its siblings into account.

--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -31,6 +31,7 @@
     bool rescheduled = false;
     std::string worker;      ///< Worker of the newest run.
     Duration projected{};    ///< Projected total time of the newest run.
+    double workerSpeed = 1;  ///< Known speed of that worker.
     bool timed = false;      ///< It is the measured time of a whole run, not compared so far.
     TimePoint notBefore{};   ///< Earliest time of the next start.
     bool reconciled = false; ///< All runs that earlier owners may have started are known.
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -224,7 +224,9 @@
 
     // Straggler handling (schedulerprogress.cpp).
     void checkProgress(Worker &worker);
-    [[nodiscard]] bool hasFallenBehind(const Worker &worker, const Run &run);
+    [[nodiscard]] RunPace runPace(const Worker &worker, const Run &run);
+    /// Runs that have stalled, and those that have fallen behind on a slow worker.
+    [[nodiscard]] std::vector<RunKey> stragglersOf(const Worker &worker);
     [[nodiscard]] StepPace paceOf(const Worker &worker, const Run &run);
     void restartElsewhere(Worker &worker, Run &run);
     void duplicateSpeculativeRuns(Worker &worker);
--- a/libs/cell/src/schedulerprogress.cpp
+++ b/libs/cell/src/schedulerprogress.cpp
@@ -23,6 +23,7 @@
         return;
     task->worker = worker.entry.id;
     task->projected = projected;
+    task->workerSpeed = worker.speed;
 }
 
 StepPace Scheduler::paceOf(const Worker &worker, const Run &run)
@@ -31,38 +32,64 @@
     const Job *job = m_jobs.find(run.task.job);
     pace.estimate = job->spec(run.task.step).estimate;
     for (const auto &task : m_jobs.findStep(run.task)->tasks) {
-        if (task.projected > Duration::zero() && task.worker != worker.entry.id)
-            pace.siblings.push_back(task.projected);
+        if (task.projected > Duration::zero() && task.worker != worker.entry.id) {
+            pace.siblings.push_back(
+                std::chrono::duration_cast<Duration>(task.projected * task.workerSpeed));
+        }
     }
+    pace.speed = worker.speed;
     return pace;
 }
 
-bool Scheduler::hasFallenBehind(const Worker &worker, const Run &run)
+RunPace Scheduler::runPace(const Worker &worker, const Run &run)
 {
     const Job *job = m_jobs.find(run.task.job);
     const Step *step = m_jobs.findStep(run.task);
     if (run.phase != RunPhase::Running || run.gang || job == nullptr || step == nullptr)
-        return false;
+        return RunPace::Unknown;
     const auto &spec = job->spec(run.task.step);
     // The pace of these depends on co-located work or on the distance to their data, or they never
     // end.
     if (spec.longRunning || spec.bestEffort || spec.sameRack || !spec.preferredRack.empty())
-        return false;
+        return RunPace::Unknown;
     const auto current = now();
     const RunProgress progress{ current - run.confirmed, run.percent, current - run.progressed };
     if (run.percent > 0)
         recordPace(worker, run, projectedTime(progress));
-    return !step->tasks.at(run.task.index).rescheduled
-        && isStraggler(progress, paceOf(worker, run), spec.checkpointing);
+    return paceOfRun(progress, paceOf(worker, run), spec.checkpointing);
 }
 
-void Scheduler::checkProgress(Worker &worker)
+std::vector<RunKey> Scheduler::stragglersOf(const Worker &worker)
 {
+    std::vector<RunKey> behind;
     std::vector<RunKey> stragglers;
+    OtherRuns runs;
     for (const auto &[key, run] : worker.runs) {
-        if (hasFallenBehind(worker, run))
+        const auto pace = runPace(worker, run);
+        runs.known += pace == RunPace::Unknown ? 0 : 1;
+        runs.slow += pace == RunPace::Unknown || pace == RunPace::Sound ? 0 : 1;
+        const Task *task = m_jobs.findTask(key.first);
+        if (task == nullptr || task->rescheduled)
+            continue;
+        if (pace == RunPace::Behind)
+            behind.push_back(key);
+        else if (pace == RunPace::Stalled)
             stragglers.push_back(key);
     }
+    if (behind.empty())
+        return stragglers;
+    const auto &id = worker.entry.id;
+    const SpeedEvidence ended{ m_speeds.evidence(id), m_speeds.speed(id) / m_slowSpeed };
+    if (isSlowByOthers({ runs.known - 1, runs.slow - 1 }, ended))
+        stragglers.insert(stragglers.end(), behind.begin(), behind.end());
+    else
+        m_ports.metrics.count("tasks.long", behind.size());
+    return stragglers;
+}
+
+void Scheduler::checkProgress(Worker &worker)
+{
+    const auto stragglers = stragglersOf(worker);
     if (stragglers.empty() || !excludeSlowWorker(worker))
         return;
     for (const auto &key : stragglers) {
--- a/libs/cell/src/stragglers.cpp
+++ b/libs/cell/src/stragglers.cpp
@@ -21,6 +21,17 @@
 /// Time to stop a run and to start it on another worker.
 constexpr std::chrono::milliseconds restartOverhead{ 500 };
 constexpr int hundredPercent = 100;
+/// A run counts as slow from this fraction of the factor that makes it a straggler.
+constexpr double slowErrorDivisor = 1.75;
+/// Fewer runs that ended on a worker are no evidence of its speed.
+constexpr double minEndedRuns = 3;
+/// A worker is slow if the runs that ended on it show a lower speed than this.
+constexpr double slowWorkerSpeed = 0.6;
+/// A worker is slow if three of four of its other runs are, and there are at least this many. Long
+/// tasks make up a large part of the runs at any time.
+constexpr std::size_t minOtherRuns = 2;
+constexpr std::size_t slowRunsShare = 3;
+constexpr std::size_t slowRunsDivisor = 4;
 
 Duration median(std::vector<Duration> times)
 {
@@ -51,24 +62,44 @@
     return progress.elapsed * hundredPercent / (static_cast<std::int64_t>(progress.percent) + 1);
 }
 
-bool isStraggler(const RunProgress &progress, const StepPace &pace, bool checkpointed)
+RunPace paceOfRun(const RunProgress &progress, const StepPace &pace, bool checkpointed)
 {
     const auto reference = referenceOf(pace);
+    const auto expected = std::chrono::duration_cast<Duration>(reference.time / pace.speed);
     const auto percent = static_cast<int>(progress.percent);
     const bool assessable = reference.time > Duration::zero()
         && progress.elapsed >= minObservationTime && percent < hundredPercent;
     if (!assessable)
-        return false;
-    if (progress.unchanged >= std::max<Duration>(minStallTime, reference.time / stallDivisor))
-        return true;
+        return RunPace::Unknown;
+    if (progress.unchanged >= std::max<Duration>(minStallTime, expected / stallDivisor))
+        return RunPace::Stalled;
     const auto projected = projectedTime(progress);
-    if (std::chrono::duration<double>(projected)
-        < reference.error * std::chrono::duration<double>(reference.time))
-        return false;
+    const double excess =
+        std::chrono::duration<double>(projected) / std::chrono::duration<double>(expected);
+    if (excess < reference.error / slowErrorDivisor)
+        return RunPace::Sound;
+    if (excess < reference.error)
+        return RunPace::Slow;
     const auto remaining = reference.time * (hundredPercent - percent) / hundredPercent;
     const Duration restartedTime =
         restartOverhead + (checkpointed ? remaining + restoreTime : reference.time);
-    return projected - progress.elapsed > restartedTime;
+    return projected - progress.elapsed > restartedTime ? RunPace::Behind : RunPace::Slow;
+}
+
+bool isSlowByOthers(const OtherRuns &others, const SpeedEvidence &ended) noexcept
+{
+    const bool endedKnown = ended.runs >= minEndedRuns;
+    if (endedKnown && ended.speed < slowWorkerSpeed)
+        return true;
+    if (others.known < minOtherRuns)
+        return others.slow > 0 && !endedKnown;
+    return others.slow * slowRunsDivisor >= others.known * slowRunsShare;
+}
+
+bool isStraggler(const RunProgress &progress, const StepPace &pace, bool checkpointed)
+{
+    const auto result = paceOfRun(progress, pace, checkpointed);
+    return result == RunPace::Stalled || result == RunPace::Behind;
 }
 
 } // namespace cowsliprock::cell
--- a/standins/cell/tests/stragglers_test.cpp
+++ b/standins/cell/tests/stragglers_test.cpp
@@ -103,6 +103,32 @@
         !cell::isStraggler({ seconds(9), 15, milliseconds(800) }, { seconds(60), {} }, false));
 }
 
+/// Guards against the restart of a run that is as slow as its worker is known to be.
+BOOST_AUTO_TEST_CASE(knownSpeedExplainsASlowRun)
+{
+    StepPace pace{ seconds(1), { seconds(1), seconds(1) } };
+    BOOST_TEST(isStraggler(progressOf(seconds(1), 4, milliseconds(900)), pace, false));
+    pace.speed = 0.4;
+    BOOST_TEST(!isStraggler(progressOf(seconds(1), 4, milliseconds(900)), pace, false));
+    BOOST_TEST(isStraggler(progressOf(seconds(1), 10, milliseconds(900)), pace, false));
+}
+
+/// Guards against the restart of a long task, which loses the work of its first run.
+BOOST_AUTO_TEST_CASE(otherTasksShowWhetherTheWorkerIsSlow)
+{
+    const cell::SpeedEvidence nothing{};
+    const cell::SpeedEvidence sound{ 10, 1 };
+    const cell::SpeedEvidence slow{ 10, 0.3 };
+    BOOST_TEST(!isSlowByOthers({ 0, 0 }, nothing));
+    BOOST_TEST(!isSlowByOthers({ 1, 0 }, nothing));
+    BOOST_TEST(!isSlowByOthers({ 7, 2 }, nothing));
+    BOOST_TEST(!isSlowByOthers({ 1, 1 }, sound));
+    BOOST_TEST(isSlowByOthers({ 0, 0 }, slow));
+    BOOST_TEST(isSlowByOthers({ 1, 1 }, nothing));
+    // A sound worker has become slow.
+    BOOST_TEST(isSlowByOthers({ 4, 3 }, sound));
+}
+
 BOOST_AUTO_TEST_CASE(manySlowWorkersAreNotExcluded)
 {
     BOOST_TEST(cell::mayExcludeWorker(0, 3));
@@ -131,6 +157,24 @@
     }
 }
 
+/// Guards against long tasks that are restarted and against the exclusion of their workers.
+BOOST_AUTO_TEST_CASE(longTasksOnSoundWorkersAreLeftAlone)
+{
+    World::Settings settings;
+    settings.workers = 18;
+    World world(settings);
+    world.run(startTime);
+    auto plan = batch(6, seconds(1));
+    plan.taskSpread = 0.2;
+    plan.longTaskShare = 0.03;
+    BOOST_TEST(endedInTime(world, follower(world), 1, 40, plan, seconds(10)) == 40U);
+    const auto owner = world.owner().value();
+    BOOST_TEST(world.counterOf(owner, "tasks.long") > 0U);
+    BOOST_TEST(world.counterOf(owner, "workers.slow") == 0U);
+    BOOST_TEST(world.counterOf(owner, "runs.stopped") == 0U);
+    expectNoViolations(world);
+}
+
 BOOST_AUTO_TEST_CASE(copyRunsBesideARunOnASilentWorkerWhereThatIsAllowed)
 {
     World world({});
