Explorations: play seeds that move on with each landing

Without variables, each exploration now plays the seeds as before, those that once failed (they are named in the tests), and 300 from the number in tests/first-seed, which each landing raises.

--- a/standins/cell/tests/capacity_test.cpp
+++ b/standins/cell/tests/capacity_test.cpp
@@ -434,7 +434,7 @@
 
 BOOST_AUTO_TEST_CASE(guaranteesHoldWhenWorkersChangeTheirCapacities)
 {
-    playSeeds<CapacityExploration>(defaultSeeds);
+    playSeeds<CapacityExploration>(defaultSeeds, { 50515, 51423, 53163, 53535 });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cell/tests/partitionexploration_test.cpp
+++ b/standins/cell/tests/partitionexploration_test.cpp
@@ -168,7 +168,7 @@
 
 BOOST_AUTO_TEST_CASE(guaranteesHoldWhenDaemonsAndWorkersAreSeparated)
 {
-    playSeeds<PartitionExploration>(defaultSeeds);
+    playSeeds<PartitionExploration>(defaultSeeds, { 54618, 104875, 107774 });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cell/tests/seededplays.h
+++ b/standins/cell/tests/seededplays.h
@@ -6,7 +6,9 @@
 
 #include <cstdint>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <vector>
 
 namespace cowsliprock::standincell {
 
@@ -20,25 +22,56 @@
     return text == nullptr ? fallback : static_cast<std::uint32_t>(std::atoi(text));
 }
 
-/// Executes an exploration for a range of seeds (COWSLIPROCK_FIRST_SEED, COWSLIPROCK_SEEDS), or for
-/// a single one (COWSLIPROCK_SEED) with the logs of all nodes printed. Expects no violated
-/// guarantee and no accepted job that has not ended.
+/// Seeds of the range that moves on with each landing: tests/first-seed holds the first one.
+constexpr std::uint32_t movingSeeds = 300;
+
+inline std::uint32_t firstMovingSeed()
+{
+    std::ifstream file(COWSLIPROCK_SOURCE_DIR "/tests/first-seed");
+    std::uint32_t seed = 0;
+    file >> seed;
+    BOOST_REQUIRE_MESSAGE(seed > 0U, "tests/first-seed holds no number");
+    return seed;
+}
+
+/// The seeds to play: one (COWSLIPROCK_SEED), a range (COWSLIPROCK_FIRST_SEED, COWSLIPROCK_SEEDS),
+/// or by default the first \p firstSeeds, the \p regressions and those of the moving range.
+inline std::vector<std::uint32_t> seedsToPlay(std::uint32_t firstSeeds,
+                                              const std::vector<std::uint32_t> &regressions)
+{
+    if (const auto single = environmentNumber("COWSLIPROCK_SEED", 0))
+        return { single };
+    std::vector<std::uint32_t> seeds;
+    const auto add = [&seeds](std::uint32_t first, std::uint32_t count) {
+        for (std::uint32_t seed = first; seed < first + count; ++seed)
+            seeds.push_back(seed);
+    };
+    const auto first = environmentNumber("COWSLIPROCK_FIRST_SEED", 0);
+    const auto count = environmentNumber("COWSLIPROCK_SEEDS", 0);
+    if (first > 0 || count > 0) {
+        add(first > 0 ? first : 1, count > 0 ? count : firstSeeds);
+        return seeds;
+    }
+    add(1, firstSeeds);
+    seeds.insert(seeds.end(), regressions.begin(), regressions.end());
+    add(firstMovingSeed(), movingSeeds);
+    return seeds;
+}
+
+/// Executes an exploration for each seed; a single one has the logs of all nodes printed. Expects
+/// no violated guarantee and no accepted job that has not ended.
 template <typename Exploration>
-void playSeeds(std::uint32_t defaultSeeds)
+void playSeeds(std::uint32_t firstSeeds, const std::vector<std::uint32_t> &regressions = {})
 {
-    const auto singleSeed = environmentNumber("COWSLIPROCK_SEED", 0);
-    const auto first =
-        singleSeed == 0 ? environmentNumber("COWSLIPROCK_FIRST_SEED", 1) : singleSeed;
-    const auto count = singleSeed == 0 ? environmentNumber("COWSLIPROCK_SEEDS", defaultSeeds) : 1;
-    BOOST_REQUIRE(count > 0U);
-    for (std::uint32_t seed = first; seed < first + count; ++seed) {
+    const auto seeds = seedsToPlay(firstSeeds, regressions);
+    for (const auto seed : seeds) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             Exploration exploration(seed);
             exploration.execute();
             expectNoViolations(exploration.world());
             BOOST_TEST(exploration.world().guarantees().unfinishedJobs() == 0U);
-            for (std::uint32_t node = 0; seed == singleSeed && node < exploration.nodeCount();
+            for (std::uint32_t node = 0; seeds.size() == 1 && node < exploration.nodeCount();
                  ++node)
                 std::cout << exploration.world().logOf(node);
         }
