A run that was never confirmed has not worked for long

A run that is to be stopped before its worker confirmed its start counted as one that had worked for longer than 5 s, because its unset time of confirmation lies far back. A run that ended done without a confirmation recorded a pace of the whole uptime of the daemon for its siblings, which hides stragglers; that part has no test of its own.

runThatIsStoppedBeforeItsConfirmationHasNotWorkedLong failed before.

--- a/libs/cell/src/schedulerlosses.cpp
+++ b/libs/cell/src/schedulerlosses.cpp
@@ -34,7 +34,7 @@
 /// crashed long after the start; and one that has listed the run has survived its start.
 bool crashedAtStart(const Run &run, const std::optional<TimePoint> &crashedAt)
 {
-    return run.confirmed != TimePoint() && !run.listed && crashedAt
+    return run.wasConfirmed() && !run.listed && crashedAt
         && *crashedAt >= run.confirmed - refusalDelay
         && *crashedAt <= run.confirmed + crashAtStartWindow;
 }
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -299,7 +299,8 @@
     const RunKey key(end.task, end.run);
     const auto found = worker.runs.find(key);
     const bool gang = found != worker.runs.end() && found->second.gang;
-    if (found != worker.runs.end() && end.kind == EndKind::Done)
+    const bool paced = found != worker.runs.end() && found->second.wasConfirmed();
+    if (paced && end.kind == EndKind::Done)
         recordPace(worker, found->second, now() - found->second.confirmed);
     std::optional<FailedRun> failed;
     if (end.kind == EndKind::Failed)
--- a/libs/cell/src/workertable.cpp
+++ b/libs/cell/src/workertable.cpp
@@ -72,7 +72,7 @@
 
 bool worksLong(const Run &run, TimePoint now) noexcept
 {
-    return run.phase != RunPhase::Starting && now - run.confirmed >= soundRunTime;
+    return run.wasConfirmed() && now - run.confirmed >= soundRunTime;
 }
 
 void recordSuccess(Worker &worker) noexcept
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -55,6 +55,9 @@
     std::uint32_t percent = 0;
     TimePoint progressed{}; ///< When the percentage last rose, or the run began its work.
     std::string checkpoint;
+
+    /// True if the worker was ever known to run it; one that is being stopped may never have begun.
+    [[nodiscard]] bool wasConfirmed() const noexcept { return confirmed != TimePoint(); }
 };
 
 /// Health of a worker, derived from the outcomes of its runs.
--- a/standins/cell/tests/workertable_test.cpp
+++ b/standins/cell/tests/workertable_test.cpp
@@ -54,6 +54,19 @@
     BOOST_TEST(mayStillArrive(run, requested));
 }
 
+/// Its time of confirmation is unset. Counted as long work, its loss cleared the crashes of its
+/// task, and its failure was no evidence against the worker.
+BOOST_AUTO_TEST_CASE(runThatIsStoppedBeforeItsConfirmationHasNotWorkedLong)
+{
+    Run run;
+    run.ordered = ordered;
+    run.phase = cell::RunPhase::Stopping;
+    BOOST_TEST(!worksLong(run, requested));
+    run.confirmed = ordered;
+    BOOST_TEST(!worksLong(run, requested));
+    BOOST_TEST(worksLong(run, ordered + seconds(6)));
+}
+
 BOOST_AUTO_TEST_CASE(orderSentAfterTheRequestMayHaveArrived)
 {
     auto run = listedRun();
