--- a/cmake/CowsliprockTargets.cmake
+++ b/cmake/CowsliprockTargets.cmake
@@ -49,3 +49,18 @@
     # Ends a test that hangs; far above the slowest run under a sanitizer.
     set_tests_properties(${name} PROPERTIES TIMEOUT 600)
 endfunction()
+
+# cowsliprock_fuzzer(<name> SOURCES <files>... DEPENDS <libraries>...)
+# A libFuzzer target, built only with COWSLIPROCK_FUZZERS. Needs clang and, for coverage of the
+# libraries, their objects with fuzzer-no-link:
+# cmake -S . -B build-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DCOWSLIPROCK_FUZZERS=ON
+#       -DCOWSLIPROCK_BENCHMARKS=OFF -DCOWSLIPROCK_SANITIZERS=fuzzer-no-link,address,undefined
+function(cowsliprock_fuzzer name)
+    if(NOT COWSLIPROCK_FUZZERS)
+        return()
+    endif()
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
+    target_link_options(${name} PRIVATE -fsanitize=fuzzer)
+endfunction()
