Reject messages of workers and daemons with numbers out of range

Numbers in the answers of workers and in messages between daemons wrapped around: a worker that listed the run -1 was taken to run, and the end -1 was acknowledged as 2^64 - 1.

They are read with integerOf() and timeOf().

--- a/libs/cell/src/peermessages.cpp
+++ b/libs/cell/src/peermessages.cpp
@@ -51,21 +51,21 @@
     return decodeJson(text, [](const Json &json) {
         return PeerAdviceRequest{ json.at("step"),
                                   json.at("workers").get<std::vector<std::string>>(),
-                                  Duration(json.at("timeoutUs").get<std::int64_t>()) };
+                                  timeOf<Duration>(json.at("timeoutUs")) };
     });
 }
 
 std::optional<PromiseRequest> decodePromiseRequest(const std::string &text)
 {
     return decodeJson(text, [](const Json &json) {
-        return PromiseRequest{ json.at("ownershipRevision").get<std::uint64_t>() };
+        return PromiseRequest{ integerOf<std::uint64_t>(json.at("ownershipRevision")) };
     });
 }
 
 std::optional<PromiseAnswer> decodePromiseAnswer(const std::string &text)
 {
     return decodeJson(text, [](const Json &json) {
-        return PromiseAnswer{ Duration(json.at("runningForUs").get<std::int64_t>()) };
+        return PromiseAnswer{ timeOf<Duration>(json.at("runningForUs")) };
     });
 }
 
@@ -75,7 +75,7 @@
         Advice advice;
         for (const auto &row : json.at("allowed"))
             advice.allowed.push_back({ row.at(0), row.at(1) });
-        advice.validity = Duration(json.at("validityUs").get<std::int64_t>());
+        advice.validity = timeOf<Duration>(json.at("validityUs"));
         return advice;
     });
 }
@@ -91,7 +91,8 @@
 
 std::optional<std::uint64_t> decodeCount(const std::string &text)
 {
-    return decodeJson(text, [](const Json &json) { return json.at("count").get<std::uint64_t>(); });
+    return decodeJson(text,
+                      [](const Json &json) { return integerOf<std::uint64_t>(json.at("count")); });
 }
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/relaymessages.cpp
+++ b/libs/cell/src/relaymessages.cpp
@@ -16,7 +16,7 @@
 
 std::chrono::milliseconds millisecondsOf(const Json &json)
 {
-    return std::chrono::milliseconds(json.get<std::int64_t>());
+    return timeOf<std::chrono::milliseconds>(json);
 }
 
 TaskId taskOf(const Json &json)
@@ -85,32 +85,34 @@
 
 RelayedCall toCall(const Json &row, const std::vector<std::string> &texts)
 {
-    const auto call = row.at(1).get<std::uint64_t>();
+    const auto call = integerOf<std::uint64_t>(row.at(1));
     const WorkerTarget worker{ row.at(2), row.at(3), {} };
     const Duration timeout = millisecondsOf(row.at(4));
     switch (enumOf(row.at(0), CallKind::Inventory)) {
     case CallKind::Start: {
         StartOrder order;
         order.task = taskOf(row.at(5));
-        order.run = row.at(6);
-        order.spec = texts.at(row.at(7).get<std::size_t>());
+        order.run = integerOf<std::uint32_t>(row.at(6));
+        order.spec = texts.at(integerOf<std::size_t>(row.at(7)));
         order.leaseUntil = millisecondsOf(row.at(8));
-        order.fencingToken = row.at(9);
+        order.fencingToken = integerOf<std::uint64_t>(row.at(9));
         order.checkpoint = row.at(10);
         order.ticket = row.at(11);
         return RelayedStart{ call, worker, std::move(order), { timeout, false } };
     }
     case CallKind::Stop:
-        return RelayedStop{
-            call, worker, { taskOf(row.at(5)), row.at(6), row.at(7) }, { timeout, false }
-        };
+        return RelayedStop{ call,
+                            worker,
+                            { taskOf(row.at(5)), integerOf<std::uint32_t>(row.at(6)),
+                              integerOf<std::uint64_t>(row.at(7)) },
+                            { timeout, false } };
     case CallKind::Inventory:
         break;
     }
     InventoryRequest request;
     request.timeout = timeout;
-    request.fencingToken = row.at(5);
-    request.acknowledged = row.at(6);
+    request.fencingToken = integerOf<std::uint64_t>(row.at(5));
+    request.acknowledged = integerOf<std::uint64_t>(row.at(6));
     request.wait = millisecondsOf(row.at(7));
     if (row.size() > 8)
         request.leaseUntil = millisecondsOf(row.at(8));
@@ -173,12 +175,14 @@
 Inventory toInventory(const Json &row)
 {
     Inventory inventory;
-    inventory.born = row.at(2);
+    inventory.born = integerOf<std::int64_t>(row.at(2));
     inventory.clock = millisecondsOf(row.at(3));
     for (const auto &task : row.at(4))
-        inventory.running.push_back({ taskOf(task.at(0)), task.at(1), task.at(2), task.at(3) });
+        inventory.running.push_back({ taskOf(task.at(0)), integerOf<std::uint32_t>(task.at(1)),
+                                      task.at(2), integerOf<std::uint32_t>(task.at(3)) });
     for (const auto &end : row.at(5))
-        inventory.finished.push_back({ end.at(0), taskOf(end.at(1)), end.at(2),
+        inventory.finished.push_back({ integerOf<std::uint64_t>(end.at(0)), taskOf(end.at(1)),
+                                       integerOf<std::uint32_t>(end.at(2)),
                                        enumOf(end.at(3), EndKind::Alone), end.at(4) });
     // Daemons of an earlier version do not send it.
     constexpr std::size_t moreFinishedColumn = 6;
@@ -189,7 +193,7 @@
 
 RelayReply toReply(const Json &row)
 {
-    const auto call = row.at(1).get<std::uint64_t>();
+    const auto call = integerOf<std::uint64_t>(row.at(1));
     switch (enumOf(row.at(0), ReplyKind::InventoryFailed)) {
     case ReplyKind::Accepted:
         return OrderReply{ call, OrderOutcome(OrderAccepted{ millisecondsOf(row.at(2)) }) };
@@ -243,8 +247,8 @@
 {
     return decodeJson(text, [](const Json &json) {
         RelayBatch batch;
-        batch.shard = json.at("shard");
-        batch.ownershipRevision = json.at("revision");
+        batch.shard = integerOf<std::uint32_t>(json.at("shard"));
+        batch.ownershipRevision = integerOf<std::uint64_t>(json.at("revision"));
         if (const auto clock = json.find("clock"); clock != json.end())
             batch.clock = millisecondsOf(*clock);
         const auto texts = json.at("texts").get<std::vector<std::string>>();
--- a/standins/cell/tests/relay_test.cpp
+++ b/standins/cell/tests/relay_test.cpp
@@ -274,4 +274,39 @@
     BOOST_TEST(list.moreFinished);
 }
 
+// Guards against numbers of other daemons that wrap around or overflow in sums of times.
+BOOST_AUTO_TEST_CASE(rejectsMessagesOutOfRange)
+{
+    const auto batch = [](const std::string &call) {
+        return cell::decodeRelayBatch(R"({"shard":0,"revision":7,"texts":["t"],"calls":[)" + call
+                                      + "]}");
+    };
+    BOOST_TEST(batch(R"([1,2,"w","10.0.0.1:80",500,"j.0.0.1",1,7])").has_value());
+    for (const auto *call : {
+             R"([1,2,"w","10.0.0.1:80",9223372036854775807,"j.0.0.1",1,7])",
+             R"([1,2,"w","10.0.0.1:80",500,"j.0.0.1",-1,7])",
+             R"([1,2,"w","10.0.0.1:80",500,"j.0.0.1",4294967296,7])",
+             R"([1,2,"w","10.0.0.1:80",500,"j.0.0.1",1,-1])",
+             R"([1,-2,"w","10.0.0.1:80",500,"j.0.0.1",1,7])",
+             R"([0,1,"w","10.0.0.1:80",500,"j.0.0.1",-1,0,9000,7,"",""])",
+             R"([0,1,"w","10.0.0.1:80",500,"j.0.0.1",1,0,1e300,7,"",""])",
+             R"([0,1,"w","10.0.0.1:80",500,"j.0.0.1",1,-1,9000,7,"",""])",
+             R"([2,3,"w","10.0.0.1:80",500,7,4,9223372036854775807])",
+         }) {
+        BOOST_TEST(!batch(call).has_value(), call);
+    }
+    const auto answer = [](const std::string &clock, const std::string &reply) {
+        return cell::decodeRelayAnswer(R"({"clock":)" + clock + R"(,"stale":false,"replies":[)"
+                                       + reply + "]}");
+    };
+    BOOST_TEST(answer("5", "[0,1,5]").has_value());
+    for (const auto *clock : { "1e300", "9223372036854775807" })
+        BOOST_TEST(!answer(clock, "[0,1,5]").has_value(), clock);
+    for (const auto *reply :
+         { R"([0,1,9223372036854775807])", R"([0,-1,5])", R"([2,3,1e300,5,[],[],false])",
+           R"([2,3,17,5,[["j.0.0.1",-1,"",50]],[],false])",
+           R"([2,3,17,5,[],[[-4,"j.0.0.0",1,0,""]],false])" })
+        BOOST_TEST(!answer("5", reply).has_value(), reply);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
