HTTP client: bound the responses of workers, the store and other peers

A worker, the store, the policy service or a peer could fill the daemon's memory with its response: the buffer of a connection grew with trailers and chunk extensions that do not end, as in the server, and a body of 64 MB was accepted from each of any number of peers. Also, a call on an idle connection that the server had closed meanwhile failed as sent, and bytes that a peer sent without a request were taken for the response to the next one.

Headers are no longer stored. Such a call fails as sent, since the peer may have executed it. An idle connection is reused only if nothing can be read from it; that costs one system call per reuse.

--- a/libs/eventloop/include/eventloop/httpclient.h
+++ b/libs/eventloop/include/eventloop/httpclient.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <eventloop/bytebudget.h>
 #include <eventloop/http.h>
+#include <eventloop/httplimits.h>
 
 #include <functional>
 #include <memory>
@@ -16,7 +18,7 @@
 public:
     using Done = std::function<void(HttpOutcome)>;
 
-    explicit HttpClient(EventLoop &loop);
+    explicit HttpClient(EventLoop &loop, const HttpClientLimits &limits = {});
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -27,6 +29,10 @@
     /// timeout they are only withheld until a late response shows that the peer is merely slow.
     void call(HttpCall request, Done done);
 
+    /// Makes this client share \p budget with others: calls fail if the incomplete responses of all
+    /// of them exceed it. Must be called before call().
+    void setBudget(std::shared_ptr<ByteBudget> budget);
+
     [[nodiscard]] const HttpTraffic &traffic() const noexcept;
 
 private:
--- a/libs/eventloop/include/eventloop/httplimits.h
+++ b/libs/eventloop/include/eventloop/httplimits.h
@@ -25,6 +25,15 @@
     bool operator==(const HttpServerLimits &) const = default;
 };
 
+/// Limits of an HTTP client on the response to one call.
+struct HttpClientLimits
+{
+    std::size_t headerBytes = 32UL * 1024UL; ///< Also of trailers, and of a chunk's line.
+    std::size_t bodyBytes = 8UL * 1024UL * 1024UL;
+
+    bool operator==(const HttpClientLimits &) const = default;
+};
+
 /// The limit for which a server rejected a message or closed a connection.
 enum class HttpLimit {
     HeaderBytes,
--- a/libs/eventloop/src/httpclient.cpp
+++ b/libs/eventloop/src/httpclient.cpp
@@ -1,5 +1,6 @@
 #include <eventloop/httpclient.h>
 
+#include "responseparser.h"
 #include "socketoptions.h"
 
 #include <eventloop/responsetimes.h>
@@ -8,14 +9,16 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <cerrno>
+#include <limits>
 #include <map>
 #include <optional>
+#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -29,7 +32,6 @@
 
 /// Maximum number of idle connections kept per peer.
 constexpr std::size_t maxIdlePerPeer = 16;
-constexpr std::size_t maxAnswerBytes = 64UL * 1024UL * 1024UL;
 
 class Connection;
 
@@ -37,11 +39,15 @@
 
 struct HttpClient::State
 {
-    explicit State(EventLoop &eventLoop)
+    State(EventLoop &eventLoop, const HttpClientLimits &clientLimits)
         : loop(eventLoop)
+        , limits(clientLimits)
+        , budget(std::make_shared<ByteBudget>(std::numeric_limits<std::size_t>::max()))
     { }
 
     EventLoop &loop;
+    HttpClientLimits limits;
+    std::shared_ptr<ByteBudget> budget;
     std::map<SocketAddress, std::vector<std::shared_ptr<Connection>>> idle;
     HttpTraffic traffic;
     ResponseTimes answerTimes; ///< Response times of adaptive calls.
@@ -54,22 +60,48 @@
     }
 
     void release(const SocketAddress &peer, std::shared_ptr<Connection> connection);
+    /// Returns a usable idle connection, or null.
+    std::shared_ptr<Connection> takeIdle(const SocketAddress &peer);
     void closeIdle(const SocketAddress &peer);
 };
 
 namespace {
 
 /// A TCP connection that handles one call at a time.
-class Connection : public std::enable_shared_from_this<Connection>
+class Connection : public std::enable_shared_from_this<Connection>, public ByteBudget::Holder
 {
 public:
-    Connection(EventLoop &loop, SocketAddress peer)
+    Connection(EventLoop &loop, SocketAddress peer, const HttpClientLimits &limits,
+               std::shared_ptr<ByteBudget> budget)
         : m_loop(loop)
         , m_stream(loop.context())
         , m_timeoutTimer(loop.context())
         , m_peer(std::move(peer))
+        , m_limits(limits)
+        , m_budget(std::move(budget))
+        , m_buffer(limits.headerBytes)
     { }
 
+    ~Connection() override { m_budget->release(*this); }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    /// The pending read reports the failure.
+    void reclaimBytes() override
+    {
+        m_budget->release(*this);
+        m_stream.close();
+    }
+
+    /// Whether an idle connection is unusable: the peer has closed it, or has sent what is not a
+    /// response to a request.
+    [[nodiscard]] bool stale()
+    {
+        char byte = 0;
+        return recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0
+            || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     /// \c ended is called at the end of a call. \c late is called before it if the call is reported
     /// as failed while a late response is still awaited.
     struct Listener
@@ -175,8 +207,8 @@
 
     void read()
     {
-        m_parser.emplace();
-        m_parser->body_limit(maxAnswerBytes);
+        m_parser.emplace(m_limits);
+        m_readStart = m_loop.now();
         readSome();
     }
 
@@ -188,6 +220,8 @@
                                   self->m_bytesReceived += bytes;
                                   if (failure)
                                       self->fail(failure);
+                                  else if (!self->withinLimits())
+                                      self->fail(http::error::body_limit);
                                   else if (self->m_parser->is_done())
                                       self->succeed();
                                   else
@@ -195,6 +229,15 @@
                               });
     }
 
+    /// Returns false if the call must fail. The budget may have failed it already.
+    bool withinLimits()
+    {
+        if (!m_parser->framingWithinLimits(m_bytesReceived))
+            return false;
+        m_budget->update(*this, m_parser->memory(), m_readStart, m_loop.now());
+        return m_stream.socket().is_open();
+    }
+
     void readMore()
     {
         // While the peer keeps sending, only the maximum duration of the call applies.
@@ -205,11 +248,15 @@
 
     void succeed()
     {
-        auto message = m_parser->release();
-        const bool reusable = message.keep_alive();
+        // What follows the response does not belong to a request.
+        const bool reusable = m_parser->keep_alive() && m_buffer.size() == 0;
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
+        m_budget->release(*this);
         // An idle connection has no deadline.
         m_stream.expires_never();
-        HttpResponse answer{ message.result_int(), std::move(message.body()), m_late };
+        HttpResponse answer{ m_parser->status(), std::move(m_parser->body()), m_late };
+        m_parser.reset();
         end(std::move(answer), reusable);
     }
 
@@ -224,6 +271,7 @@
         failure.detail = error.message();
         boost::system::error_code ignored;
         m_stream.socket().close(ignored);
+        m_budget->release(*this);
         end(std::move(failure), false);
     }
 
@@ -238,9 +286,14 @@
     beast::tcp_stream m_stream;
     asio::steady_timer m_timeoutTimer; ///< Reports the call as failed when it expires.
     SocketAddress m_peer;
+    HttpClientLimits m_limits;
+    std::shared_ptr<ByteBudget> m_budget;
+    /// The parser consumes trailers and chunk extensions only when they are complete, and has no
+    /// limit for them, so the buffer is limited.
     beast::flat_buffer m_buffer;
     http::request<http::string_body> m_request;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<ResponseParser> m_parser;
+    TimePoint m_readStart{};
     Listener m_listener;
     Duration m_timeout{};
     TimePoint m_receiveDeadline{};
@@ -262,6 +315,18 @@
         list.push_back(std::move(connection));
 }
 
+std::shared_ptr<Connection> HttpClient::State::takeIdle(const SocketAddress &peer)
+{
+    auto entry = idle.find(peer);
+    while (entry != idle.end() && !entry->second.empty()) {
+        auto connection = std::move(entry->second.back());
+        entry->second.pop_back();
+        if (!connection->stale())
+            return connection;
+    }
+    return nullptr;
+}
+
 void HttpClient::State::closeIdle(const SocketAddress &peer)
 {
     idle.erase(peer);
@@ -326,10 +391,15 @@
     }
 };
 
-HttpClient::HttpClient(EventLoop &loop)
-    : m_state(std::make_shared<State>(loop))
+HttpClient::HttpClient(EventLoop &loop, const HttpClientLimits &limits)
+    : m_state(std::make_shared<State>(loop, limits))
 { }
 
+void HttpClient::setBudget(std::shared_ptr<ByteBudget> budget)
+{
+    m_state->budget = std::move(budget);
+}
+
 HttpClient::~HttpClient()
 {
     m_state->closed = true;
@@ -341,12 +411,10 @@
     const auto &state = m_state;
     std::shared_ptr<Connection> connection;
     const SocketAddress peer = request.peer;
-    if (auto entry = state->idle.find(peer);
-        entry != state->idle.end() && !entry->second.empty() && !request.freshConnection) {
-        connection = std::move(entry->second.back());
-        entry->second.pop_back();
-    } else {
-        connection = std::make_shared<Connection>(state->loop, peer);
+    if (!request.freshConnection)
+        connection = state->takeIdle(peer);
+    if (!connection) {
+        connection = std::make_shared<Connection>(state->loop, peer, state->limits, state->budget);
         ++state->traffic.connectionsOpened;
     }
     ++state->traffic.calls;
--- a/libs/eventloop/src/requestreader.cpp
+++ b/libs/eventloop/src/requestreader.cpp
@@ -1,5 +1,7 @@
 #include "requestreader.h"
 
+#include "chunkframing.h"
+
 #include <boost/beast/http/error.hpp>
 
 #include <limits>
@@ -12,8 +14,6 @@
 
 /// Memory of a header in addition to its bytes: two strings and their allocations.
 constexpr std::size_t headerOverheadBytes = 128;
-/// Bytes between chunks that a client may send per byte of the body. Chunks of one byte need five.
-constexpr std::size_t chunkBytesPerBodyByte = 8;
 
 /// Whether a request may start with \p character. Rejects other protocols at their first byte.
 bool startsRequest(char character)
