Order waiting work by the shares of customers

A customer whose backlog came first delayed all others under full load: jobs were ordered by urgency, priority and arrival only. Each job now either conforms to the guaranteed rate of its customer, by a token bucket at the owner, or is excess. Conforming jobs precede excess ones, whatever their priority; within a class and priority, the customer with the lowest dominant share per weight comes next, including the steps of it that the pass has served before. Excess uses what others leave. A gang of excess work reserves workers only if no conforming step waits in the same pass. Jobs that an earlier owner has started conform; work without a customer always does, with weight 1.

--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -6,6 +6,7 @@
 
 #include <base/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -106,6 +107,8 @@
     bool startRecordPending = false; ///< The record of its start is being stored.
     bool startRecorded = false;      ///< The record of its start is durable; tasks may be started.
     bool everStarted = false;
+    std::size_t customer = 0; ///< Index of its customer.
+    bool excess = false;      ///< Accepted above the guaranteed rate of its customer.
     TimePoint firstSeenAt{};
     TimePoint endedAt{};
     /// Estimated critical path up to and including each step.
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -70,7 +70,7 @@
 
 Scheduler::Rank Scheduler::StepView::rank() const noexcept
 {
-    return { band, job->record.queue.priority };
+    return { serviceClass(), job->record.queue.priority, share };
 }
 
 bool Scheduler::StepView::startable(const Task &waiting, TimePoint now) const noexcept
@@ -91,12 +91,14 @@
 {
     m_configuration = configuration;
     m_quotas.configure(configuration.customers);
+    m_shares.configure(configuration.customers, now());
     // Priorities may have changed, so the ordered set is rebuilt.
     const auto jobs =
         std::exchange(m_activeJobs, ActiveJobs(MoreUrgent{ m_settings.policy.order }));
     for (Job *job : jobs) {
         if (const auto *queue = configuration.findQueue(job->record.queue.name))
             job->record.queue = *queue;
+        job->excess = job->excess && m_shares.active();
         m_activeJobs.insert(job);
     }
     requestPass();
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -3,6 +3,7 @@
 #include "advicechoice.h"
 #include "advicequeue.h"
 #include "customerquotas.h"
+#include "customershares.h"
 #include "fencedwriter.h"
 #include "jobruns.h"
 #include "jobtable.h"
@@ -30,6 +31,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -105,10 +107,18 @@
         bool operator()(const Job *left, const Job *right) const;
     };
 
+    /// Whether a step can still end within the objective of its job, or be of any use.
+    static constexpr int bandOnTime = 0;
+    static constexpr int bandLate = 1;
+    static constexpr int bandExpired = 2;
+    static constexpr std::size_t bandCount = 3;
+    /// The bands on time and late for conforming jobs, then for excess jobs, then the last band.
+    static constexpr std::size_t classCount = 5;
+
     using ActiveJobs = std::set<Job *, MoreUrgent>;
 
-    /// Band and priority; lower values are scheduled first.
-    using Rank = std::pair<int, std::uint32_t>;
+    /// Class, priority and weighted share of the customer; lower values are scheduled first.
+    using Rank = std::tuple<int, std::uint32_t, double>;
 
     /// A ready step of a job, valid for the duration of one pass.
     struct StepView
@@ -119,8 +129,13 @@
         const StepSpec *spec = nullptr;
         std::uint32_t index = 0;
         int band = 0;
+        std::uint32_t startableCount = 0; ///< Tasks that were startable when it was listed.
+        double share = 0; ///< Weighted share that its customer uses; 0 without customers.
 
         [[nodiscard]] TaskId task(std::uint32_t taskIndex) const;
+        /// Jobs within the guaranteed rate of their customer precede the others, but for those that
+        /// have expired.
+        [[nodiscard]] int serviceClass() const noexcept;
         [[nodiscard]] Rank rank() const noexcept;
         /// True if the task is waiting or needs a copy, its earliest start time has passed, and no
         /// other run of it can still be active.
@@ -176,6 +191,30 @@
     [[nodiscard]] Resources unreportedCapacity() const;
     void updateUnreportedUsage();
 
+    // Shares of customers (schedulershares.cpp).
+    /// Determines the customer of the job and whether the job exceeds its guaranteed rate.
+    void classify(Job &job);
+    /// Iterates over waiting steps that are ordered by class, priority and arrival. With customers,
+    /// those of equal class and priority are ordered by the shares of their customers.
+    class StepOrder
+    {
+    public:
+        StepOrder(const Scheduler &scheduler, std::vector<StepView> &views);
+        /// The next step, or null.
+        [[nodiscard]] const StepView *next();
+
+    private:
+        [[nodiscard]] double shareOf(const StepView &view);
+        /// Adds the next steps of equal class and priority.
+        void beginGroup();
+
+        const Scheduler &m_scheduler;
+        std::vector<StepView> &m_views;
+        std::size_t m_position = 0; ///< First step that is not yet returned or part of a group.
+        std::vector<std::optional<double>> m_shares; ///< By customer, as far as needed.
+        FairOrder m_order;
+    };
+
     // Advice (scheduleradvice.cpp).
     [[nodiscard]] bool canRequestAdvice(const AdviceSettings &settings, std::uint32_t tasks);
     void requestAdvice(const StepView &view, const StepDemand &demand);
@@ -283,6 +322,8 @@
     WorkerTable m_workers;
     JobRuns m_jobRuns;
     CustomerQuotas m_quotas;
+    CustomerShares m_shares;
+    Resources m_usableCapacity; ///< Sum over the usable workers.
     ActiveJobs m_activeJobs;
     std::optional<CellConfiguration> m_configuration;
     ResponseTimes m_answerTimes;
--- a/libs/cell/src/schedulerjobs.cpp
+++ b/libs/cell/src/schedulerjobs.cpp
@@ -42,6 +42,7 @@
         persistJobEnd(job);
         return;
     }
+    classify(job);
     m_activeJobs.insert(&job);
     beginDueOccurrences(job);
     scheduleJobEvaluation(record.id);
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -27,11 +27,6 @@
 /// Size of the range of run numbers available to each owner.
 constexpr std::uint64_t runsPerOwner = 1000;
 
-constexpr int bandOnTime = 0;
-constexpr int bandLate = 1;
-constexpr int bandExpired = 2;
-constexpr std::size_t bandCount = 3;
-
 } // namespace
 
 void Scheduler::requestPass()
@@ -74,9 +69,12 @@
     m_quotas.releaseReservations();
     int failures = 0;
     int reservedGangs = 0;
+    bool conformingFailed = false;
     bool quotaReached = false;
-    const auto waiting = waitingSteps(m_activeJobs);
-    for (const auto &view : waiting) {
+    auto waiting = waitingSteps(m_activeJobs);
+    StepOrder order(*this, waiting);
+    while (const auto *next = order.next()) {
+        const auto &view = *next;
         const auto placement = tryPlaceStep(view);
         if (placement == Placement::WaitsForQuota) {
             quotaReached = true;
@@ -88,7 +86,11 @@
         recordBlockedStep(view);
         if (m_windowFull)
             break;
-        if (view.spec->gang && view.band == bandOnTime && reservedGangs < maxReservedGangs) {
+        conformingFailed = conformingFailed || !view.job->excess;
+        // Workers reserved for excess work could not be used by less urgent conforming work.
+        const bool mayReserve = !view.job->excess || !conformingFailed;
+        if (view.spec->gang && view.band == bandOnTime && mayReserve
+            && reservedGangs < maxReservedGangs) {
             reserveForGang(view);
             ++reservedGangs;
         }
@@ -164,7 +166,10 @@
         refreshUsableWorkers();
     m_slowAdviceSaturated = false;
     bool unplaced = false;
-    for (const auto &view : waitingSteps(changed)) {
+    auto waiting = waitingSteps(changed);
+    StepOrder order(*this, waiting);
+    while (const auto *next = order.next()) {
+        const auto &view = *next;
         const bool immediate = !isOutranked(view) && !m_windowFull;
         const auto placement = immediate ? tryPlaceStep(view) : Placement::WaitsForRoom;
         unplaced = placement == Placement::WaitsForRoom || unplaced;
@@ -237,7 +242,7 @@
 
 std::vector<Scheduler::StepView> Scheduler::waitingSteps(const ActiveJobs &jobs) const
 {
-    std::array<std::vector<StepView>, bandCount> bands;
+    std::array<std::vector<StepView>, classCount> classes;
     const auto current = now();
     for (Job *job : jobs) {
         for (auto &[number, occurrence] : job->occurrences) {
@@ -245,20 +250,24 @@
                 Step &step = occurrence.steps[index];
                 if (!step.ready || step.waitingCount + step.copiesRequested == 0)
                     continue;
-                StepView view{ job, &occurrence, &step, &job->spec(index), index, 0 };
-                if (view.startableTasks(current) == 0)
+                StepView view{ job, &occurrence, &step, &job->spec(index), index };
+                view.startableCount = view.startableTasks(current);
+                if (view.startableCount == 0)
                     continue;
                 view.band = bandOf(view, current);
-                bands.at(static_cast<std::size_t>(view.band)).push_back(view);
+                classes.at(static_cast<std::size_t>(view.serviceClass())).push_back(view);
             }
         }
     }
     countInspections(jobs.size());
     // The jobs are already ordered by urgency.
-    auto views = std::move(bands[bandOnTime]);
-    for (const int band : { bandLate, bandExpired })
-        views.insert(views.end(), bands.at(static_cast<std::size_t>(band)).begin(),
-                     bands.at(static_cast<std::size_t>(band)).end());
+    std::vector<StepView> views;
+    for (auto &members : classes) {
+        if (views.empty())
+            views = std::move(members);
+        else
+            views.insert(views.end(), members.begin(), members.end());
+    }
     return views;
 }
 
@@ -313,12 +322,14 @@
     m_usableRefreshedAt = current;
     m_usableWorkers.clear();
     m_maxFree = {};
+    m_usableCapacity = {};
     std::vector<std::pair<std::int64_t, Worker *>> byRoom;
     byRoom.reserve(m_workers.size());
     for (auto &[id, worker] : m_workers) {
         if (!usable(worker, current))
             continue;
         const auto free = worker.free();
+        m_usableCapacity += worker.entry.capacity;
         byRoom.emplace_back(free.cpuMillis, &worker);
         m_maxFree.cpuMillis = std::max(m_maxFree.cpuMillis, free.cpuMillis);
         m_maxFree.memoryMb = std::max(m_maxFree.memoryMb, free.memoryMb);
--- a/standins/cell/benchmarks/decisions.cpp
+++ b/standins/cell/benchmarks/decisions.cpp
@@ -1,10 +1,14 @@
 #include <standincell/decisionload.h>
+#include <standincell/world.h>
 
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
+#include <string>
 
 // Prints the job outcomes by kind under a heavy load, for the placement policy of the daemons and
-// for simpler policies, summed over several seeds. Usage: cell-decisions [SEEDS]
+// for simpler policies, summed over several seeds. Then prints the CPU time that a long backlog
+// costs without customers and with jobs of several customers. Usage: cell-decisions [SEEDS]
 
 namespace {
 
@@ -35,6 +39,38 @@
                     double(sum.notCompleted) / sum.submitted);
 }
 
+constexpr std::uint32_t backlog = 4000;
+constexpr std::uint32_t backlogCustomers = 20;
+constexpr std::chrono::seconds backlogTime{ 4 };
+
+/// Simulates a full cell with a long backlog; its jobs belong to \p customers customers.
+void printBacklogCost(std::uint32_t customers)
+{
+    World::Settings settings;
+    settings.nodes = 1;
+    const auto nameOf = [](std::uint32_t index) { return "customer-" + std::to_string(index); };
+    for (std::uint32_t index = 0; index < customers; ++index)
+        settings.customers.push_back({ { nameOf(index), 1.0, {} }, { nameOf(index) } });
+    World world(settings);
+    world.run(std::chrono::seconds(3));
+    World::JobPlan plan;
+    plan.work = std::chrono::milliseconds(500);
+    cell::StepSpec step;
+    step.amount = { 4000, 4096, 0 };
+    step.estimate = plan.work;
+    plan.spec.steps.push_back(step);
+    for (std::uint32_t job = 0; job < backlog; ++job) {
+        plan.customer = customers == 0 ? std::string() : nameOf(job % customers);
+        world.submit(0, "job-" + std::to_string(job), plan);
+    }
+    world.run(std::chrono::seconds(1));
+    const auto before = std::clock();
+    world.run(backlogTime);
+    const auto seconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    std::printf("backlog of %u jobs, %2u customers: %.3f s CPU for %lld s\n", backlog, customers,
+                seconds, static_cast<long long>(backlogTime.count()));
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -46,5 +82,7 @@
     printOutcomes("urgency, first fit", { cell::UrgencyOrder{}, cell::FirstFit{} }, seeds);
     printOutcomes("arrival, best fit", { cell::ArrivalOrder{}, cell::BestFit{} }, seeds);
     printOutcomes("arrival, first fit", { cell::ArrivalOrder{}, cell::FirstFit{} }, seeds);
+    printBacklogCost(0);
+    printBacklogCost(backlogCustomers);
     return 0;
 }
