Urgent work asks the policy service about fast workers first

Urgent jobs on workers of unlike speeds could often use slow workers only: the policy service was asked about the workers with the most free CPU, and a step may only run on workers that it was asked about.

Steps whose objective is at risk now ask about the fastest workers first and those with much slack about the slowest, each by free CPU.

--- a/libs/cell/src/advicechoice.cpp
+++ b/libs/cell/src/advicechoice.cpp
@@ -22,8 +22,9 @@
     return workers;
 }
 
-/// Sorts by free CPU, highest first; workers reserved for gangs come last.
-Workers sortedByPreference(Workers workers, const StepDemand &demand)
+/// Sorts by the preferred speed and then by free CPU, highest first; workers reserved for gangs
+/// come last.
+Workers sortedByPreference(Workers workers, const StepDemand &demand, const AdviceDemand &need)
 {
     const auto reserved = [&demand](const Worker *worker) {
         return demand.reservations != nullptr && demand.reservations->holds(worker->entry.id);
@@ -31,6 +32,7 @@
     std::stable_sort(workers.begin(), workers.end(), [](const Worker *left, const Worker *right) {
         return left->free().cpuMillis > right->free().cpuMillis;
     });
+    sortBySpeed(workers, speedToQuery(need, demand));
     std::stable_partition(workers.begin(), workers.end(), std::not_fn(reserved));
     return workers;
 }
@@ -65,7 +67,7 @@
 std::vector<std::string> chooseUnknown(const AdviceDemand &need, const StepDemand &demand,
                                        const AdviceCandidates &candidates)
 {
-    const auto eligible = sortedByPreference(withRoom(candidates.unknown, demand), demand);
+    const auto eligible = sortedByPreference(withRoom(candidates.unknown, demand), demand, need);
     return workerNames(eligible, maxWorkersToQuery(need));
 }
 
@@ -75,13 +77,14 @@
     // Tickets are renewed only once the whole gang fits; its workers are then reserved.
     if (const auto chosen = chooseForGang(candidates.allowed, demand, need.tasks); !chosen.empty())
         return workerNames(chosen, maxWorkersPerRequest);
-    return workerNames(sortedByPreference(candidates.unknown, demand), maxWorkersToQuery(need));
+    return workerNames(sortedByPreference(candidates.unknown, demand, need),
+                       maxWorkersToQuery(need));
 }
 
 std::vector<std::string> chooseTaskWorkers(const AdviceDemand &need, const StepDemand &demand,
                                            const AdviceCandidates &candidates)
 {
-    const auto stale = sortedByPreference(candidates.stale, demand);
+    const auto stale = sortedByPreference(candidates.stale, demand, need);
     auto result = workerNames(prefixWithRoomFor(stale, demand, need.tasks), maxWorkersPerRequest);
     return result.empty() ? chooseUnknown(need, demand, candidates) : result;
 }
@@ -93,6 +96,11 @@
     return std::min(maxWorkersPerRequest, spareWorkers + workersPerTask * need.tasks);
 }
 
+SpeedPreference speedToQuery(const AdviceDemand &need, const StepDemand &demand)
+{
+    return need.gang ? SpeedPreference(AnySpeed{}) : demand.speed;
+}
+
 std::vector<std::string> chooseWorkersToQuery(const AdviceDemand &need, const StepDemand &demand,
                                               const AdviceCandidates &candidates)
 {
--- a/libs/cell/src/advicechoice.h
+++ b/libs/cell/src/advicechoice.h
@@ -27,6 +27,10 @@
 /// Maximum number of workers named in one advice request of the step.
 [[nodiscard]] std::size_t maxWorkersToQuery(const AdviceDemand &need);
 
+/// Speed of the workers to ask about first. A gang asks about those with the most room, since it
+/// needs workers of one speed with room for all members, whichever that is.
+[[nodiscard]] SpeedPreference speedToQuery(const AdviceDemand &need, const StepDemand &demand);
+
 /// Chooses the workers to name in an advice request; empty if none should be sent now. Designed for
 /// wide gangs with slow decisions on a nearly full cell, where the policy service is the
 /// bottleneck. A request names several times the number of workers needed, since the fixed time of
--- a/libs/cell/src/placement.cpp
+++ b/libs/cell/src/placement.cpp
@@ -201,6 +201,17 @@
     return std::holds_alternative<SlowestFirst>(preference) ? maxSpeedClass + speedClass : 0;
 }
 
+void sortBySpeed(std::vector<Worker *> &workers, const SpeedPreference &preference)
+{
+    if (std::holds_alternative<AnySpeed>(preference))
+        return;
+    std::stable_sort(workers.begin(), workers.end(),
+                     [&preference](const Worker *left, const Worker *right) {
+                         return speedRank(preference, left->speedClass)
+                             < speedRank(preference, right->speedClass);
+                     });
+}
+
 bool isCompatible(const Worker &worker, const StepDemand &demand)
 {
     return worker.entry.service == demand.service
@@ -272,11 +283,7 @@
     std::stable_sort(ordered.begin(), ordered.end(), [](const Worker *left, const Worker *right) {
         return left->free().cpuMillis > right->free().cpuMillis;
     });
-    std::stable_sort(ordered.begin(), ordered.end(),
-                     [&demand](const Worker *left, const Worker *right) {
-                         return speedRank(demand.speed, left->speedClass)
-                             < speedRank(demand.speed, right->speedClass);
-                     });
+    sortBySpeed(ordered, demand.speed);
     return assignInOrder(ordered, count, [&demand](const Worker &worker) {
         return slotsWithoutLowerPriority(worker, demand);
     });
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -219,8 +219,10 @@
         if (gone) {
             m_links.forget(entry->first);
             entry = m_workers.erase(entry);
-            // The list of usable workers holds pointers into the table.
+            // The lists of usable workers hold pointers into the table.
             m_usableWorkers.clear();
+            m_fastestUsable.clear();
+            m_slowestUsable.clear();
             m_usableRefreshedAt = {};
         } else {
             ++entry;
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -166,7 +166,8 @@
     void requestAdvice(const StepView &view, const StepDemand &demand);
     [[nodiscard]] AdviceDemand adviceNeed(const StepView &view) const;
     /// Workers without a known decision for the step, up to the number that one request can name.
-    /// Workers with the most free capacity come first, those reserved for gangs last.
+    /// Workers of the preferred speed and with the most free capacity come first, those reserved
+    /// for gangs last.
     [[nodiscard]] std::vector<Worker *>
     unknownWorkers(const StepView &view, const StepDemand &demand, const AdviceDemand &need) const;
     [[nodiscard]] AdviceCandidates adviceCandidates(const StepView &view, const StepDemand &demand,
@@ -241,6 +242,9 @@
     void recordRunTime(const Run &run);
     void compareRuns(Step &step);
     void assessSpeeds();
+    void sortUsableBySpeed();
+    /// Usable workers in the order of their speeds and then of their free CPU.
+    [[nodiscard]] const std::vector<Worker *> &usableInOrder(const SpeedPreference &speed) const;
     /// Speed of the workers that the step should use, given its objective.
     [[nodiscard]] SpeedPreference speedPreference(const StepView &view) const;
 
@@ -284,6 +288,9 @@
     WorkerLinks m_links;
     WorkerRoster m_roster;
     std::vector<Worker *> m_usableWorkers; ///< As of the last pass or later; most free CPU first.
+    /// The same workers in the order of their speeds; empty unless unlike speeds are proven.
+    std::vector<Worker *> m_fastestUsable;
+    std::vector<Worker *> m_slowestUsable;
     TimePoint m_usableRefreshedAt{};
     Resources m_maxFree;         ///< Maximum of each resource free on any usable worker.
     Reservations m_reservations; ///< Made by the last pass and by advice requests since.
--- a/libs/cell/src/scheduleradvice.cpp
+++ b/libs/cell/src/scheduleradvice.cpp
@@ -54,8 +54,8 @@
     std::vector<Worker *> unreserved;
     std::vector<Worker *> reserved;
     std::size_t inspected = 0;
-    // m_usableWorkers is sorted by free CPU, so the scan can stop at the limit.
-    for (Worker *worker : m_usableWorkers) {
+    // The workers are sorted by preference, so the scan can stop at the limit.
+    for (Worker *worker : usableInOrder(speedToQuery(need, demand))) {
         if (unreserved.size() == wanted)
             break;
         ++inspected;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -315,6 +315,7 @@
                      [](const auto &left, const auto &right) { return left.first > right.first; });
     for (const auto &[room, worker] : byRoom)
         m_usableWorkers.push_back(worker);
+    sortUsableBySpeed();
 }
 
 bool Scheduler::placeTasks(const StepView &view, const StepDemand &demand)
--- a/libs/cell/src/schedulerspeeds.cpp
+++ b/libs/cell/src/schedulerspeeds.cpp
@@ -80,6 +80,28 @@
     m_fastSpeed = speeds[speeds.size() - 1 - extreme];
 }
 
+void Scheduler::sortUsableBySpeed()
+{
+    m_fastestUsable.clear();
+    m_slowestUsable.clear();
+    if (!m_speeds.heterogeneous())
+        return;
+    m_fastestUsable = m_usableWorkers;
+    sortBySpeed(m_fastestUsable, FastestFirst{});
+    m_slowestUsable = m_usableWorkers;
+    sortBySpeed(m_slowestUsable, SlowestFirst{});
+}
+
+const std::vector<Worker *> &Scheduler::usableInOrder(const SpeedPreference &speed) const
+{
+    // The verdict may be newer than the list.
+    if (std::holds_alternative<FastestFirst>(speed) && !m_fastestUsable.empty())
+        return m_fastestUsable;
+    if (std::holds_alternative<SlowestFirst>(speed) && !m_slowestUsable.empty())
+        return m_slowestUsable;
+    return m_usableWorkers;
+}
+
 SpeedPreference Scheduler::speedPreference(const StepView &view) const
 {
     if (!m_speeds.heterogeneous() || view.spec->longRunning || view.spec->bestEffort)
--- a/standins/cell/tests/advicechoice_test.cpp
+++ b/standins/cell/tests/advicechoice_test.cpp
@@ -99,4 +99,23 @@
     BOOST_TEST(asked.back() == "u0");
 }
 
+// Guards against urgent work that may only use slow workers, since the policy service was not asked
+// about the fast ones.
+BOOST_FIXTURE_TEST_CASE(workersOfThePreferredSpeedAreAskedAboutFirst, Fixture)
+{
+    addUnknown(40, 12);
+    workers[30].speedClass = 2;
+    workers[30].held = { 8000, 0, 0 };
+    workers[31].speedClass = -2;
+    AdviceDemand need;
+    need.tasks = 2;
+    BOOST_TEST(choose(need).front() == "u0");
+    demand.speed = FastestFirst{};
+    BOOST_TEST(choose(need).front() == "u30");
+    demand.speed = SlowestFirst{};
+    BOOST_TEST(choose(need).front() == "u31");
+    // A gang asks about the workers with the most room.
+    BOOST_TEST(choose(gangOf(4)).front() == "u0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
