Bands and the load log use the speeds of workers

A step counted as able to meet its objective by its estimate alone, and operators could not see whether a cell has workers of unlike speeds.

A test plays a change of the owner: the new one starts without a verdict and learns the speeds anew.

--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -242,6 +242,15 @@
     void recordRunTime(const Run &run);
     void compareRuns(Step &step);
     void assessSpeeds();
+    /// Number of usable workers that are slower or faster than the mean.
+    struct WorkersBySpeed
+    {
+        std::uint64_t slow = 0;
+        std::uint64_t fast = 0;
+    };
+    [[nodiscard]] WorkersBySpeed countBySpeed() const;
+    /// Time that work of the estimated time takes at the mean speed of the usable workers.
+    [[nodiscard]] Duration expectedTime(Duration estimate) const;
     void sortUsableBySpeed();
     /// Usable workers in the order of their speeds and then of their free CPU.
     [[nodiscard]] const std::vector<Worker *> &usableInOrder(const SpeedPreference &speed) const;
@@ -302,6 +311,7 @@
     TimePoint m_speedsAssessedAt{};
     double m_slowSpeed = 1; ///< Speeds that nine tenths of the workers exceed, and one tenth.
     double m_fastSpeed = 1;
+    double m_meanSpeed = 1; ///< Mean of the usable workers.
     /// During a pass: no further slow advice request is accepted.
     bool m_slowAdviceSaturated = false;
     /// A task waits because the send window was full; no order was answered since then.
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -192,6 +192,7 @@
         requestPending += view.step->advice.requestPending ? 1 : 0;
     }
     const auto passes = m_passMeter.take();
+    const auto workersBySpeed = countBySpeed();
     m_ports.log.write(current, "shard.load",
                       { { "workers", static_cast<std::uint64_t>(m_usableWorkers.size()) },
                         { "cpuMillis", capacity.cpuMillis },
@@ -208,7 +209,10 @@
                         { "askingSteps", requestPending },
                         { "waitingSteps", steps[bandOnTime] },
                         { "lateSteps", steps[bandLate] },
-                        { "uselessSteps", steps[bandExpired] } });
+                        { "uselessSteps", steps[bandExpired] },
+                        { "speedSpread", m_speeds.spread() },
+                        { "slowWorkers", workersBySpeed.slow },
+                        { "fastWorkers", workersBySpeed.fast } });
 }
 
 void Scheduler::requestDelayedPass()
@@ -254,8 +258,9 @@
 {
     if (view.spec->longRunning || std::holds_alternative<ArrivalOrder>(m_settings.policy.order))
         return bandOnTime;
-    const Duration remaining =
+    const Duration path =
         view.job->criticalPath - view.job->criticalPathThrough.at(view.index) + view.spec->estimate;
+    const Duration remaining = expectedTime(path);
     if (current + remaining <= view.job->objective(*view.occurrence))
         return bandOnTime;
     return current + remaining <= view.job->latestUsefulEnd(*view.occurrence) ? bandLate
--- a/libs/cell/src/schedulerspeeds.cpp
+++ b/libs/cell/src/schedulerspeeds.cpp
@@ -80,12 +80,35 @@
     m_fastSpeed = speeds[speeds.size() - 1 - extreme];
 }
 
+Scheduler::WorkersBySpeed Scheduler::countBySpeed() const
+{
+    WorkersBySpeed result;
+    for (const Worker *worker : m_usableWorkers) {
+        result.slow += worker->speedClass < 0 ? 1 : 0;
+        result.fast += worker->speedClass > 0 ? 1 : 0;
+    }
+    return result;
+}
+
+Duration Scheduler::expectedTime(Duration estimate) const
+{
+    if (!m_speeds.heterogeneous())
+        return estimate;
+    return std::chrono::duration_cast<Duration>(estimate / m_meanSpeed);
+}
+
 void Scheduler::sortUsableBySpeed()
 {
+    m_meanSpeed = 1;
     m_fastestUsable.clear();
     m_slowestUsable.clear();
     if (!m_speeds.heterogeneous())
         return;
+    double sum = 0;
+    for (const Worker *worker : m_usableWorkers)
+        sum += worker->speed;
+    if (sum > 0)
+        m_meanSpeed = sum / static_cast<double>(m_usableWorkers.size());
     m_fastestUsable = m_usableWorkers;
     sortBySpeed(m_fastestUsable, FastestFirst{});
     m_slowestUsable = m_usableWorkers;
@@ -107,7 +130,8 @@
     if (!m_speeds.heterogeneous() || view.spec->longRunning || view.spec->bestEffort)
         return AnySpeed{};
     using Seconds = std::chrono::duration<double>;
-    const auto after = view.job->criticalPath - view.job->criticalPathThrough.at(view.index);
+    const auto after =
+        expectedTime(view.job->criticalPath - view.job->criticalPathThrough.at(view.index));
     const Seconds available = view.job->objective(*view.occurrence) - after - now();
     const Seconds onSlow = Seconds(view.spec->estimate) / m_slowSpeed;
     const Seconds onFast = Seconds(view.spec->estimate) / m_fastSpeed;
--- a/standins/cell/tests/unlikeworkers_test.cpp
+++ b/standins/cell/tests/unlikeworkers_test.cpp
@@ -1,3 +1,5 @@
+#include "testjobs.h"
+
 #include <placement.h>
 #include <workerspeeds.h>
 
@@ -153,4 +155,36 @@
     BOOST_TEST(outcomes.at("batch").inTimeShare() >= 0.5);
 }
 
+/// Guards against a new owner that places by the verdict of another one, and against work that
+/// fails when the owner of a cell with unlike workers changes.
+BOOST_AUTO_TEST_CASE(eachOwnerLearnsTheSpeedsAnew)
+{
+    World::Settings settings;
+    settings.workers = 18;
+    World world(settings);
+    for (std::uint32_t worker = 0; worker < settings.workers; ++worker)
+        world.setWorkerSpeed(worker, worker % 3 == 2 ? 1.7 : 0.7);
+    world.run(startTime);
+    const auto submitJobs = [&world](std::uint32_t node, std::uint32_t first) {
+        for (std::uint32_t job = first; job < first + 60; ++job) {
+            auto plan = batch(12);
+            plan.taskSpread = 0.2;
+            world.submit(node, jobId(job), plan);
+            world.run(std::chrono::milliseconds(100));
+        }
+    };
+    const auto owner = world.owner().value();
+    submitJobs(follower(world), 1);
+    BOOST_TEST(world.logOf(owner).find("\"workers.unlike\"") != std::string::npos);
+    BOOST_TEST(world.logOf(owner).find("\"fastWorkers\":6") != std::string::npos);
+    world.kill(owner);
+    world.run(std::chrono::seconds(5));
+    const auto next = world.owner().value();
+    BOOST_TEST(world.logOf(next).find("\"workers.unlike\"") == std::string::npos);
+    submitJobs(next, 61);
+    BOOST_TEST(world.logOf(next).find("\"workers.unlike\"") != std::string::npos);
+    world.run(std::chrono::seconds(5));
+    expectCompleted(world, next, 120);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
