--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -221,7 +221,8 @@
     void requestAdvice(const StepView &view, const StepDemand &demand);
     [[nodiscard]] AdviceDemand adviceNeed(const StepView &view) const;
     /// Workers without a known decision for the step, up to the number that one request can name.
-    /// Workers with the most free capacity come first, those reserved for gangs last.
+    /// Workers of the preferred speed and with the most free capacity come first, those reserved
+    /// for gangs last.
     [[nodiscard]] std::vector<Worker *>
     unknownWorkers(const StepView &view, const StepDemand &demand, const AdviceDemand &need) const;
     [[nodiscard]] AdviceCandidates adviceCandidates(const StepView &view, const StepDemand &demand,
@@ -300,6 +301,18 @@
     void recordRunTime(const Run &run);
     void compareRuns(Step &step);
     void assessSpeeds();
+    /// Number of usable workers that are slower or faster than the mean.
+    struct WorkersBySpeed
+    {
+        std::uint64_t slow = 0;
+        std::uint64_t fast = 0;
+    };
+    [[nodiscard]] WorkersBySpeed countBySpeed() const;
+    /// Time that work of the estimated time takes at the mean speed of the usable workers.
+    [[nodiscard]] Duration expectedTime(Duration estimate) const;
+    void sortUsableBySpeed();
+    /// Usable workers in the order of their speeds and then of their free CPU.
+    [[nodiscard]] const std::vector<Worker *> &usableInOrder(const SpeedPreference &speed) const;
     /// Speed of the workers that the step should use, given its objective.
     [[nodiscard]] SpeedPreference speedPreference(const StepView &view) const;
 
@@ -351,6 +364,9 @@
     WorkerLinks m_links;
     WorkerRoster m_roster;
     std::vector<Worker *> m_usableWorkers; ///< As of the last pass or later; most free CPU first.
+    /// The same workers in the order of their speeds; empty unless unlike speeds are proven.
+    std::vector<Worker *> m_fastestUsable;
+    std::vector<Worker *> m_slowestUsable;
     TimePoint m_usableRefreshedAt{};
     Resources m_maxFree;         ///< Maximum of each resource free on any usable worker.
     Reservations m_reservations; ///< Made by the last pass and by advice requests since.
@@ -362,6 +378,7 @@
     TimePoint m_speedsAssessedAt{};
     double m_slowSpeed = 1; ///< Speeds that nine tenths of the workers exceed, and one tenth.
     double m_fastSpeed = 1;
+    double m_meanSpeed = 1; ///< Mean of the usable workers.
     /// During a pass: no further slow advice request is accepted.
     bool m_slowAdviceSaturated = false;
     /// A task waits because the send window was full; no order was answered since then.
