Repeat a start only while this daemon is certainly the owner

Its owner had ordered the copy, got no answer, lost its lease, and repeated the order 1.4 s after the first attempt, when a successor had already taken over and read the end of the first run.

An owner starts tasks only while its lease is exclusive, but the repetition of an unanswered order, up to 1.5 s later, did not check this. It does now; an order that is no longer repeated counts as one with an unknown outcome, as before. Other orders are made under the same check, and stops may go out without it.

ownerWithoutLeaseRepeatsNoStart failed before: four tasks were started without the lease.

--- a/libs/cell/src/schedulerorders.cpp
+++ b/libs/cell/src/schedulerorders.cpp
@@ -73,7 +73,8 @@
         targetOf(worker), order,
         [this, id = worker.entry.id, born = worker.born, key] {
             const Run *sent = findRun(id, born, key);
-            return sent != nullptr && sent->phase != RunPhase::Stopping;
+            return sent != nullptr && sent->phase != RunPhase::Stopping
+                && m_ports.lease.exclusive();
         },
         [this, id = worker.entry.id, born = worker.born, key](const StartOutcome &outcome) {
             handleStartOutcome(id, born, key, outcome);
--- a/standins/cell/tests/incarnation_test.cpp
+++ b/standins/cell/tests/incarnation_test.cpp
@@ -2,10 +2,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstddef>
-#include <string>
-#include <string_view>
-
 using namespace cowsliprock;
 using namespace cowsliprock::standincell;
 using std::chrono::milliseconds;
@@ -13,16 +9,6 @@
 
 namespace {
 
-std::size_t eventsOf(const World &world, std::uint32_t node, std::string_view event)
-{
-    const auto log = world.logOf(node);
-    const std::string text = "\"" + std::string(event) + "\"";
-    std::size_t count = 0;
-    for (auto at = log.find(text); at != std::string::npos; at = log.find(text, at + 1))
-        ++count;
-    return count;
-}
-
 World::Settings workers(std::uint32_t count)
 {
     World::Settings settings;
--- a/standins/cell/tests/partition_test.cpp
+++ b/standins/cell/tests/partition_test.cpp
@@ -317,4 +317,34 @@
     expectCompleted(world, owner, 1);
 }
 
+/// An order without an answer is repeated for up to 1.5 s, in which the owner may lose its lease. A
+/// repetition after that starts a task that a successor may have started, or seen to its end.
+BOOST_AUTO_TEST_CASE(ownerWithoutLeaseRepeatsNoStart)
+{
+    World::Settings settings;
+    settings.workers = 1;
+    World world(settings);
+    world.run(startTime);
+    const auto owner = *world.owner();
+    world.submit(owner, jobId(1), batch(200, milliseconds(60)));
+    world.run(seconds(1));
+    world.cutOff({ owner }, { 0 }, true);
+    const auto unconfirmed = eventsOf(world, owner, "shard.unconfirmed");
+    world.run(milliseconds(900));
+    const auto sent = world.counterOf(owner, "starts.sent");
+    for (int wait = 0; world.counterOf(owner, "starts.sent") == sent && wait < 1000; ++wait)
+        world.run(milliseconds(1));
+    world.isolateWorkerFrom(owner, 0, true);
+    for (int wait = 0; eventsOf(world, owner, "shard.unconfirmed") == unconfirmed && wait < 1000;
+         ++wait)
+        world.run(milliseconds(1));
+    const auto starts = world.guarantees().starts();
+    world.isolateWorkerFrom(owner, 0, false);
+    world.run(milliseconds(1500));
+    BOOST_TEST(world.guarantees().starts() == starts);
+    world.cutOff({ owner }, { 0 }, false);
+    world.run(seconds(40));
+    expectCompleted(world, owner, 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/cell/tests/testjobs.h
+++ b/standins/cell/tests/testjobs.h
@@ -7,9 +7,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cowsliprock::standincell {
@@ -98,4 +100,15 @@
     return world.owner().value_or(0) == 0 ? 1 : 0;
 }
 
+/// Number of log entries of a node with this event.
+inline std::size_t eventsOf(const World &world, std::uint32_t node, std::string_view event)
+{
+    const auto log = world.logOf(node);
+    const std::string text = "\"" + std::string(event) + "\"";
+    std::size_t count = 0;
+    for (auto at = log.find(text); at != std::string::npos; at = log.find(text, at + 1))
+        ++count;
+    return count;
+}
+
 } // namespace cowsliprock::standincell
