cowsliprockd: read requests through a bounded stream

Clients could fill the memory of cowsliprockd with one endless line, header section, chunked body or trailer, and occupy all its threads by sending single bytes: cpp-httplib 0.11 buffers a line before it checks its length, counts no headers, applies the payload limit only to bodies with a Content-Length, and its read timeout starts anew with each byte.

The server now overrides how the library processes a connection and gives it a stream that counts the bytes of each message and of all connections, and has absolute deadlines. Connections beyond 1,024 that wait for a thread are answered 503, before anything is read from them. Input that is read ahead is kept between the requests of a connection; the library's own stream lost pipelined requests.

--- a/libs/runtime/src/httpservice.cpp
+++ b/libs/runtime/src/httpservice.cpp
@@ -1,5 +1,6 @@
 #include "httpservice.h"
 
+#include "boundedhttpserver.h"
 #include "callerrequest.h"
 
 #include <configuration/consolepage.h>
@@ -23,6 +24,16 @@
 /// retry a dropped connection only after 1 s.
 constexpr int listenBacklog = 1024;
 
+BoundedHttpLimits httpLimits(const DaemonSettings &settings)
+{
+    BoundedHttpLimits limits;
+    // A body at its limit, its header section and the framing of its chunks.
+    limits.messageBytes = settings.bodyLimitBytes + 2 * limits.headerBytes;
+    limits.readTimeout =
+        std::chrono::duration_cast<std::chrono::milliseconds>(settings.readTimeout);
+    return limits;
+}
+
 void writeError(httplib::Response &response, int status, const std::string &text)
 {
     response.status = status;
@@ -33,7 +44,7 @@
 
 struct HttpService::Server
 {
-    httplib::Server http;
+    BoundedHttpServer http;
     int listeningSocket = -1;
 };
 
@@ -45,11 +56,9 @@
     , m_server(std::make_unique<Server>())
 {
     auto &http = m_server->http;
-    const std::size_t threads = m_settings.httpThreads;
-    http.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    http.setLimits(httpLimits(m_settings));
+    http.setThreads(m_settings.httpThreads);
     http.set_payload_max_length(m_settings.bodyLimitBytes);
-    http.set_read_timeout(
-        std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.readTimeout));
     http.set_tcp_nodelay(true);
     // A persistent connection occupies a thread. The limits on requests and idle time release it
     // for other connections.
