Refuse excess jobs that would be served too late

Callers of a customer above its guaranteed rate got their jobs accepted and learned only after the objective that there was no capacity for them, and the backlog grew without bounds. The owner's answer to the notification of an accepted job now tells how long the customer's excess work waits for its first task. For two seconds the receiving daemon answers 429 with Retry-After to further jobs of this customer that may wait for less than that. Each daemon admits its part of the guaranteed rate nevertheless, since the owner gives hints only for accepted jobs; without a hint nothing is refused.

A refusal promises that the job never runs, so that the daemon reads first whether an earlier submission of the same job is stored; without the read, jobThatIsStoredIsNotRefused gets 429 for a stored job. Scheduled, repeated and long-running jobs are not refused. In overloadedCustomerIsRefusedAndOthersAreNot all jobs of the customer within its rate are accepted.

--- a/libs/cell/include/cell/clientresults.h
+++ b/libs/cell/include/cell/clientresults.h
@@ -10,6 +10,7 @@
 enum class SubmitResult {
     Accepted,  ///< Stored, by this or by an earlier attempt.
     NotStored, ///< Guaranteed not to be stored, now or later.
+    Excess,    ///< Not stored: above the guaranteed rate of its customer, and too late if accepted.
     Unknown,   ///< May have been stored or may still be stored.
 };
 
--- a/libs/cell/include/cell/node.h
+++ b/libs/cell/include/cell/node.h
@@ -80,6 +80,9 @@
                 JobSpec spec, TimePoint deadline, const Done<SubmitResult> &done);
     /// Delay after which a caller that is rejected now should retry.
     [[nodiscard]] std::chrono::seconds retryAfter() const noexcept;
+    /// Delay after which the caller should retry a job that was refused as excess.
+    [[nodiscard]] std::chrono::seconds excessRetryAfter(const std::string &id,
+                                                        const Caller &caller) const;
     void status(const std::string &id, const Done<StatusAnswer> &done);
     void cancel(const std::string &id, TimePoint deadline, const Done<CancelResult> &done);
 
--- a/libs/cell/src/clientrequesthandler.cpp
+++ b/libs/cell/src/clientrequesthandler.cpp
@@ -26,6 +26,8 @@
         return "job.accepted";
     case SubmitResult::NotStored:
         return "job.refused";
+    case SubmitResult::Excess:
+        return "job.refusedAsExcess";
     case SubmitResult::Unknown:
         break;
     }
@@ -74,34 +76,52 @@
     return owner->record.address;
 }
 
-void ClientRequestHandler::submit(const JobRecord &record, TimePoint deadline,
-                                  const Done<SubmitResult> &done)
+void ClientRequestHandler::submit(const JobRecord &record, const CustomerSettings *customer,
+                                  TimePoint deadline, const Done<SubmitResult> &done)
+{
+    if (isExcess(record, customer))
+        refuseUnlessStored(record, deadline, done);
+    else
+        store(record, deadline, done);
+}
+
+void ClientRequestHandler::store(const JobRecord &record, TimePoint deadline,
+                                 const Done<SubmitResult> &done)
 {
     const auto text = encode(record);
     m_submissions.submit(jobKey(record.id), endedKey(record.id), text, deadline,
-                         [this, alive = m_alive, id = record.id, text, begun = m_ports.timers.now(),
+                         [this, alive = m_alive, record, text, begun = m_ports.timers.now(),
                           done](const Submission &submission) {
                              if (!*alive)
                                  return;
-                             logSubmission(id, begun, submission.result);
+                             logSubmission(record.id, begun, submission.result);
                              if (submission.revision != 0)
-                                 notifyOwnerOfJob(id, text, submission.revision);
+                                 notifyOwnerOfJob(record, text, submission.revision);
                              done(submission.result);
                          });
 }
 
-void ClientRequestHandler::notifyOwnerOfJob(const std::string &id, const std::string &record,
+void ClientRequestHandler::notifyOwnerOfJob(const JobRecord &record, const std::string &text,
                                             std::uint64_t revision)
 {
     // The owner also learns of the job through its watch, which may be delayed by an outage.
-    const auto shard = shardOf(id);
-    const StoreItem item{ jobKey(id), record, revision, revision, 0 };
-    if (m_localAccepted(shard, item))
+    const auto shard = shardOf(record.id);
+    const StoreItem item{ jobKey(record.id), text, revision, revision, 0 };
+    if (const auto answer = m_localAccepted(shard, item)) {
+        handleAcceptedAnswer(shard, record.customer, *answer);
         return;
+    }
     if (const auto address = otherOwner(shard)) {
         m_ports.peers.call({ *address, "POST", "/peer/accepted/" + std::to_string(shard),
                              encode(StoreReply(std::optional(item))), ownerTimeout },
-                           [](const Result<PeerAnswer> &) {});
+                           [this, alive = m_alive, shard,
+                            customer = record.customer](const Result<PeerAnswer> &answer) {
+                               if (!*alive || !answer.has_value()
+                                   || answer.value().status != statusOk)
+                                   return;
+                               if (const auto decoded = decodeAcceptedAnswer(answer.value().body))
+                                   handleAcceptedAnswer(shard, customer, *decoded);
+                           });
     }
 }
 
--- a/libs/cell/src/clientrequesthandler.h
+++ b/libs/cell/src/clientrequesthandler.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "admissioncontrol.h"
 #include "membership.h"
+#include "peermessages.h"
 #include "storerouter.h"
 #include "submissions.h"
 
@@ -38,9 +40,10 @@
     using LocalPending =
         std::function<std::optional<std::uint64_t>(std::uint32_t, const std::string &)>;
 
-    /// Notifies a shard owned by this daemon of a job that was just stored; returns false if this
+    /// Notifies a shard owned by this daemon of a job that was just stored; returns nothing if this
     /// daemon does not own the shard.
-    using LocalAccepted = std::function<bool(std::uint32_t, const StoreItem &)>;
+    using LocalAccepted =
+        std::function<std::optional<AcceptedAnswer>(std::uint32_t, const StoreItem &)>;
 
     ClientRequestHandler(const Ports &ports, Membership &membership, std::uint32_t shards,
                          LocalStatus localStatus, LocalPending localPending,
@@ -49,13 +52,18 @@
     ClientRequestHandler(const ClientRequestHandler &) = delete;
     ClientRequestHandler &operator=(const ClientRequestHandler &) = delete;
 
-    void submit(const JobRecord &record, TimePoint deadline, const Done<SubmitResult> &done);
+    /// \p customer is null if the job has none.
+    void submit(const JobRecord &record, const CustomerSettings *customer, TimePoint deadline,
+                const Done<SubmitResult> &done);
     void status(const std::string &id, const Done<StatusAnswer> &done);
     void cancel(const std::string &id, TimePoint deadline, const Done<CancelResult> &done);
     void pending(const std::string &queue, const Done<std::optional<std::uint64_t>> &done);
 
     /// Delay after which a caller that is rejected now should retry.
     [[nodiscard]] std::chrono::seconds retryAfter() const noexcept;
+    /// Delay after which a caller should retry a job that is refused as excess.
+    [[nodiscard]] std::chrono::seconds excessRetryAfter(const std::string &id,
+                                                        const std::string &customer) const;
 
     [[nodiscard]] std::uint32_t shardOf(const std::string &id) const noexcept;
 
@@ -94,8 +102,16 @@
     void writeCancellation(const Cancellation &cancellation, const StoreItem &item);
     void retryCancel(const Cancellation &cancellation);
     void notifyOwnerOfCancellation(const std::string &id);
-    /// \p record is the encoded record as stored.
-    void notifyOwnerOfJob(const std::string &id, const std::string &record, std::uint64_t revision);
+    void store(const JobRecord &record, TimePoint deadline, const Done<SubmitResult> &done);
+    /// True if the job is above the guaranteed rate of its customer and would be served too late.
+    [[nodiscard]] bool isExcess(const JobRecord &record, const CustomerSettings *customer);
+    /// Refuses the job, unless an earlier submission may have stored it.
+    void refuseUnlessStored(const JobRecord &record, TimePoint deadline,
+                            const Done<SubmitResult> &done);
+    /// Tells the owner of a job that was stored as \p text.
+    void notifyOwnerOfJob(const JobRecord &record, const std::string &text, std::uint64_t revision);
+    void handleAcceptedAnswer(std::uint32_t shard, const std::string &customer,
+                              const AcceptedAnswer &answer);
 
     Ports m_ports;
     Membership &m_membership;
@@ -104,6 +120,7 @@
     LocalPending m_localPending;
     LocalAccepted m_localAccepted;
     Submissions m_submissions;
+    AdmissionControl m_admission;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/libs/cell/src/customershares.cpp
+++ b/libs/cell/src/customershares.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 TokenBucket::TokenBucket(double ratePerSecond, TimePoint now)
-    : m_rate(ratePerSecond)
+    : m_rate(std::max(0.0, ratePerSecond))
     , m_tokens(capacity())
     , m_refilledAt(now)
 { }
@@ -40,7 +40,7 @@
 void TokenBucket::setRate(double ratePerSecond, TimePoint now)
 {
     refill(now);
-    m_rate = ratePerSecond;
+    m_rate = std::max(0.0, ratePerSecond);
     m_tokens = std::min(m_tokens, capacity());
 }
 
--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -189,6 +189,18 @@
     return job;
 }
 
+std::optional<Duration> queueingAllowance(const JobRecord &record)
+{
+    const auto &steps = record.spec.steps;
+    const bool endless = std::any_of(steps.begin(), steps.end(),
+                                     [](const StepSpec &step) { return step.longRunning; });
+    if (endless || record.spec.repeatCount != 0 || malformed(record.spec))
+        return std::nullopt;
+    const auto work = makeJob(record, 0, {}, {}).criticalPath;
+    return record.queue.targetRuntime
+        + std::chrono::duration_cast<Duration>((record.queue.extension - 1) * work);
+}
+
 JobProgress progressOf(const Job &job)
 {
     JobProgress progress;
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -137,6 +137,10 @@
 [[nodiscard]] Job makeJob(const JobRecord &record, std::uint64_t created, TimePoint now,
                           const std::optional<JobProgress> &progress);
 
+/// Time that the job may wait in total if it is to meet its objective; nothing if it has none: a
+/// job that is started later, repeatedly, or runs until it is cancelled.
+[[nodiscard]] std::optional<Duration> queueingAllowance(const JobRecord &record);
+
 /// Adds an occurrence with all its tasks waiting.
 Occurrence &beginOccurrence(Job &job, std::uint32_t number, TimePoint now);
 
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -60,7 +60,8 @@
     void configurationChanged(const CellConfiguration &configuration);
     void shutdown(Duration limit, std::function<void()> done);
     [[nodiscard]] const Shard *loadedShard(std::uint32_t number) const;
-    bool jobAccepted(std::uint32_t number, const StoreItem &item);
+    /// Returns nothing if this daemon does not own the shard.
+    std::optional<AcceptedAnswer> jobAccepted(std::uint32_t number, const StoreItem &item);
     void peerAccepted(const std::string &number, const std::string &body,
                       const Done<PeerAnswer> &done);
     void peerCall(const std::string &method, const std::string &path, const std::string &body,
@@ -212,12 +213,11 @@
     return shard != nullptr && shard->loaded() ? shard : nullptr;
 }
 
-bool Node::State::jobAccepted(std::uint32_t number, const StoreItem &item)
+std::optional<AcceptedAnswer> Node::State::jobAccepted(std::uint32_t number, const StoreItem &item)
 {
     if (loadedShard(number) == nullptr)
-        return false;
-    slots[number].shard->jobAccepted(item);
-    return true;
+        return std::nullopt;
+    return slots[number].shard->jobAccepted(item);
 }
 
 void Node::State::shutdown(Duration limit, std::function<void()> done)
@@ -352,7 +352,11 @@
         done({ statusBadRequest, "{}" });
         return;
     }
-    done({ jobAccepted(*shard, **item) ? statusOk : statusUnavailable, "{}" });
+    const auto answer = jobAccepted(*shard, **item);
+    if (answer)
+        done({ statusOk, encode(*answer) });
+    else
+        done({ statusUnavailable, "{}" });
 }
 
 void Node::State::peerStore(const std::string &body, const Done<PeerAnswer> &done)
@@ -447,7 +451,13 @@
     record.queue = queue;
     record.configurationVersion = configuration()->version;
     record.spec = std::move(spec);
-    m_state->requestHandler.submit(record, deadline, done);
+    m_state->requestHandler.submit(record, configuration()->customers.find(caller.customer),
+                                   deadline, done);
+}
+
+std::chrono::seconds Node::excessRetryAfter(const std::string &id, const Caller &caller) const
+{
+    return m_state->requestHandler.excessRetryAfter(id, caller.customer);
 }
 
 std::chrono::seconds Node::retryAfter() const noexcept
--- a/libs/cell/src/peermessages.cpp
+++ b/libs/cell/src/peermessages.cpp
@@ -23,6 +23,14 @@
     return Json{ { "runningForUs", answer.runningFor.count() } }.dump();
 }
 
+std::string encode(const AcceptedAnswer &answer)
+{
+    Json json = Json::object();
+    if (answer.excessDelay)
+        json["excessDelayUs"] = answer.excessDelay->count();
+    return json.dump();
+}
+
 std::string encode(const Advice &advice)
 {
     Json allowed = Json::array();
@@ -89,6 +97,16 @@
     });
 }
 
+std::optional<AcceptedAnswer> decodeAcceptedAnswer(const std::string &text)
+{
+    return decodeJson(text, [](const Json &json) {
+        AcceptedAnswer answer;
+        if (const auto delay = json.find("excessDelayUs"); delay != json.end())
+            answer.excessDelay = Duration(delay->get<std::int64_t>());
+        return answer;
+    });
+}
+
 std::optional<std::uint64_t> decodeCount(const std::string &text)
 {
     return decodeJson(text, [](const Json &json) { return json.at("count").get<std::uint64_t>(); });
--- a/libs/cell/src/peermessages.h
+++ b/libs/cell/src/peermessages.h
@@ -40,6 +40,15 @@
     Duration runningFor{}; ///< Age of the daemon's process, which knows only its own claims.
 };
 
+/// Answer of the owner of a shard to the notification of an accepted job.
+struct AcceptedAnswer
+{
+    /// How long work of the same customer above its guaranteed rate waits; nothing if the customer
+    /// does not exceed its rate or no such work waits.
+    std::optional<Duration> excessDelay;
+};
+
+[[nodiscard]] std::string encode(const AcceptedAnswer &answer);
 [[nodiscard]] std::string encode(const PeerAdviceRequest &question);
 [[nodiscard]] std::string encode(const PromiseRequest &request);
 [[nodiscard]] std::string encode(const PromiseAnswer &answer);
@@ -50,6 +59,7 @@
 [[nodiscard]] std::optional<PeerAdviceRequest> decodePeerAdviceRequest(const std::string &text);
 [[nodiscard]] std::optional<PromiseRequest> decodePromiseRequest(const std::string &text);
 [[nodiscard]] std::optional<PromiseAnswer> decodePromiseAnswer(const std::string &text);
+[[nodiscard]] std::optional<AcceptedAnswer> decodeAcceptedAnswer(const std::string &text);
 [[nodiscard]] std::optional<Advice> decodeAdvice(const std::string &text);
 /// The outer optional is empty if the text is malformed, the inner one if the job is unknown.
 [[nodiscard]] std::optional<std::optional<JobStatus>> decodeStatus(const std::string &text);
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -93,6 +93,10 @@
     /// Number of accepted jobs in the queue that have not started any task.
     [[nodiscard]] std::uint64_t pending(const std::string &queue) const;
 
+    /// How long the excess work of the job's customer waits; nothing if the customer is within its
+    /// guaranteed rate or has no excess work waiting.
+    [[nodiscard]] std::optional<Duration> excessDelay(const std::string &job) const;
+
     [[nodiscard]] bool recovering() const noexcept { return m_recovering; }
 
     /// True while a run is being stopped. Its worker need not list it, so that a successor would
@@ -194,6 +198,8 @@
     // Shares of customers (schedulershares.cpp).
     /// Determines the customer of the job and whether the job exceeds its guaranteed rate.
     void classify(Job &job);
+    /// Determines how long the excess work of each customer has waited for its first task.
+    void updateExcessDelays(const std::vector<StepView> &waiting);
     /// Iterates over waiting steps that are ordered by class, priority and arrival. With customers,
     /// those of equal class and priority are ordered by the shares of their customers.
     class StepOrder
@@ -323,7 +329,8 @@
     JobRuns m_jobRuns;
     CustomerQuotas m_quotas;
     CustomerShares m_shares;
-    Resources m_usableCapacity; ///< Sum over the usable workers.
+    std::vector<Duration> m_excessDelays; ///< By customer, as of the last pass.
+    Resources m_usableCapacity;           ///< Sum over the usable workers.
     ActiveJobs m_activeJobs;
     std::optional<CellConfiguration> m_configuration;
     ResponseTimes m_answerTimes;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -97,6 +97,7 @@
         if (++failures >= maxFailuresPerPass)
             break;
     }
+    updateExcessDelays(waiting);
     logLoad(waiting);
     if (failures > 0 || m_windowFull || quotaReached)
         requestDelayedPass();
--- a/libs/cell/src/schedulershares.cpp
+++ b/libs/cell/src/schedulershares.cpp
@@ -1,5 +1,7 @@
 #include "scheduler.h"
 
+#include <algorithm>
+
 namespace cowsliprock::cell {
 
 int Scheduler::StepView::serviceClass() const noexcept
@@ -19,6 +21,29 @@
     job.excess = m_shares.active() && !job.startRecorded && !m_shares.admit(job.customer, now());
 }
 
+void Scheduler::updateExcessDelays(const std::vector<StepView> &waiting)
+{
+    m_excessDelays.assign(m_shares.active() ? m_shares.size() : 0, Duration::zero());
+    if (m_excessDelays.empty())
+        return;
+    const auto current = now();
+    for (const auto &view : waiting) {
+        if (!view.job->excess || view.job->everStarted || view.band == bandExpired)
+            continue;
+        auto &delay = m_excessDelays[view.job->customer];
+        delay = std::max<Duration>(delay, current - view.occurrence->startedAt);
+    }
+}
+
+std::optional<Duration> Scheduler::excessDelay(const std::string &id) const
+{
+    const Job *job = m_jobs.find(id);
+    if (job == nullptr || !job->excess || job->customer >= m_excessDelays.size()
+        || m_excessDelays[job->customer] == Duration::zero())
+        return std::nullopt;
+    return m_excessDelays[job->customer];
+}
+
 Scheduler::StepOrder::StepOrder(const Scheduler &scheduler, std::vector<StepView> &views)
     : m_scheduler(scheduler)
     , m_views(views)
--- a/libs/cell/src/shard.cpp
+++ b/libs/cell/src/shard.cpp
@@ -60,6 +60,12 @@
     readStates("");
 }
 
+AcceptedAnswer Shard::jobAccepted(const StoreItem &item)
+{
+    m_jobs.offer(item);
+    return { m_scheduler.excessDelay(lastSegment(item.key)) };
+}
+
 void Shard::whenReadyForHandover(std::function<void()> action)
 {
     awaitStops(m_ports.timers.now() + m_stopTimeout, std::move(action));
--- a/libs/cell/src/shard.h
+++ b/libs/cell/src/shard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fencedwriter.h"
+#include "peermessages.h"
 #include "prefixwatch.h"
 #include "records.h"
 #include "scheduler.h"
@@ -34,7 +35,7 @@
     void jobCancelled(const std::string &id) { m_scheduler.jobCancelled(id); }
 
     /// Called when this or another daemon has stored a job, which the watch may report later.
-    void jobAccepted(const StoreItem &item) { m_jobs.offer(item); }
+    [[nodiscard]] AcceptedAnswer jobAccepted(const StoreItem &item);
 
     /// Calls \p action when the shard can be handed over: no run is being stopped, or the time that
     /// workers take for it has passed, and all state known by then is durable.
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -370,7 +370,7 @@
                               *result = answer;
                           if (answer == SubmitResult::Accepted)
                               m_guarantees.accepted(id);
-                          if (answer == SubmitResult::NotStored)
+                          if (answer == SubmitResult::NotStored || answer == SubmitResult::Excess)
                               m_guarantees.refused(id);
                       });
 }
