Report the load of each customer

Operators could not see why the work of a customer waited: for the cell, for its quota, or since it exceeds its guaranteed rate.

--- a/libs/cell/src/clientadmission.cpp
+++ b/libs/cell/src/clientadmission.cpp
@@ -27,8 +27,10 @@
                 store(record, deadline, done);
         };
     };
-    const auto refuse = [this, id = record.id, begun = m_ports.timers.now(), done] {
+    const auto refuse = [this, id = record.id, customer = record.customer,
+                         begun = m_ports.timers.now(), done] {
         m_ports.metrics.count("submissions.excess");
+        m_ports.metrics.count("customers." + customer + ".refused.excess");
         logSubmission(id, begun, SubmitResult::Excess);
         done(SubmitResult::Excess);
     };
--- a/libs/cell/src/customerquotas.cpp
+++ b/libs/cell/src/customerquotas.cpp
@@ -61,6 +61,11 @@
     return amountOf(m_used, customer) + amountOf(m_unreported, customer);
 }
 
+Resources CustomerQuotas::quotaOf(const std::string &customer) const
+{
+    return amountOf(m_quotas, customer);
+}
+
 std::uint32_t CustomerQuotas::availableSlots(const std::string &customer,
                                              const Resources &each) const
 {
--- a/libs/cell/src/customerquotas.h
+++ b/libs/cell/src/customerquotas.h
@@ -31,6 +31,8 @@
 
     /// What the customer's runs hold on all workers that may still execute them.
     [[nodiscard]] Resources inUse(const std::string &customer) const;
+    /// The quota of the customer; zero components are unlimited.
+    [[nodiscard]] Resources quotaOf(const std::string &customer) const;
     /// Number of further tasks, each of which holds \p each, that the quota permits now. While the
     /// use of any resource exceeds the quota, it permits none.
     [[nodiscard]] std::uint32_t availableSlots(const std::string &customer,
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -198,6 +198,8 @@
     // Shares of customers (schedulershares.cpp).
     /// Determines the customer of the job and whether the job exceeds its guaranteed rate.
     void classify(Job &job);
+    /// Writes the load of each customer to the log and to the metrics.
+    void logCustomers(const std::vector<StepView> &waiting) const;
     /// Determines how long the excess work of each customer has waited for its first task.
     void updateExcessDelays(const std::vector<StepView> &waiting);
     /// Iterates over waiting steps that are ordered by class, priority and arrival. With customers,
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -197,6 +197,7 @@
     if (current - m_loadLoggedAt < loadLogInterval)
         return;
     m_loadLoggedAt = current;
+    logCustomers(waiting);
     Resources free;
     Resources capacity;
     for (const Worker *worker : m_usableWorkers) {
--- a/standins/cell/tests/admissioncontrol_test.cpp
+++ b/standins/cell/tests/admissioncontrol_test.cpp
@@ -132,8 +132,8 @@
 {
     World world(cellWith({ { "large", 2.0, {} }, { "small", 5.0, {} } }));
     world.run(startTime);
-    constexpr int rounds = 60;
-    constexpr int jobsPerRound = 6;
+    constexpr std::size_t rounds = 60;
+    constexpr std::size_t jobsPerRound = 6;
     std::vector<std::optional<SubmitResult>> large(rounds * jobsPerRound);
     std::vector<std::optional<SubmitResult>> small(rounds);
     std::uint32_t job = 0;
--- a/standins/cell/tests/customers_test.cpp
+++ b/standins/cell/tests/customers_test.cpp
@@ -299,4 +299,33 @@
     BOOST_TEST(statusOf(5, R"("count":1,"cpu":9000,"fills":true)") == statusOk);
 }
 
+// Guards against operators who cannot tell why a customer's work waits, and against a log that
+// grows with each pass.
+BOOST_AUTO_TEST_CASE(loadOfCustomersIsLoggedOnceASecond)
+{
+    World world(cellWith({ customerWithQuota("a", 2 * taskCpu), customerWithQuota("b", 0) }));
+    world.run(startTime);
+    world.submit(0, jobId(1), ofCustomer("a", batch(8, seconds(6))));
+    world.run(seconds(5));
+    std::size_t lines = 0;
+    const auto log = world.logOf(world.owner().value());
+    for (auto at = log.find("customer.load"); at != std::string::npos;
+         at = log.find("customer.load", at + 1)) {
+        ++lines;
+    }
+    BOOST_TEST(lines >= 4U);
+    BOOST_TEST(lines <= 6U);
+    BOOST_TEST(log.find("\"cpuMillis\":8000,\"quotaCpuMillis\":8000") != std::string::npos);
+    BOOST_TEST(log.find("\"tasksAtQuota\":6") != std::string::npos);
+}
+
+// A job above the quota counts as refused for its customer.
+BOOST_AUTO_TEST_CASE(refusalsAreCountedByCustomer)
+{
+    World world(cellWith({ customerWithQuota("a", 500) }));
+    world.run(startTime);
+    BOOST_TEST(submitStatus(world, 0, keyedPath(1), "a") == statusBadRequest);
+    BOOST_TEST(world.counterOf(0, "customers.a.refused.overQuota") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
