--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -97,6 +97,7 @@
         if (++failures >= maxFailuresPerPass)
             break;
     }
+    updateExcessDelays(waiting);
     logLoad(waiting);
     if (failures > 0 || m_windowFull || quotaReached)
         requestDelayedPass();
@@ -197,6 +198,7 @@
     if (current - m_loadLoggedAt < loadLogInterval)
         return;
     m_loadLoggedAt = current;
+    logCustomers(waiting);
     Resources free;
     Resources capacity;
     for (const Worker *worker : m_usableWorkers) {
