Reservations for gangs do not depend on the speeds of workers

With workers of unlike speeds, gangs and urgent jobs were late more often than necessary while the cell was full: waiting gangs reserved the fastest workers, which urgent tasks avoid while they are reserved, and which were idle until a whole gang fitted.

Workers with the most free CPU are reserved again, as on like workers.

--- a/libs/cell/src/placement.cpp
+++ b/libs/cell/src/placement.cpp
@@ -283,7 +283,6 @@
     std::stable_sort(ordered.begin(), ordered.end(), [](const Worker *left, const Worker *right) {
         return left->free().cpuMillis > right->free().cpuMillis;
     });
-    sortBySpeed(ordered, demand.speed);
     return assignInOrder(ordered, count, [&demand](const Worker &worker) {
         return slotsWithoutLowerPriority(worker, demand);
     });
--- a/libs/cell/src/placement.h
+++ b/libs/cell/src/placement.h
@@ -89,7 +89,8 @@
                                                   const StepDemand &demand, std::uint32_t count);
 
 /// Chooses the workers to reserve for \p count tasks, counting the capacity of less urgent runs as
-/// available. Workers of the preferred speed and then those with the most free CPU come first.
+/// available. Workers with the most free CPU are preferred, whatever their speed: the gang waits
+/// until they have room, and reserved fast workers would be missing for urgent tasks meanwhile.
 [[nodiscard]] std::vector<Worker *> chooseToReserve(const std::vector<Worker *> &candidates,
                                                     const StepDemand &demand, std::uint32_t count);
 
