Queueing allowance: ask findDefect() whether a job can be run

The merge of the refusal of excess with the checks of input left a call of malformed(), which findDefect() has replaced: the build failed. Both decide the same for these jobs.

--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -212,7 +212,7 @@
     const auto &steps = record.spec.steps;
     const bool endless = std::any_of(steps.begin(), steps.end(),
                                      [](const StepSpec &step) { return step.longRunning; });
-    if (endless || record.spec.repeatCount != 0 || malformed(record.spec))
+    if (endless || record.spec.repeatCount != 0 || findDefect(record.spec))
         return std::nullopt;
     const auto work = makeJob(record, 0, {}, {}).criticalPath;
     return record.queue.targetRuntime
