HTTP: do not abort on the end of a chunked body in pieces

A client that sent an empty chunked body as "0\r\n", "\r" and "\n" in three packets ended the daemon: the parser of Boost 1.74 asserts that at least five bytes are presented after it has seen the line of the last chunk (basic_parser.ipp:688, BOOST_ASSERT(n >= 5)), and assertions are part of our builds. A worker, the store or another daemon could do the same with a response.

Neither reader presents less than five bytes of a chunked body any more. A body that is not complete always has that much to come, so nothing is delayed. The client no longer reads by http::async_read_some, which has the same fault, but by a ResponseReader, which tests can use without a socket.

--- a/libs/eventloop/src/httpclient.cpp
+++ b/libs/eventloop/src/httpclient.cpp
@@ -1,15 +1,14 @@
 #include <eventloop/httpclient.h>
 
-#include "responseparser.h"
+#include "responsereader.h"
 #include "socketoptions.h"
 
 #include <eventloop/responsetimes.h>
 #include <eventloop/asio.h>
 #include <eventloop/eventloop.h>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -77,9 +76,8 @@
         , m_stream(loop.context())
         , m_timeoutTimer(loop.context())
         , m_peer(std::move(peer))
-        , m_limits(limits)
         , m_budget(std::move(budget))
-        , m_buffer(limits.headerBytes)
+        , m_reader(limits)
     { }
 
     ~Connection() override { m_budget->release(*this); }
@@ -130,7 +128,7 @@
         m_request.prepare_payload();
         m_sent = false;
         m_bytesSent = 0;
-        m_bytesReceived = 0;
+        m_reader.start();
         m_stream.expires_after(call.timeout + call.lateResponseWindow);
         if (call.lateResponseWindow > Duration::zero())
             startTimeoutTimer();
@@ -141,7 +139,7 @@
     }
 
     [[nodiscard]] std::size_t bytesSent() const noexcept { return m_bytesSent; }
-    [[nodiscard]] std::size_t bytesReceived() const noexcept { return m_bytesReceived; }
+    [[nodiscard]] std::size_t bytesReceived() const noexcept { return m_reader.bytes(); }
 
 private:
     void startTimeoutTimer()
@@ -207,34 +205,43 @@
 
     void read()
     {
-        m_parser.emplace(m_limits);
         m_readStart = m_loop.now();
         readSome();
     }
 
     void readSome()
     {
-        http::async_read_some(m_stream, m_buffer, *m_parser,
-                              [self = shared_from_this()](const boost::system::error_code &failure,
-                                                          std::size_t bytes) {
-                                  self->m_bytesReceived += bytes;
-                                  if (failure)
-                                      self->fail(failure);
-                                  else if (!self->withinLimits())
-                                      self->fail(http::error::body_limit);
-                                  else if (self->m_parser->is_done())
-                                      self->succeed();
-                                  else
-                                      self->readMore();
-                              });
+        const auto space = m_reader.prepare();
+        if (space.size() == 0) {
+            fail(http::error::header_limit);
+            return;
+        }
+        m_stream.async_read_some(
+            space,
+            [self = shared_from_this()](const boost::system::error_code &failure,
+                                        std::size_t bytes) { self->received(failure, bytes); });
+    }
+
+    void received(boost::system::error_code failure, std::size_t bytes)
+    {
+        if (failure == asio::error::eof)
+            failure = m_reader.endOfInput();
+        else if (!failure)
+            failure = m_reader.received(bytes);
+        if (failure)
+            fail(failure);
+        else if (!withinBudget())
+            fail(http::error::body_limit);
+        else if (m_reader.done())
+            succeed();
+        else
+            readMore();
     }
 
-    /// Returns false if the call must fail. The budget may have failed it already.
-    bool withinLimits()
+    /// Returns false if the budget has closed this connection.
+    bool withinBudget()
     {
-        if (!m_parser->framingWithinLimits(m_bytesReceived))
-            return false;
-        m_budget->update(*this, m_parser->memory(), m_readStart, m_loop.now());
+        m_budget->update(*this, m_reader.memory(), m_readStart, m_loop.now());
         return m_stream.socket().is_open();
     }
 
@@ -249,14 +256,12 @@
     void succeed()
     {
         // What follows the response does not belong to a request.
-        const bool reusable = m_parser->keep_alive() && m_buffer.size() == 0;
-        m_buffer.clear();
-        m_buffer.shrink_to_fit();
+        const bool reusable = m_reader.reusable();
         m_budget->release(*this);
         // An idle connection has no deadline.
         m_stream.expires_never();
-        HttpResponse answer{ m_parser->status(), std::move(m_parser->body()), m_late };
-        m_parser.reset();
+        auto answer = m_reader.release();
+        answer.late = m_late;
         end(std::move(answer), reusable);
     }
 
@@ -286,13 +291,9 @@
     beast::tcp_stream m_stream;
     asio::steady_timer m_timeoutTimer; ///< Reports the call as failed when it expires.
     SocketAddress m_peer;
-    HttpClientLimits m_limits;
     std::shared_ptr<ByteBudget> m_budget;
-    /// The parser consumes trailers and chunk extensions only when they are complete, and has no
-    /// limit for them, so the buffer is limited.
-    beast::flat_buffer m_buffer;
+    ResponseReader m_reader;
     http::request<http::string_body> m_request;
-    std::optional<ResponseParser> m_parser;
     TimePoint m_readStart{};
     Listener m_listener;
     Duration m_timeout{};
@@ -300,8 +301,7 @@
     TimePoint m_sendDeadline{};
     std::uint64_t m_timedCall = 0; ///< Identifies the call for which the timeout timer was started.
     bool m_late = false;
-    std::size_t m_bytesSent = 0;     ///< By the current call.
-    std::size_t m_bytesReceived = 0; ///< By the current call.
+    std::size_t m_bytesSent = 0; ///< By the current call.
     bool m_connected = false;
     bool m_sent = false;
 };
--- a/libs/eventloop/src/requestreader.cpp
+++ b/libs/eventloop/src/requestreader.cpp
@@ -147,6 +147,8 @@
 {
     while (!m_parser->is_done() && consumed < data.size()) {
         const auto rest = data.substr(consumed);
+        if (m_parser->chunked() && rest.size() < minChunkedBytes)
+            break;
         const auto bodyBefore = m_parser->request().body.size();
         boost::beast::error_code error;
         const auto used = m_parser->put({ rest.data(), rest.size() }, error);
--- a/libs/eventloop/tests/httpbytes_test.cpp
+++ b/libs/eventloop/tests/httpbytes_test.cpp
@@ -34,6 +34,23 @@
     BOOST_TEST(received.empty());
 }
 
+/// Guards against an assertion of the parser, which ended the process when a client sent the end of
+/// an empty chunked body in pieces.
+BOOST_AUTO_TEST_CASE(acceptsAnEmptyChunkedBodyInPieces)
+{
+    std::string answer;
+    run([&] {
+        RawClient client(port);
+        for (const std::string &piece :
+             { chunkedHead + "0\r\n", std::string("\r"), std::string("\n") }) {
+            client.send(piece);
+            RawClient::sleep(milliseconds(50));
+        }
+        answer = client.readResponse();
+    });
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(acceptsTrailersWithinTheLimit)
 {
     std::string answer;
