Tests: read the state of the server on the thread of its loop

The clients of httpbytes and httpconnections run on a thread of their own and read the number of connections and the bytes of the budget while the event loop changed them, a data race that the thread sanitizer would report. They now ask the loop.

--- a/libs/eventloop/tests/httpbytes_test.cpp
+++ b/libs/eventloop/tests/httpbytes_test.cpp
@@ -147,7 +147,7 @@
         }
         RawClient ordinary(port);
         answered = isAnswered(ordinary);
-        used = budget->used();
+        used = onLoop([this] { return budget->used(); });
     });
     BOOST_TEST(answered);
     BOOST_TEST(used > 0U);
--- a/libs/eventloop/tests/httpconnections_test.cpp
+++ b/libs/eventloop/tests/httpconnections_test.cpp
@@ -72,17 +72,16 @@
     setLimits();
     budget = std::make_shared<ByteBudget>(2 * endlessBytes);
     server.setBudget(budget);
-    std::size_t open = 1;
+    bool closed = false;
     run([&] {
         RawClient client(port);
         client.send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
-        for (int i = 0; i < 200 && (open > 0 || received.empty()); ++i) {
-            static_cast<void>(client.readable(25));
+        for (int i = 0; i < 200 && !closed; ++i) {
             RawClient::sleep(milliseconds(25));
-            open = server.connections();
+            closed = onLoop([this] { return !received.empty() && server.connections() == 0; }) != 0;
         }
     });
-    BOOST_TEST(open == 0U);
+    BOOST_TEST(closed);
     BOOST_TEST(exceeded[HttpLimit::WriteTimeout] == 1);
     BOOST_TEST(budget->used() == 0U);
 }
@@ -103,7 +102,7 @@
             }
             RawClient ordinary(port);
             answered = isAnswered(ordinary);
-            open = server.connections();
+            open = openConnections();
         });
         BOOST_TEST(answered);
         BOOST_TEST(open <= maxConnections);
--- a/libs/eventloop/tests/limitedserver.h
+++ b/libs/eventloop/tests/limitedserver.h
@@ -2,6 +2,7 @@
 
 #include "rawclient.h"
 
+#include <eventloop/asio.h>
 #include <eventloop/bytebudget.h>
 #include <eventloop/eventloop.h>
 #include <eventloop/httpserver.h>
@@ -10,6 +11,7 @@
 
 #include <chrono>
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 #include <string>
@@ -43,6 +45,20 @@
     /// Runs the event loop until \p client, which runs on a thread of its own, has ended.
     void run(const std::function<void()> &client) { runWithClient(loop, client); }
 
+    /// Calls \p value on the thread of the event loop, for use by clients.
+    std::size_t onLoop(const std::function<std::size_t()> &value)
+    {
+        std::promise<std::size_t> promise;
+        boost::asio::post(loop.context(), [&] { promise.set_value(value()); });
+        return promise.get_future().get();
+    }
+
+    /// Number of open connections, for use by clients.
+    std::size_t openConnections()
+    {
+        return onLoop([this] { return server.connections(); });
+    }
+
     void handle(const HttpRequest &request, HttpServer::Respond respond)
     {
         received.push_back(request.target);
