Look up the account of a customer once per step

A pass looked up four tables by name for each waiting step of a customer: quota, use, unreported use and reservations. They are one account per customer now.

--- a/libs/cell/src/customerquotas.cpp
+++ b/libs/cell/src/customerquotas.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <utility>
 
 namespace cowsliprock::cell {
 
@@ -19,61 +18,71 @@
     return each <= 0 ? unlimitedSlots : std::min(unlimitedSlots, (quota - inUse) / each);
 }
 
-Resources amountOf(const std::unordered_map<std::string, Resources> &amounts,
-                   const std::string &customer)
-{
-    const auto entry = amounts.find(customer);
-    return entry == amounts.end() ? Resources() : entry->second;
-}
-
 } // namespace
 
 void CustomerQuotas::configure(const CustomerDirectory &customers)
 {
     for (const auto &customer : customers.all())
-        m_quotas.insert_or_assign(customer.name, customer.quota);
+        m_accounts[customer.name].quota = customer.quota;
+}
+
+const CustomerQuotas::Account *CustomerQuotas::find(const std::string &customer) const
+{
+    const auto entry = m_accounts.find(customer);
+    return entry == m_accounts.end() ? nullptr : &entry->second;
 }
 
 void CustomerQuotas::runAdded(const std::string &customer, const Resources &held)
 {
     if (!customer.empty())
-        m_used[customer] += held;
+        m_accounts[customer].used += held;
 }
 
 void CustomerQuotas::runRemoved(const std::string &customer, const Resources &held)
 {
     if (!customer.empty())
-        m_used[customer] -= held;
+        m_accounts[customer].used -= held;
 }
 
-void CustomerQuotas::setUnreported(std::unordered_map<std::string, Resources> bounds)
+void CustomerQuotas::setUnreported(const std::unordered_map<std::string, Resources> &bounds)
 {
-    m_unreported = std::move(bounds);
+    for (auto &[customer, account] : m_accounts)
+        account.unreported = {};
+    for (const auto &[customer, bound] : bounds)
+        m_accounts[customer].unreported = bound;
 }
 
 void CustomerQuotas::reserve(const std::string &customer, const Resources &amount)
 {
-    m_reserved[customer] += amount;
+    m_accounts[customer].reserved += amount;
+}
+
+void CustomerQuotas::releaseReservations() noexcept
+{
+    for (auto &[customer, account] : m_accounts)
+        account.reserved = {};
 }
 
 Resources CustomerQuotas::inUse(const std::string &customer) const
 {
-    return amountOf(m_used, customer) + amountOf(m_unreported, customer);
+    const auto *account = find(customer);
+    return account == nullptr ? Resources() : account->inUse();
 }
 
 Resources CustomerQuotas::quotaOf(const std::string &customer) const
 {
-    return amountOf(m_quotas, customer);
+    const auto *account = find(customer);
+    return account == nullptr ? Resources() : account->quota.value_or(Resources());
 }
 
 std::uint32_t CustomerQuotas::availableSlots(const std::string &customer,
                                              const Resources &each) const
 {
-    const auto quota = m_quotas.find(customer);
-    if (quota == m_quotas.end())
+    const auto *account = find(customer);
+    if (account == nullptr || !account->quota)
         return unlimitedSlots;
-    const auto taken = inUse(customer) + amountOf(m_reserved, customer);
-    const auto &limit = quota->second;
+    const auto taken = account->inUse() + account->reserved;
+    const auto &limit = *account->quota;
     return static_cast<std::uint32_t>(
         std::min({ slotsOf(limit.cpuMillis, taken.cpuMillis, each.cpuMillis),
                    slotsOf(limit.memoryMb, taken.memoryMb, each.memoryMb),
@@ -83,8 +92,8 @@
 bool CustomerQuotas::canEverFit(const std::string &customer, const Resources &each,
                                 std::uint32_t count) const
 {
-    const auto quota = m_quotas.find(customer);
-    return quota == m_quotas.end() || fitsQuota(quota->second, each, count);
+    const auto *account = find(customer);
+    return account == nullptr || !account->quota || fitsQuota(*account->quota, each, count);
 }
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/customerquotas.h
+++ b/libs/cell/src/customerquotas.h
@@ -5,6 +5,7 @@
 #include <base/resources.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -23,11 +24,11 @@
     void runRemoved(const std::string &customer, const Resources &held);
 
     /// Sets upper bounds of what runs unseen on workers that have not reported after a take-over.
-    void setUnreported(std::unordered_map<std::string, Resources> bounds);
+    void setUnreported(const std::unordered_map<std::string, Resources> &bounds);
 
     /// Deducts \p amount from what is available to steps evaluated later.
     void reserve(const std::string &customer, const Resources &amount);
-    void releaseReservations() noexcept { m_reserved.clear(); }
+    void releaseReservations() noexcept;
 
     /// What the customer's runs hold on all workers that may still execute them.
     [[nodiscard]] Resources inUse(const std::string &customer) const;
@@ -42,12 +43,20 @@
                                   std::uint32_t count) const;
 
 private:
-    using Amounts = std::unordered_map<std::string, Resources>;
+    struct Account
+    {
+        std::optional<Resources> quota; ///< Zero components are unlimited.
+        Resources used;
+        Resources unreported;
+        Resources reserved;
 
-    Amounts m_quotas;
-    Amounts m_used;
-    Amounts m_unreported;
-    Amounts m_reserved;
+        [[nodiscard]] Resources inUse() const noexcept { return used + unreported; }
+    };
+
+    /// Returns the account of the customer, or null.
+    [[nodiscard]] const Account *find(const std::string &customer) const;
+
+    std::unordered_map<std::string, Account> m_accounts;
 };
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/schedulerquotas.cpp
+++ b/libs/cell/src/schedulerquotas.cpp
@@ -4,7 +4,6 @@
 #include <limits>
 #include <string>
 #include <unordered_map>
-#include <utility>
 
 namespace cowsliprock::cell {
 
@@ -113,7 +112,7 @@
         for (auto &[customer, bound] : bounds)
             bound = leastOf(bound, capacity);
     }
-    m_quotas.setUnreported(std::move(bounds));
+    m_quotas.setUnreported(bounds);
 }
 
 } // namespace cowsliprock::cell
--- a/standins/cell/benchmarks/decisions.cpp
+++ b/standins/cell/benchmarks/decisions.cpp
@@ -43,14 +43,15 @@
 constexpr std::uint32_t backlogCustomers = 20;
 constexpr std::chrono::seconds backlogTime{ 4 };
 
-/// Simulates a full cell with a long backlog; its jobs belong to \p customers customers.
-void printBacklogCost(std::uint32_t customers)
+/// Simulates a full cell with a long backlog; its jobs belong to \p customers customers, each of
+/// which may use \p quota; zero components are unlimited.
+void printBacklogCost(std::uint32_t customers, const Resources &quota)
 {
     World::Settings settings;
     settings.nodes = 1;
     const auto nameOf = [](std::uint32_t index) { return "customer-" + std::to_string(index); };
     for (std::uint32_t index = 0; index < customers; ++index)
-        settings.customers.push_back({ { nameOf(index), 1.0, {} }, { nameOf(index) } });
+        settings.customers.push_back({ { nameOf(index), 1.0, quota }, { nameOf(index) } });
     World world(settings);
     world.run(std::chrono::seconds(3));
     World::JobPlan plan;
@@ -67,8 +68,9 @@
     const auto before = std::clock();
     world.run(backlogTime);
     const auto seconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
-    std::printf("backlog of %u jobs, %2u customers: %.3f s CPU for %lld s\n", backlog, customers,
-                seconds, static_cast<long long>(backlogTime.count()));
+    std::printf("backlog of %u jobs, %2u customers, quota %lld: %.3f s CPU for %lld s\n", backlog,
+                customers, static_cast<long long>(quota.cpuMillis), seconds,
+                static_cast<long long>(backlogTime.count()));
 }
 
 } // namespace
@@ -82,7 +84,8 @@
     printOutcomes("urgency, first fit", { cell::UrgencyOrder{}, cell::FirstFit{} }, seeds);
     printOutcomes("arrival, best fit", { cell::ArrivalOrder{}, cell::BestFit{} }, seeds);
     printOutcomes("arrival, first fit", { cell::ArrivalOrder{}, cell::FirstFit{} }, seeds);
-    printBacklogCost(0);
-    printBacklogCost(backlogCustomers);
+    printBacklogCost(0, {});
+    printBacklogCost(backlogCustomers, {});
+    printBacklogCost(backlogCustomers, { 4000, 0, 0 });
     return 0;
 }
