Patient work leaves headroom on fast workers for urgent tasks

Urgent jobs started at once on a full cell with workers of unlike speeds, but two of five of their tasks on slow workers, where they are late: batch tasks, which are smaller, had filled the fast workers up.

A step that is on time and has much slack leaves room for one urgent task on each fast worker, at most a quarter of the worker. It does so only for two seconds after a more urgent step has needed a fast worker, and until its own objective is at risk. Without such steps no capacity is kept.

--- a/libs/cell/src/placement.cpp
+++ b/libs/cell/src/placement.cpp
@@ -20,6 +20,8 @@
 constexpr double speedRankPenalty = 60.0;
 /// With unlike speeds the best fit decides between workers of one class only.
 constexpr double fitShareBesideSpeed = 0.2;
+/// Headroom is at most one part in this many of a worker.
+constexpr std::int64_t headroomDivisor = 4;
 /// Members of a gang whose speeds differ by this many classes are still alike, since estimates are
 /// not exact.
 constexpr int alikeClasses = 1;
@@ -58,6 +60,15 @@
     return used >= limit ? 0 : std::min(room, limit - used);
 }
 
+Resources headroomOn(const Worker &worker, const StepDemand &demand)
+{
+    const auto &headroom = demand.fastHeadroom;
+    const auto &capacity = worker.entry.capacity;
+    return { std::min(headroom.cpuMillis, capacity.cpuMillis / headroomDivisor),
+             std::min(headroom.memoryMb, capacity.memoryMb / headroomDivisor),
+             std::min(headroom.accelerators, capacity.accelerators / headroomDivisor) };
+}
+
 bool hasLabel(const WorkerEntry &entry, const std::string &label)
 {
     return std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
@@ -225,6 +236,8 @@
     if (!worker.held.fitsIn(worker.entry.capacity))
         return 0;
     Resources free = worker.free();
+    if (worker.speedClass > 0)
+        free -= headroomOn(worker, demand);
     if (demand.reservations != nullptr)
         free -= demand.reservations->amountSetAside(worker.entry.id);
     return applySpreadLimit(worker, demand, slotCount(free, heldBy(*demand.spec)));
--- a/libs/cell/src/placement.h
+++ b/libs/cell/src/placement.h
@@ -67,6 +67,8 @@
     const Reservations *reservations = nullptr; ///< Null: reservations are ignored.
     WorkerFit fit{};
     SpeedPreference speed{};
+    /// Left free on fast workers, as far as it is a small part of their capacity.
+    Resources fastHeadroom{};
 };
 
 /// True if the worker's labels and service match the step, regardless of its free capacity.
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -242,6 +242,10 @@
     void recordRunTime(const Run &run);
     void compareRuns(Step &step);
     void assessSpeeds();
+    /// Remembers that a task needs a fast worker.
+    void recordUrgentDemand(const StepDemand &demand);
+    /// Capacity that a step with much slack leaves free on fast workers for more urgent tasks.
+    [[nodiscard]] Resources fastHeadroom(const StepView &view, const SpeedPreference &speed) const;
     /// Number of usable workers that are slower or faster than the mean.
     struct WorkersBySpeed
     {
@@ -311,6 +315,14 @@
     TimePoint m_speedsAssessedAt{};
     double m_slowSpeed = 1; ///< Speeds that nine tenths of the workers exceed, and one tenth.
     double m_fastSpeed = 1;
+    /// The newest task that needed a fast worker.
+    struct UrgentDemand
+    {
+        Resources amount;
+        std::uint32_t priority = 0;
+        TimePoint seenAt{};
+    };
+    std::optional<UrgentDemand> m_urgentDemand;
     double m_meanSpeed = 1; ///< Mean of the usable workers.
     /// During a pass: no further slow advice request is accepted.
     bool m_slowAdviceSaturated = false;
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -110,13 +110,15 @@
 
 StepDemand Scheduler::demandOf(const StepView &view) const
 {
+    const auto speed = speedPreference(view);
     return { view.spec,
              view.task(0),
              view.job->record.queue.service,
              view.job->record.queue.priority,
              &m_reservations,
              m_settings.policy.fit,
-             speedPreference(view) };
+             speed,
+             fastHeadroom(view, speed) };
 }
 
 void Scheduler::recordBlockedStep(const StepView &view)
@@ -326,6 +328,7 @@
 bool Scheduler::placeTasks(const StepView &view, const StepDemand &demand)
 {
     const auto current = now();
+    recordUrgentDemand(demand);
     const auto workers = candidates(view, demand, TicketFilter::Usable);
     const std::uint64_t firstRun = m_settings.generation * runsPerOwner;
     std::uint32_t started = 0;
--- a/libs/cell/src/schedulerspeeds.cpp
+++ b/libs/cell/src/schedulerspeeds.cpp
@@ -18,6 +18,8 @@
 constexpr double patientMultiple = 2.5;
 /// Additional slack of a step that has time for a slow worker.
 constexpr std::chrono::seconds patientSlack{ 2 };
+/// Capacity is left free on fast workers for this long after a task has needed one.
+constexpr std::chrono::seconds urgentDemandRetention{ 2 };
 
 } // namespace
 
@@ -80,6 +82,25 @@
     m_fastSpeed = speeds[speeds.size() - 1 - extreme];
 }
 
+void Scheduler::recordUrgentDemand(const StepDemand &demand)
+{
+    if (!std::holds_alternative<FastestFirst>(demand.speed))
+        return;
+    const bool current = m_urgentDemand && now() - m_urgentDemand->seenAt < urgentDemandRetention;
+    if (!current || demand.priority <= m_urgentDemand->priority)
+        m_urgentDemand = { heldBy(*demand.spec), demand.priority, now() };
+}
+
+Resources Scheduler::fastHeadroom(const StepView &view, const SpeedPreference &speed) const
+{
+    const bool patient = std::holds_alternative<SlowestFirst>(speed) && view.band == 0;
+    if (!patient || !m_urgentDemand || m_urgentDemand->priority >= view.job->record.queue.priority
+        || now() - m_urgentDemand->seenAt >= urgentDemandRetention) {
+        return {};
+    }
+    return m_urgentDemand->amount;
+}
+
 Scheduler::WorkersBySpeed Scheduler::countBySpeed() const
 {
     WorkersBySpeed result;
--- a/standins/cell/include/standincell/decisionload.h
+++ b/standins/cell/include/standincell/decisionload.h
@@ -53,6 +53,7 @@
 {
     std::uint32_t workers = 0;
     std::vector<double> speeds; ///< Of the workers in turn; if empty, all are 1.
+    double longTaskShare = 0;   ///< Of the tasks of urgent and of batch jobs.
     std::uint32_t seed = 1;
 };
 
--- a/standins/cell/src/decisionload.cpp
+++ b/standins/cell/src/decisionload.cpp
@@ -149,9 +149,9 @@
 
 /// Job mix of a cell of 350 workers of 64 cores, whose load swings beyond its capacity. Some tasks
 /// take several times as long as the others of their step.
-std::vector<JobKind> kindsOfSwingingCell(std::uint32_t workers)
+std::vector<JobKind> kindsOfSwingingCell(const SwingingLoad &load)
 {
-    const double share = workers / 350.0;
+    const double share = load.workers / 350.0;
     return {
         JobKind{
             .name = "urgent",
@@ -168,7 +168,7 @@
             .extension = 1.5,
             .estimateError = 0.5,
             .taskSpread = 0.3,
-            .longTaskShare = 0.03,
+            .longTaskShare = load.longTaskShare,
         },
         JobKind{
             .name = "gang",
@@ -199,7 +199,7 @@
             .burstStart = seconds(1000),
             .extension = 4.0,
             .taskSpread = 0.15,
-            .longTaskShare = 0.03,
+            .longTaskShare = load.longTaskShare,
         },
     };
 }
@@ -385,9 +385,7 @@
 
 std::map<std::string, JobKindOutcome> simulateSwingingLoad(const SwingingLoad &swinging)
 {
-    Load load{
-        {}, kindsOfSwingingCell(swinging.workers), seconds(34), seconds(20), swinging.speeds, 0.55
-    };
+    Load load{ {}, kindsOfSwingingCell(swinging), seconds(34), seconds(20), swinging.speeds, 0.55 };
     load.cell.nodes = 8;
     load.cell.workers = swinging.workers;
     load.cell.workerCapacity = { 64000, 262144, 0 };
--- a/standins/cell/tests/unlikeworkers_test.cpp
+++ b/standins/cell/tests/unlikeworkers_test.cpp
@@ -60,11 +60,12 @@
 };
 
 /// Sum of the outcomes of some seeds on workers of which a third is much faster than the others.
-std::map<std::string, JobKindOutcome> outcomesOnUnlikeWorkers()
+std::map<std::string, JobKindOutcome> outcomesOnUnlikeWorkers(double longTaskShare)
 {
     std::map<std::string, JobKindOutcome> sums;
     for (std::uint32_t seed = 1; seed <= 3; ++seed) {
-        for (const auto &[kind, outcome] : simulateSwingingLoad({ 120, { 0.7, 0.7, 1.7 }, seed })) {
+        const SwingingLoad load{ 120, { 0.7, 0.7, 1.7 }, longTaskShare, seed };
+        for (const auto &[kind, outcome] : simulateSwingingLoad(load)) {
             sums[kind].submitted += outcome.submitted;
             sums[kind].inTime += outcome.inTime;
         }
@@ -145,18 +146,45 @@
         BOOST_TEST(worker->speedClass == slow);
 }
 
-/// Guards against callers that see the speed of the worker they happen to get, and against long
-/// tasks that are restarted. Without regard to speed 0.71 of the urgent jobs, 0.73 of the gangs and
-/// 0.40 of the batch jobs are in time. A tenth of the urgent jobs is late on any worker, since it
-/// has a task that takes several times as long.
+/// Guards against callers that see the speed of the worker they happen to get. Without regard to
+/// speed 0.80 of the urgent jobs and 0.92 of the gangs are in time.
 BOOST_AUTO_TEST_CASE(jobsAreInTime)
 {
-    const auto outcomes = outcomesOnUnlikeWorkers();
-    BOOST_TEST(outcomes.at("urgent").inTimeShare() >= 0.78);
+    const auto outcomes = outcomesOnUnlikeWorkers(0);
+    BOOST_TEST(outcomes.at("urgent").inTimeShare() >= 0.92);
+    BOOST_TEST(outcomes.at("gang").inTimeShare() >= 0.93);
+    BOOST_TEST(outcomes.at("batch").inTimeShare() >= 0.99);
+}
+
+/// Guards against long tasks that are restarted. If they are, and without regard to speed, 0.71 of
+/// the urgent jobs, 0.73 of the gangs and 0.40 of the batch jobs are in time. A tenth of the urgent
+/// jobs is late on any worker, since it has a long task.
+BOOST_AUTO_TEST_CASE(jobsAreInTimeBesideLongTasks)
+{
+    const auto outcomes = outcomesOnUnlikeWorkers(0.03);
+    BOOST_TEST(outcomes.at("urgent").inTimeShare() >= 0.8);
     BOOST_TEST(outcomes.at("gang").inTimeShare() >= 0.85);
     BOOST_TEST(outcomes.at("batch").inTimeShare() >= 0.5);
 }
 
+/// Guards against batch work that fills the fast workers up just before urgent tasks need them.
+BOOST_AUTO_TEST_CASE(headroomIsLeftOnFastWorkersOnly)
+{
+    add(slow, 20);
+    add(fast, 25);
+    add(fast, 30);
+    demand.speed = SlowestFirst{};
+    BOOST_TEST(availableSlots(*candidates[1], demand) == 1U);
+    demand.fastHeadroom = { 10000, 1024, 0 };
+    BOOST_TEST(availableSlots(*candidates[0], demand) == 1U);
+    BOOST_TEST(availableSlots(*candidates[1], demand) == 0U);
+    BOOST_TEST(availableSlots(*candidates[2], demand) == 1U);
+    // It is at most a quarter of a worker.
+    add(fast, 64);
+    demand.fastHeadroom = { 64000, 65536, 0 };
+    BOOST_TEST(availableSlots(*candidates[3], demand) == 2U);
+}
+
 /// Guards against a new owner that places by the verdict of another one, and against work that
 /// fails when the owner of a cell with unlike workers changes.
 BOOST_AUTO_TEST_CASE(eachOwnerLearnsTheSpeedsAnew)
