--- a/standins/cell/include/standincell/documents.h
+++ b/standins/cell/include/standincell/documents.h
@@ -13,6 +13,9 @@
 
 [[nodiscard]] std::string workerKey(const std::string &worker);
 
+/// Address of a simulated worker, which differs between any two ids.
+[[nodiscard]] std::string workerAddress(const std::string &id);
+
 /// Store entry of a worker of the service "s" that listens at \p address.
 [[nodiscard]] std::string workerDocument(const WorkerModel &worker, const std::string &address,
                                          bool draining);
--- a/standins/cell/src/documents.cpp
+++ b/standins/cell/src/documents.cpp
@@ -1,5 +1,7 @@
 #include <standincell/documents.h>
 
+#include <base/id.h>
+
 #include <nlohmann/json.hpp>
 
 namespace cowsliprock::standincell {
@@ -43,6 +45,15 @@
     return "servers/" + worker;
 }
 
+std::string workerAddress(const std::string &id)
+{
+    const auto bits = static_cast<std::uint32_t>(stableHash(id));
+    std::string address;
+    for (const unsigned shift : { 24U, 16U, 8U, 0U })
+        address += std::to_string(bits >> shift & 0xFFU) + (shift == 0 ? ":80" : ".");
+    return address;
+}
+
 /// Time that a draining worker announces before it leaves.
 constexpr std::chrono::milliseconds drainNoticeTime{ 1500 };
 
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -4,7 +4,6 @@
 
 #include <standincell/documents.h>
 
-#include <ingress.h>
 #include <records.h>
 
 #include <base/id.h>
@@ -34,16 +33,6 @@
     return "node-" + std::to_string(index);
 }
 
-/// Address that differs between any two workers.
-std::string workerAddress(const std::string &id)
-{
-    const auto bits = static_cast<std::uint32_t>(stableHash(id));
-    std::string address;
-    for (const unsigned shift : { 24U, 16U, 8U, 0U })
-        address += std::to_string(bits >> shift & 0xFFU) + (shift == 0 ? ":80" : ".");
-    return address;
-}
-
 } // namespace
 
 World::World(const Settings &settings)
@@ -442,20 +431,6 @@
     return item ? item->revision : 0;
 }
 
-HttpServerResponse World::callClient(std::uint32_t node, const HttpRequest &request)
-{
-    auto &slot = *m_nodes.at(node);
-    const auto ingress =
-        std::make_shared<platform::Ingress>(*slot.node, *slot.timers, slot.metrics);
-    auto response = std::make_shared<HttpServerResponse>();
-    response->status = 0;
-    // The node may respond after the wait, through members of the ingress.
-    ingress->handleClient(
-        request, [response, ingress](HttpServerResponse given) { *response = std::move(given); });
-    run(std::chrono::milliseconds(600));
-    return *response;
-}
-
 PeerAnswer World::callPeer(std::uint32_t node, const std::string &path, const std::string &body)
 {
     auto answer = std::make_shared<PeerAnswer>();
