Move the client calls of the simulated cell to their own file

The calls of clients and peers are now in worldclients.cpp; nothing else changes. All targets build and cell_test passes.

--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -27,6 +27,9 @@
 class World
 {
 public:
+    /// Attempts of a task in the queues of the simulated cell.
+    static constexpr std::uint32_t maxAttempts = 2;
+
     struct Settings
     {
         std::uint32_t nodes = 3;
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -22,7 +22,6 @@
 /// The entry of an unreachable worker is removed after three missed heartbeats.
 constexpr std::chrono::milliseconds entryExpiry{ 4500 };
 constexpr std::chrono::milliseconds restartDelay{ 500 };
-constexpr std::uint32_t attempts = 2;
 /// Time after its start at which a deadly task crashes its worker.
 constexpr std::chrono::milliseconds deadlyTaskTime{ 10 };
 constexpr std::chrono::milliseconds deadlyTaskDowntime{ 3000 };
@@ -76,7 +75,7 @@
     queue.prefix = "/q/";
     queue.service = "s";
     queue.priority = 1;
-    queue.maxAttempts = attempts;
+    queue.maxAttempts = maxAttempts;
     queue.extension = 2.0;
     queue.targetRuntime = std::chrono::seconds(1);
     queue.timeout = std::chrono::seconds(3);
@@ -351,77 +350,6 @@
     });
 }
 
-void World::submit(std::uint32_t node, const std::string &id, const JobPlan &jobPlan,
-                   std::optional<SubmitResult> *result)
-{
-    auto &slot = *m_nodes.at(node);
-    if (!slot.node || !slot.node->ready())
-        return;
-    m_jobs[id] = jobPlan;
-    const auto *queue = slot.node->configuration()->findQueue(jobPlan.queue);
-    m_guarantees.submitted(id, jobPlan.spec, attempts);
-    m_guarantees.belongsTo(id, jobPlan.customer);
-    if (jobPlan.deadly)
-        m_guarantees.deadly(id);
-    slot.node->submit(id, Caller{ jobPlan.customer }, *queue, jobPlan.spec,
-                      m_time.now() + std::chrono::milliseconds(2500),
-                      [this, id, result](SubmitResult answer) {
-                          if (result != nullptr)
-                              *result = answer;
-                          if (answer == SubmitResult::Accepted)
-                              m_guarantees.accepted(id);
-                          if (answer == SubmitResult::NotStored || answer == SubmitResult::Excess)
-                              m_guarantees.refused(id);
-                      });
-}
-
-std::optional<HttpServerResponse> World::request(std::uint32_t node, const HttpRequest &request)
-{
-    auto &slot = *m_nodes.at(node);
-    auto answer = std::make_shared<std::optional<HttpServerResponse>>();
-    if (slot.ingress) {
-        slot.ingress->handleClient(
-            request, [answer](HttpServerResponse response) { *answer = std::move(response); });
-    }
-    run(std::chrono::milliseconds(800));
-    return *answer;
-}
-
-std::chrono::seconds World::retryAfter(std::uint32_t node) const
-{
-    return m_nodes.at(node)->node->retryAfter();
-}
-
-void World::cancel(std::uint32_t node, const std::string &id, std::optional<CancelResult> *result)
-{
-    auto &slot = *m_nodes.at(node);
-    if (!slot.node)
-        return;
-    m_guarantees.cancelRequested(id);
-    slot.node->cancel(id, m_time.now() + std::chrono::milliseconds(2500),
-                      [this, id, result](CancelResult answer) {
-                          if (result != nullptr)
-                              *result = answer;
-                          if (answer != CancelResult::Unavailable)
-                              m_guarantees.cancelled(id);
-                      });
-}
-
-std::optional<JobStatus> World::status(std::uint32_t node, const std::string &id)
-{
-    auto &slot = *m_nodes.at(node);
-    if (!slot.node)
-        return std::nullopt;
-    auto answer = std::make_shared<std::optional<JobStatus>>();
-    slot.node->status(id, [this, id, answer](const StatusAnswer &reply) {
-        *answer = reply.status;
-        if (reply.status)
-            m_guarantees.statusReported(id, *reply.status);
-    });
-    run(std::chrono::milliseconds(800));
-    return *answer;
-}
-
 void World::drainWorker(std::uint32_t index)
 {
     m_workers.at(index)->draining = true;
@@ -464,15 +392,6 @@
     return item ? item->revision : 0;
 }
 
-PeerAnswer World::callPeer(std::uint32_t node, const std::string &path, const std::string &body)
-{
-    auto answer = std::make_shared<PeerAnswer>();
-    m_nodes.at(node)->node->peerCall("POST", path, body,
-                                     [answer](const PeerAnswer &given) { *answer = given; });
-    run(std::chrono::milliseconds(600));
-    return *answer;
-}
-
 WorkerModel &World::worker(std::uint32_t index)
 {
     return *m_workers.at(index)->model;
