--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -27,6 +27,9 @@
 class World
 {
 public:
+    /// Attempts of a task in the queues of the simulated cell.
+    static constexpr std::uint32_t maxAttempts = 2;
+
     struct Settings
     {
         std::uint32_t nodes = 3;
@@ -130,8 +133,6 @@
     /// Requests the status of a job and waits 800 ms for the reply.
     [[nodiscard]] std::optional<cell::JobStatus> status(std::uint32_t node, const std::string &id);
 
-    /// Sends an HTTP request of a client to a node and waits for the response.
-    HttpServerResponse callClient(std::uint32_t node, const HttpRequest &request);
 
     /// Sends a call of another daemon to a node and waits for the reply.
     cell::PeerAnswer callPeer(std::uint32_t node, const std::string &path, const std::string &body);
--- a/standins/cell/tests/jobdefect_test.cpp
+++ b/standins/cell/tests/jobdefect_test.cpp
@@ -55,7 +55,8 @@
 /// Submits a job through the HTTP interface of a node and returns the status of the response.
 unsigned post(World &world, const std::string &id, const std::string &body)
 {
-    return world.callClient(0, { "POST", "/q/" + id, "h", body, {} }).status;
+    const auto response = world.request(0, { "POST", "/q/" + id, "h", body, {} });
+    return response ? response->status : 0;
 }
 
 } // namespace
