Bounds of the test on unlike workers leave room for other draws

The bounds are now 0.9 for both; the code without regard to speed still fails the one for urgent jobs (0.799).

--- a/standins/cell/tests/unlikeworkers_test.cpp
+++ b/standins/cell/tests/unlikeworkers_test.cpp
@@ -147,12 +147,14 @@
 }
 
 /// Guards against callers that see the speed of the worker they happen to get. Without regard to
-/// speed 0.80 of the urgent jobs and 0.92 of the gangs are in time.
+/// speed 0.80 of the urgent jobs are in time. Gangs and batch jobs must not pay for it. The bounds
+/// have a margin for other draws: seeds 1 to 3 give 0.929 and 0.945, and 1 to 6 0.924 and 0.923 for
+/// urgent jobs and gangs.
 BOOST_AUTO_TEST_CASE(jobsAreInTime)
 {
     const auto outcomes = outcomesOnUnlikeWorkers(0);
-    BOOST_TEST(outcomes.at("urgent").inTimeShare() >= 0.92);
-    BOOST_TEST(outcomes.at("gang").inTimeShare() >= 0.93);
+    BOOST_TEST(outcomes.at("urgent").inTimeShare() >= 0.9);
+    BOOST_TEST(outcomes.at("gang").inTimeShare() >= 0.9);
     BOOST_TEST(outcomes.at("batch").inTimeShare() >= 0.99);
 }
 
