--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -133,7 +133,6 @@
     /// Requests the status of a job and waits 800 ms for the reply.
     [[nodiscard]] std::optional<cell::JobStatus> status(std::uint32_t node, const std::string &id);
 
-
     /// Sends a call of another daemon to a node and waits for the reply.
     cell::PeerAnswer callPeer(std::uint32_t node, const std::string &path, const std::string &body);
 
