--- a/standins/cell/tests/invaliddocuments_test.cpp
+++ b/standins/cell/tests/invaliddocuments_test.cpp
@@ -9,7 +9,6 @@
 
 using namespace cowsliprock;
 using namespace cowsliprock::standincell;
-using cell::JobStatus;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
