Admission: the critical path of a submission without building a job

For each submission of a customer the receiving daemon built a whole Job to learn its critical path: the record with its text was copied and findDefect() ran a third time. criticalPathsOf() works on the record itself; makeJob() uses it, too. Behaviour is as before.

No test of its own.

--- a/libs/cell/src/jobtable.cpp
+++ b/libs/cell/src/jobtable.cpp
@@ -19,19 +19,25 @@
 /// Losses of workers at any time of a task, after which it is given up.
 constexpr std::uint32_t maxCrashes = 5;
 
-void computeCriticalPaths(Job &job)
+/// Estimated critical path up to and including each step.
+std::vector<Duration> criticalPathsOf(const JobRecord &record)
 {
-    const auto &steps = job.record.spec.steps;
-    job.criticalPathThrough.assign(steps.size(), Duration::zero());
+    const auto &steps = record.spec.steps;
+    std::vector<Duration> through(steps.size(), Duration::zero());
     for (std::size_t index = 0; index < steps.size(); ++index) {
         Duration longest{};
         for (const auto before : steps[index].after)
-            longest = std::max(longest, job.criticalPathThrough.at(before));
-        job.criticalPathThrough[index] = longest + steps[index].estimate;
-        if (job.record.queue.advice)
-            job.criticalPathThrough[index] += job.record.queue.advice->decision;
-        job.criticalPath = std::max(job.criticalPath, job.criticalPathThrough[index]);
+            longest = std::max(longest, through.at(before));
+        through[index] = longest + steps[index].estimate;
+        if (record.queue.advice)
+            through[index] += record.queue.advice->decision;
     }
+    return through;
+}
+
+Duration longestOf(const std::vector<Duration> &paths)
+{
+    return paths.empty() ? Duration::zero() : *std::max_element(paths.begin(), paths.end());
 }
 
 void restore(Step &step, const StepProgress &progress, bool longRunning)
@@ -188,8 +194,10 @@
     job.created = created;
     job.firstSeenAt = now;
     job.defect = findDefect(record.spec);
-    if (!job.defect)
-        computeCriticalPaths(job);
+    if (!job.defect) {
+        job.criticalPathThrough = criticalPathsOf(record);
+        job.criticalPath = longestOf(job.criticalPathThrough);
+    }
     if (progress) {
         job.startRecorded = true;
         job.status = progress->status;
@@ -214,7 +222,7 @@
                                      [](const StepSpec &step) { return step.longRunning; });
     if (endless || record.spec.repeatCount != 0 || findDefect(record.spec))
         return std::nullopt;
-    const auto work = makeJob(record, 0, {}, {}).criticalPath;
+    const auto work = longestOf(criticalPathsOf(record));
     return record.queue.targetRuntime
         + std::chrono::duration_cast<Duration>((record.queue.extension - 1) * work);
 }
--- a/libs/cell/src/peermessages.cpp
+++ b/libs/cell/src/peermessages.cpp
@@ -102,7 +102,7 @@
     return decodeJson(text, [](const Json &json) {
         AcceptedAnswer answer;
         if (const auto delay = json.find("excessDelayUs"); delay != json.end())
-            answer.excessDelay = Duration(delay->get<std::int64_t>());
+            answer.excessDelay = timeOf<Duration>(*delay);
         return answer;
     });
 }
