--- a/review/standins-2/cell.py
+++ b/review/standins-2/cell.py
@@ -312,6 +312,8 @@
         self.registers = True
         self.life = 0
         self.beats = None
+        self.losing = 0  # Starts whose answer will be lost.
+        self.fails = False  # Whether what it starts ends failed soon.
 
     async def start(self):
         """Begins a life: it holds and knows nothing of before."""
@@ -378,7 +380,13 @@
             return 409, {"clock_ms": self.clock(), "born": self.born, "reason": "fence"}
         self.token = max(self.token, content.get("fencing_token", 0))
         if target == "/v1/run-start":
-            return self.begin(content)
+            answer = self.begin(content)
+            if self.losing and answer[0] == 200:
+                self.losing -= 1
+                self.record.add("answer.lost", worker=self.id, life=self.life,
+                                task=content["task"], run=content["run"])
+                return None
+            return answer
         if target == "/v1/run-stop":
             return self.stop(content)
         if target == "/v1/hold":
@@ -409,7 +417,9 @@
         self.running[key] = {"since": time.monotonic(), "plan": plan, "stopping": False}
         self.record.add("run.start", worker=self.id, life=self.life, task=key[0], run=key[1],
                         labels=self.labels)
-        if plan["ms"]:
+        if self.fails:
+            asyncio.get_running_loop().call_later(0.1, self.finish, key, "failed", self.life)
+        elif plan["ms"]:
             asyncio.get_running_loop().call_later(
                 plan["ms"] / 1000, self.finish, key, "done", self.life)
         return 200, answer
@@ -438,6 +448,10 @@
     async def hold(self, request):
         self.extend(request.get("deadline_ms"))
         seen = request.get("last_seen", 0)
+        for number, task, run, how, _ in self.finished:
+            if number <= seen:
+                self.record.add("end.noted", worker=self.id, life=self.life, task=task, run=run,
+                                how=how)
         self.finished = [end for end in self.finished if end[0] > seen]
         wait = min(request.get("wait_ms", 0), 2000) / 1000
         end = time.monotonic() + wait
