Election: any daemon may claim a cell that has lost its owner and successors

Cause: promises of the successors extend an ownership in an outage of the store, by ten minutes at most. A daemon that is not named cannot tell three lost daemons from three that are cut off together and go on by promises, so it waited for ten minutes, and again after each loss of contact with the store. Evidence: no shard.claiming after the loss in any log.

Change: the workers decide, by their fencing tokens. An owner that the store does not confirm needs promises and more than half of the workers of its stored roster, each of which has accepted its token within 4 s. A daemon that is not named claims 4 s after it has seen the owner missing. Its ownership is contested: it reads the state and fences workers, but writes no roster, names no successors and starts nothing until half of the workers of the stored roster have accepted its token. From then on no earlier owner has a quorum. Tasks of workers that are silent to it wait for those 4 s in addition.

Same cause elsewhere: leases of silent workers were taken for expired, and tasks of restarted or replaced workers for lost, by an owner that only promises extended; now only by one that the store confirms. Whoever takes a contested shard over before its owner has fenced the workers owns it contested, too.

Test: suite lostdaemons. On the code before, five of its six cases fail (36 errors: jobs not completed, no task of the lasting job at work); now none does. With claims that are never contested the last case shows TWICE.

--- a/libs/cell/src/election.cpp
+++ b/libs/cell/src/election.cpp
@@ -24,6 +24,10 @@
 /// started together appear within this time.
 constexpr std::chrono::milliseconds smallerShareDelay{ 800 };
 
+/// Time for which the daemons that the owner has not named leave the claim to its successors, whose
+/// promises end within it.
+constexpr std::chrono::milliseconds successorPrecedence{ promiseTime + std::chrono::seconds(1) };
+
 /// A claim without a response may be executed within this time.
 constexpr std::chrono::seconds maxClaimDelay{ 30 };
 
@@ -96,11 +100,28 @@
         && !m_membership.members().contains(view.record.name);
 }
 
-std::vector<Successor> Election::successorsOf(const OwnerView &view) const
+std::optional<std::vector<Successor>> Election::storedList(const OwnerView &view) const
 {
     const auto list = m_membership.successors(m_shard);
-    const bool current = list && list->record.ownershipRevision == view.revision;
-    return current ? list->record.successors : std::vector<Successor>();
+    if (!list || list->record.ownershipRevision != view.revision)
+        return std::nullopt;
+    return list->record.successors;
+}
+
+std::vector<Successor> Election::successorsOf(const OwnerView &view) const
+{
+    return storedList(view).value_or(std::vector<Successor>());
+}
+
+bool Election::isContested(const std::optional<OwnerView> &view) const
+{
+    if (!view)
+        return false;
+    const auto list = storedList(*view);
+    // An owner stores its list once it has fenced the workers.
+    if (!list)
+        return view->record.contested;
+    return mayHaveOwner(*view) && !list->empty() && !contains(*list, m_membership.self());
 }
 
 TimePoint Election::promisesEnd(const std::optional<OwnerView> &view) const
@@ -114,8 +135,7 @@
     // The previous incarnation of this daemon may have made a promise.
     if (contains(successors, m_membership.self()))
         return std::max<TimePoint>(own, m_startedAt + promiseTime);
-    const auto observedSince = std::max(*m_vacantSince, m_membership.observedSince());
-    return std::max<TimePoint>(own, observedSince + maxOwnershipExtension);
+    return std::max<TimePoint>(own, *m_vacantSince + successorPrecedence);
 }
 
 std::ptrdiff_t Election::rank(const std::optional<OwnerView> &view) const
@@ -124,8 +144,9 @@
         return std::pair(member.weight, stableHash(member.name + "/" + std::to_string(m_shard)));
     };
     const auto own = preference(m_membership.self());
-    const auto successors =
-        view && mayHaveOwner(*view) ? successorsOf(*view) : std::vector<Successor>();
+    auto successors = view && mayHaveOwner(*view) ? successorsOf(*view) : std::vector<Successor>();
+    if (!contains(successors, m_membership.self()))
+        successors.clear();
     const auto &members = m_membership.members();
     return std::count_if(members.begin(), members.end(), [&](const auto &entry) {
         const bool eligible = successors.empty() || contains(successors, entry.second);
@@ -181,8 +202,10 @@
 {
     const auto view = m_membership.owner(m_shard);
     const auto &self = m_membership.self();
-    OwnerRecord record{ self.name, self.incarnation, self.address,
-                        view ? view->record.generation + 1 : 0, self.weight };
+    OwnerRecord record{
+        self.name,   self.incarnation,  self.address, view ? view->record.generation + 1 : 0,
+        self.weight, isContested(view),
+    };
     Transaction transaction;
     transaction.conditions.push_back({ keys::owner(m_shard), view ? view->revision : 0 });
     if (view && mayHaveOwner(*view)) {
@@ -199,7 +222,8 @@
     m_log.write(m_timers.now(), "shard.claiming",
                 { { "shard", m_shard },
                   { "previousOwner", view ? view->record.name : std::string() },
-                  { "previousRevision", replacedRevision } });
+                  { "previousRevision", replacedRevision },
+                  { "contested", record.contested } });
     m_store.commit(transaction,
                    [this, alive = m_alive, record,
                     replacedRevision](const Result<TransactionOutcome> &outcome) {
@@ -236,10 +260,12 @@
     if (m_ownership)
         return;
     m_vacantSince.reset();
-    m_ownership = Ownership{ revision, record.generation, m_claimSentAt };
-    m_log.write(
-        m_timers.now(), "shard.owned",
-        { { "shard", m_shard }, { "revision", revision }, { "generation", record.generation } });
+    m_ownership = Ownership{ revision, record.generation, m_claimSentAt, record.contested };
+    m_log.write(m_timers.now(), "shard.owned",
+                { { "shard", m_shard },
+                  { "revision", revision },
+                  { "generation", record.generation },
+                  { "contested", record.contested } });
     m_listener.acquired(*m_ownership);
 }
 
@@ -284,7 +310,16 @@
     }
     Transaction transaction;
     transaction.conditions.push_back({ keys::owner(m_shard), m_ownership->revision });
-    const OwnerRecord noOwner{ "", 0, "", m_ownership->generation, m_membership.self().weight };
+    const auto list = m_membership.successors(m_shard);
+    const bool fenced = list && list->record.ownershipRevision == m_ownership->revision;
+    const OwnerRecord noOwner{
+        "",
+        0,
+        "",
+        m_ownership->generation,
+        m_membership.self().weight,
+        m_ownership->contested && !fenced,
+    };
     transaction.writes.push_back({ keys::owner(m_shard), encode(noOwner), 0 });
     loseOwnership("handed over");
     m_store.commit(transaction,
--- a/libs/cell/src/election.h
+++ b/libs/cell/src/election.h
@@ -22,12 +22,17 @@
     std::uint64_t revision = 0;
     std::uint64_t generation = 0;
     TimePoint claimedAt{}; ///< When the claim was sent.
+    /// An earlier owner may still act, with promises of its successors, on workers that this one
+    /// has not fenced.
+    bool contested = false;
 };
 
 /// Leader election for one shard. The owner key is changed only by compare-and-swap on its
 /// revision, so each revision has exactly one owner. The key is not bound to a lease: an owner is
 /// considered dead when its presence record has disappeared. The claim is committed only if the
-/// record is still missing then, and only by a daemon that has not promised the owner to wait.
+/// record is still missing then, and only by a daemon that has not promised the owner to wait. A
+/// daemon that the owner has not named as a successor leaves the claim to those for a while; its
+/// ownership is contested.
 class Election
 {
 public:
@@ -73,11 +78,17 @@
     [[nodiscard]] bool isSelf(const OwnerRecord &record) const noexcept;
     /// True if the owner's presence record is missing and nothing shows that it has ended.
     [[nodiscard]] bool mayHaveOwner(const OwnerView &view) const;
+    /// The successors that the owner has stored; nothing if it has not stored any list.
+    [[nodiscard]] std::optional<std::vector<Successor>> storedList(const OwnerView &view) const;
     /// The successors that the owner has stored; empty if any daemon may succeed it.
     [[nodiscard]] std::vector<Successor> successorsOf(const OwnerView &view) const;
+    /// True if promises that this daemon does not know of may extend the ownership of the recorded
+    /// owner, or of an earlier one whose workers the recorded owner has not fenced.
+    [[nodiscard]] bool isContested(const std::optional<OwnerView> &view) const;
     [[nodiscard]] std::ptrdiff_t rank(const std::optional<OwnerView> &view) const;
     [[nodiscard]] Duration claimDelay(const std::optional<OwnerView> &view) const;
-    /// Earliest time at which no promise to the owner can be in force.
+    /// Earliest time at which no promise of this daemon to the owner can be in force, and the
+    /// successors have had the time to claim the shard.
     [[nodiscard]] TimePoint promisesEnd(const std::optional<OwnerView> &view) const;
     /// True if a claim that replaces the owner record with this revision may still take effect.
     [[nodiscard]] bool isClaimUnresolved(std::uint64_t replacedRevision) const;
--- a/libs/cell/src/leaderlease.cpp
+++ b/libs/cell/src/leaderlease.cpp
@@ -48,6 +48,18 @@
     return m_ports.timers.now() < m_exclusiveUntil;
 }
 
+bool LeaderLease::confirmed()
+{
+    refresh();
+    return m_ports.timers.now() < m_confirmedUntil;
+}
+
+void LeaderLease::workersFenced()
+{
+    m_settings.contested = false;
+    updateSuccessors();
+}
+
 bool LeaderLease::valid()
 {
     refresh();
@@ -56,21 +68,31 @@
 
 void LeaderLease::refresh()
 {
-    if (m_verifiedPresence == 0 || m_verifiedPresence != m_membership.presenceNumber())
-        return;
-    m_confirmedUntil = std::max(m_confirmedUntil, m_membership.presentUntil());
+    if (m_verifiedPresence != 0 && m_verifiedPresence == m_membership.presenceNumber())
+        m_confirmedUntil = std::max(m_confirmedUntil, m_membership.presentUntil());
     m_exclusiveUntil = std::max(m_exclusiveUntil, m_confirmedUntil);
+    if (m_promisedUntil <= m_exclusiveUntil)
+        return;
+    if (const auto obeyedAt = m_workers.obeyedAt()) {
+        const TimePoint obeyedUntil = *obeyedAt + shortened(workerAcceptanceTime);
+        m_exclusiveUntil = std::max(m_exclusiveUntil, std::min(m_promisedUntil, obeyedUntil));
+    }
+}
+
+TimePoint LeaderLease::reservedUntil() const
+{
+    return std::max(m_confirmedUntil, m_promisedUntil);
 }
 
 Duration LeaderLease::leadTime() const
 {
-    const bool promised = m_exclusiveUntil > m_confirmedUntil;
+    const bool promised = m_promisedUntil > m_confirmedUntil;
     return promised ? promiseRenewalTime : promiseLeadTime;
 }
 
 void LeaderLease::scheduleCheck()
 {
-    const Duration untilPromises = m_exclusiveUntil - leadTime() - m_ports.timers.now();
+    const Duration untilPromises = reservedUntil() - leadTime() - m_ports.timers.now();
     m_ports.timers.after(std::max<Duration>(untilPromises, checkInterval), [this, alive = m_alive] {
         if (*alive)
             check();
@@ -86,7 +108,7 @@
     logChange();
     updateSuccessors();
     verifyOwnership();
-    if (m_exclusiveUntil - m_ports.timers.now() <= leadTime())
+    if (reservedUntil() - m_ports.timers.now() <= leadTime())
         requestPromises();
     scheduleCheck();
 }
@@ -104,7 +126,7 @@
 void LeaderLease::updateSuccessors()
 {
     // A daemon that is added to the list has promised nothing and may claim the shard at once.
-    if (m_ports.timers.now() >= m_promisedUntil)
+    if (!m_settings.contested && m_ports.timers.now() >= m_promisedUntil)
         m_successors.update();
 }
 
@@ -189,7 +211,6 @@
     const auto extended = std::min<TimePoint>(finished->sentAt + shortened(promiseTime),
                                               m_confirmedUntil + shortened(maxOwnershipExtension));
     m_promisedUntil = std::max(m_promisedUntil, extended);
-    m_exclusiveUntil = std::max(m_exclusiveUntil, m_promisedUntil);
     logChange();
 }
 
--- a/libs/cell/src/leaderlease.h
+++ b/libs/cell/src/leaderlease.h
@@ -2,6 +2,7 @@
 
 #include "membership.h"
 #include "succession.h"
+#include "workerquorum.h"
 
 #include <cell/ports.h>
 
@@ -21,7 +22,10 @@
 /// A successor claims the shard only while the owner's presence record is missing from the store.
 /// The owner is therefore the only one for as long as the store confirms its presence. While the
 /// store confirms nothing, as in an outage, the successors that the stored list names can promise
-/// not to claim the shard; the promises of all of them replace the confirmation.
+/// not to claim the shard; the promises of all of them replace the confirmation as long as a quorum
+/// of the workers obeys the owner. Another daemon, which knows nothing of promises, may claim the
+/// shard meanwhile, but uses the workers only after it has fenced so many of them that there is no
+/// such quorum.
 class LeaderLease
 {
 public:
@@ -37,7 +41,8 @@
     {
         std::uint32_t shard = 0;
         std::uint64_t ownershipRevision = 0;
-        TimePoint claimedAt{}; ///< When the claim was sent.
+        TimePoint claimedAt{};  ///< When the claim was sent.
+        bool contested = false; ///< An earlier owner may still act on workers.
         /// Time for which a successor waits for tasks of workers that it cannot reach, less the
         /// lease of these tasks.
         Duration gracePeriod{};
@@ -56,14 +61,24 @@
     /// Must be called after each change of the membership.
     void membershipChanged() { verifyOwnership(); }
 
-    /// True while no other daemon can have claimed the shard. Tasks are started, and leases of
-    /// silent workers are taken for expired, only while it is.
+    /// True while no other daemon can have claimed the shard, except one that does not use the
+    /// workers yet. Tasks are started only while it is.
     [[nodiscard]] bool exclusive();
 
+    /// True while the store confirms that no other daemon can have claimed the shard. Tasks of
+    /// workers that are silent, or have restarted, are taken for lost only while it is: another
+    /// owner may have renewed their leases, or have started them again.
+    [[nodiscard]] bool confirmed();
+
     /// True while the tasks of this owner end before a successor starts them elsewhere. Leases of
     /// tasks are renewed only while it is.
     [[nodiscard]] bool valid();
 
+    [[nodiscard]] WorkerQuorum &workers() noexcept { return m_workers; }
+
+    /// Called when the owner of a contested shard has fenced the workers: it may name successors.
+    void workersFenced();
+
 private:
     /// Requests for promises that were sent at the same time.
     struct PromiseRound
@@ -74,6 +89,8 @@
         bool refused = false;
     };
 
+    /// Until when the store or promises keep the shard from being claimed by a successor.
+    [[nodiscard]] TimePoint reservedUntil() const;
     [[nodiscard]] Duration leadTime() const;
     void scheduleCheck();
     void check();
@@ -92,6 +109,7 @@
     Settings m_settings;
     std::function<void()> m_expired;
     SuccessorList m_successors;
+    WorkerQuorum m_workers;
     /// Presence record during which the store has shown that this daemon is still the owner.
     std::uint64_t m_verifiedPresence = 0;
     TimePoint m_confirmedUntil;  ///< As far as the store has confirmed it.
--- a/libs/cell/src/leasetimes.h
+++ b/libs/cell/src/leasetimes.h
@@ -22,7 +22,11 @@
 constexpr std::chrono::milliseconds promiseTime{ 3000 };
 
 /// Maximum time for which promises of successors extend an ownership that the store does not
-/// confirm. A daemon that is not a successor waits for as long if no successor is left.
+/// confirm. The owner of a contested shard waits for as long for a quorum of the workers.
 constexpr std::chrono::minutes maxOwnershipExtension{ 10 };
 
+/// Time for which the acceptance of an owner's token by a quorum of the workers lets promises
+/// extend its ownership. Longer than two long polls of a worker.
+constexpr std::chrono::milliseconds workerAcceptanceTime{ 4000 };
+
 } // namespace cowsliprock::cell
--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -160,6 +160,7 @@
     shardSettings.shard = number;
     shardSettings.ownershipRevision = ownership.revision;
     shardSettings.generation = ownership.generation;
+    shardSettings.contested = ownership.contested;
     shardSettings.lease = settings.lease;
     shardSettings.maxLease = settings.maxLease;
     shardSettings.stopTimeout = settings.stopTimeout;
@@ -169,7 +170,7 @@
     slot.shard.reset();
     slot.lease = std::make_unique<LeaderLease>(
         LeaderLease::Ports{ ports.store, ports.peers, ports.timers, ports.log }, membership,
-        LeaderLease::Settings{ number, ownership.revision, ownership.claimedAt,
+        LeaderLease::Settings{ number, ownership.revision, ownership.claimedAt, ownership.contested,
                                settings.maxLease - settings.lease },
         [&slot] { slot.election->leaseExpired(); });
     slot.router = std::make_unique<WorkerRouter>(
--- a/libs/cell/src/records.cpp
+++ b/libs/cell/src/records.cpp
@@ -155,13 +155,14 @@
 
 std::string encode(const OwnerRecord &record)
 {
-    return Json{
-        { "name", record.name },
-        { "incarnation", record.incarnation },
-        { "address", record.address },
-        { "generation", record.generation },
-        { "weight", record.weight }
-    }.dump();
+    Json json{ { "name", record.name },
+               { "incarnation", record.incarnation },
+               { "address", record.address },
+               { "generation", record.generation },
+               { "weight", record.weight } };
+    if (record.contested)
+        json["contested"] = true;
+    return json.dump();
 }
 
 std::string encode(const SuccessorsRecord &record)
@@ -257,6 +258,7 @@
         record.address = json.at("address");
         record.generation = json.at("generation");
         record.weight = json.value("weight", 0.0);
+        record.contested = json.value("contested", false);
         return record;
     });
 }
--- a/libs/cell/src/records.h
+++ b/libs/cell/src/records.h
@@ -28,6 +28,9 @@
     std::string address;
     std::uint64_t generation = 0; ///< Incremented with each change of ownership.
     double weight = 0;            ///< CPU share of the owner.
+    /// Claimed while promises could still extend an earlier ownership. The owner uses the workers
+    /// only after it has fenced a majority of them, and names its successors after that.
+    bool contested = false;
 };
 
 /// A daemon that an owner asks for promises. Its next incarnation at the same address takes its
--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "scheduler.h"
 
 #include "keys.h"
+#include "leasetimes.h"
 
 #include <algorithm>
 #include <string_view>
@@ -26,25 +27,26 @@
     , m_fenced(std::move(fenced))
     , m_activeJobs(MoreUrgent{ settings.policy.order })
     , m_sender(ports.workers, ports.timers, m_answerTimes)
-    , m_links(
-          ports.workers, ports.timers, ports.log, m_workers, m_answerTimes, ports.lease,
-          { settings.ownershipRevision, settings.lease, settings.maxLease, settings.stopTimeout },
-          { [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
-               processInventory(worker, inventory, asked);
-           },
-            [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
-                handleNewIncarnation(worker, inventory, asked);
-            },
-            [this](Worker &worker) {
-                m_roster.updateIfNeeded(worker);
-                duplicateSpeculativeRuns(worker);
-            },
-            [this](Worker &worker) {
-                releaseAllRuns(worker, { "worker leases expired", std::nullopt });
-            },
-            [this](Worker &worker) { handleReplacement(worker); }, [this] { m_fenced(); } })
-    , m_roster(writer, ports.timers, m_workers, keys::roster(settings.shard),
+    , m_links(ports.workers, ports.timers, ports.log, m_workers, m_answerTimes, ports.lease,
+              { settings.ownershipRevision, settings.lease, settings.maxLease, settings.stopTimeout,
+                settings.contested ? Duration(maxOwnershipExtension) : Duration() },
+              { [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
+                   processInventory(worker, inventory, asked);
+               },
+                [this](Worker &worker, const Inventory &inventory, TimePoint asked) {
+                    handleNewIncarnation(worker, inventory, asked);
+                },
+                [this](Worker &worker) {
+                    m_roster.updateIfNeeded(worker);
+                    duplicateSpeculativeRuns(worker);
+                },
+                [this](Worker &worker) {
+                    releaseAllRuns(worker, { "worker leases expired", std::nullopt });
+                },
+                [this](Worker &worker) { handleReplacement(worker); }, [this] { m_fenced(); } })
+    , m_roster(writer, ports.timers, m_workers, ports.lease.workers(), keys::roster(settings.shard),
                [this] { requestPass(); })
+    , m_begunAt(ports.timers.now())
 {
     collectGarbage();
 }
@@ -141,9 +143,9 @@
 
 void Scheduler::restoreRoster(const std::string &text)
 {
-    const auto roster = decodeRoster(text);
-    m_roster.restore(text);
-    for (const auto &[entry, jobs] : roster.value_or(std::vector<RosterEntry>())) {
+    const auto roster = decodeRoster(text).value_or(std::vector<RosterEntry>());
+    m_roster.restore(text, roster);
+    for (const auto &[entry, jobs] : roster) {
         const auto [found, added] = m_workers.try_emplace(entry.id);
         if (!added)
             continue;
@@ -155,8 +157,35 @@
     }
 }
 
+bool Scheduler::mayUseWorkers() const
+{
+    if (!m_settings.contested || now() - m_begunAt >= maxOwnershipExtension)
+        return true;
+    std::size_t listed = 0;
+    std::size_t fenced = 0;
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker.usedByPreviousOwner)
+            continue;
+        ++listed;
+        fenced += worker.hasObeyed() || worker.reconciled ? 1 : 0;
+    }
+    return fenced >= fencingQuorum(listed);
+}
+
 void Scheduler::loaded()
 {
+    if (!mayUseWorkers()) {
+        m_ports.timers.after(recoveryCheckInterval, [this, alive = m_alive] {
+            if (*alive)
+                loaded();
+        });
+        return;
+    }
+    if (m_settings.contested) {
+        m_ports.log.write(now(), "shard.workersFenced", { { "shard", m_settings.shard } });
+        m_links.formerOwnerFenced();
+        m_ports.lease.workersFenced();
+    }
     m_loaded = true;
     m_roster.start();
     checkRecovery();
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -47,6 +47,7 @@
         std::uint32_t shard = 0;
         std::uint64_t ownershipRevision = 0;
         std::uint64_t generation = 0;
+        bool contested = false;     ///< An earlier owner may still act on workers.
         Duration lease{};           ///< Task lease on a worker, renewed at each contact.
         Duration maxLease{};        ///< Upper bound that workers enforce on any lease.
         Duration stopTimeout{};     ///< Maximum time that a worker takes to stop a run.
@@ -355,6 +356,8 @@
     /// Allows jobs to start tasks again once no unreachable worker can still run anything of them.
     void releaseReconciledJobs();
     void abortPartialGangs(const Job &job);
+    /// False while an earlier owner may still start tasks on any of the workers.
+    [[nodiscard]] bool mayUseWorkers() const;
     void checkRecovery();
     void collectGarbage();
     void cancel(Job &job);
@@ -410,6 +413,7 @@
     Duration m_lastPassDuration{};
     bool m_passRequested = false;
     bool m_delayedPassRequested = false;
+    const TimePoint m_begunAt;
     bool m_recovering = true;
     bool m_loaded = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -1,5 +1,7 @@
 #include "workerlinks.h"
 
+#include "leasetimes.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -60,11 +62,22 @@
     if (!added)
         return;
     worker.token = tokenOf(entry->second);
-    // An earlier owner may have granted a lease just before the take-over.
+    // An earlier owner may have granted a lease just before the take-over, or may still grant one.
     assumeLongestLease(worker);
+    worker.leaseEnds += m_settings.formerOwnerTime;
     schedule(worker.entry.id, Duration::zero());
 }
 
+void WorkerLinks::formerOwnerFenced()
+{
+    m_settings.formerOwnerTime = {};
+    for (auto &[id, worker] : m_workers) {
+        if (worker.hasObeyed())
+            continue;
+        worker.leaseEnds = longestLeaseEnd() + workerAcceptanceTime;
+    }
+}
+
 void WorkerLinks::forget(const std::string &worker)
 {
     m_links.erase(worker);
@@ -89,11 +102,16 @@
         + std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.lease);
 }
 
-void WorkerLinks::assumeLongestLease(Worker &worker) const
+TimePoint WorkerLinks::longestLeaseEnd() const
 {
     const auto longest =
         std::chrono::duration_cast<Duration>(m_settings.maxLease * slowClockFactor);
-    worker.leaseEnds = std::max(worker.leaseEnds, m_timers.now() + longest + leaseExpiryMargin);
+    return m_timers.now() + longest + leaseExpiryMargin;
+}
+
+void WorkerLinks::assumeLongestLease(Worker &worker) const
+{
+    worker.leaseEnds = std::max(worker.leaseEnds, longestLeaseEnd());
 }
 
 void WorkerLinks::readClock(Worker &worker, std::chrono::milliseconds clock)
@@ -212,12 +230,21 @@
 void WorkerLinks::processInventory(Worker &worker, Link &link, const Inventory &inventory,
                                    TimePoint requestedAt)
 {
+    const bool confirmed = m_leaderLease.confirmed();
     if (worker.born != 0 && inventory.born != worker.born) {
-        beginIncarnation(worker, link, inventory, requestedAt);
+        if (confirmed) {
+            beginIncarnation(worker, link, inventory, requestedAt);
+        } else {
+            // Another owner may know the new incarnation and have started the lost tasks again.
+            worker.fenced = false;
+            worker.suspect = true;
+            schedule(worker.entry.id, retryInterval);
+        }
         return;
     }
     const bool outdated = worker.fenced && inventory.clock < worker.inventoryClock;
     recordContact(worker, link, inventory);
+    m_leaderLease.workers().accepted(worker.entry.id, worker.born, requestedAt, confirmed);
     // Answers on different connections may be reordered; a newer inventory supersedes this one.
     if (!outdated)
         m_listener.inventory(worker, inventory, requestedAt);
@@ -239,8 +266,11 @@
     worker.reachable = true;
     worker.fenced = true;
     worker.suspect = false;
-    if (worker.firstInventoryClock == std::chrono::milliseconds::zero())
+    if (!worker.hasObeyed()) {
         worker.firstInventoryClock = inventory.clock;
+        // From now on only this owner can renew its leases.
+        worker.leaseEnds = std::min(worker.leaseEnds, longestLeaseEnd());
+    }
     // Runs of an earlier owner may be among the ends that are not listed yet, or are being stopped,
     // which need not be listed until they have ended.
     if (!inventory.moreFinished
@@ -313,7 +343,7 @@
         m_listener.unreachable(worker);
     }
     // A newer owner may have renewed the leases.
-    if (!worker.reachable && now >= worker.leaseEnds && m_leaderLease.exclusive()) {
+    if (!worker.reachable && now >= worker.leaseEnds && m_leaderLease.confirmed()) {
         if (!std::exchange(worker.reconciled, true))
             m_log.write(now, "worker.assumedEmpty", { { "worker", worker.entry.id } });
         m_listener.leasesExpired(worker);
@@ -343,7 +373,9 @@
         m_listener.fenced();
         return;
     case OrderRefusal::OtherLife:
-        handleReplacement(worker);
+        // Another owner may have noticed it, too, and have started the lost tasks again.
+        if (m_leaderLease.confirmed())
+            handleReplacement(worker);
         break;
     case OrderRefusal::OldRun:
     case OrderRefusal::Late:
--- a/libs/cell/src/workerlinks.h
+++ b/libs/cell/src/workerlinks.h
@@ -46,6 +46,9 @@
         Duration lease{};       ///< Lease granted to the tasks of a worker at each contact.
         Duration maxLease{};    ///< Upper bound that workers enforce on any lease.
         Duration stopTimeout{}; ///< Maximum time that a worker takes to stop a run.
+        /// Time for which an earlier owner may still renew leases on workers that have not accepted
+        /// a token of this one.
+        Duration formerOwnerTime{};
     };
 
     WorkerLinks(WorkerPort &port, Timers &timers, EventLog &log, WorkerTable &workers,
@@ -74,6 +77,10 @@
     /// which may have granted a lease on a clock that this owner does not know.
     void assumeLongestLease(Worker &worker) const;
 
+    /// Called when a quorum of the workers has accepted a token of this owner: an earlier owner can
+    /// renew leases on the others only for the time that its last contacts count.
+    void formerOwnerFenced();
+
     [[nodiscard]] Duration lease() const noexcept { return m_settings.lease; }
 
 private:
@@ -85,6 +92,8 @@
         std::uint64_t timer = 0; ///< Number of the newest timer; older ones are ignored.
     };
 
+    /// When the longest possible lease that is granted now ends.
+    [[nodiscard]] TimePoint longestLeaseEnd() const;
     void schedule(const std::string &id, Duration delay);
     void poll(const std::string &id);
     /// A request for an inventory.
--- a/libs/cell/src/workerroster.cpp
+++ b/libs/cell/src/workerroster.cpp
@@ -11,13 +11,22 @@
 /// Changes within this delay are coalesced into one write.
 constexpr std::chrono::milliseconds coalesceDelay{ 60 };
 
+WorkerQuorum::Workers idsOf(const std::vector<RosterEntry> &entries)
+{
+    WorkerQuorum::Workers ids;
+    for (const auto &entry : entries)
+        ids.insert(entry.worker.id);
+    return ids;
+}
+
 } // namespace
 
 WorkerRoster::WorkerRoster(FencedWriter &writer, Timers &timers, WorkerTable &workers,
-                           std::string key, std::function<void()> changed)
+                           WorkerQuorum &quorum, std::string key, std::function<void()> changed)
     : m_writer(writer)
     , m_timers(timers)
     , m_workers(workers)
+    , m_quorum(quorum)
     , m_key(std::move(key))
     , m_changed(std::move(changed))
 { }
@@ -27,9 +36,10 @@
     *m_alive = false;
 }
 
-void WorkerRoster::restore(const std::string &text)
+void WorkerRoster::restore(const std::string &text, const std::vector<RosterEntry> &entries)
 {
     m_text = text;
+    m_quorum.rosterWritten(m_version, idsOf(entries));
 }
 
 void WorkerRoster::start()
@@ -98,9 +108,13 @@
     if (text == m_text && m_storing)
         return;
     const auto version = ++m_version;
+    m_quorum.rosterWritten(version, idsOf(entries));
     const auto whenStored = [this, alive = m_alive, states, version] {
+        if (!*alive)
+            return;
+        m_quorum.rosterStored(version);
         // A newer roster may lack a worker that this one lists.
-        if (*alive && version == m_version)
+        if (version == m_version)
             handleStored(states);
     };
     m_storing = true;
--- a/libs/cell/src/workerroster.h
+++ b/libs/cell/src/workerroster.h
@@ -2,6 +2,7 @@
 
 #include "fencedwriter.h"
 #include "records.h"
+#include "workerquorum.h"
 #include "workertable.h"
 
 #include <eventloop/timers.h>
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cowsliprock::cell {
 
@@ -24,14 +26,14 @@
 {
 public:
     /// Calls \p changed after a roster was stored, when further workers may have become usable.
-    WorkerRoster(FencedWriter &writer, Timers &timers, WorkerTable &workers, std::string key,
-                 std::function<void()> changed);
+    WorkerRoster(FencedWriter &writer, Timers &timers, WorkerTable &workers, WorkerQuorum &quorum,
+                 std::string key, std::function<void()> changed);
     ~WorkerRoster();
     WorkerRoster(const WorkerRoster &) = delete;
     WorkerRoster &operator=(const WorkerRoster &) = delete;
 
-    /// Sets the roster text stored by the previous owner.
-    void restore(const std::string &text);
+    /// Sets the roster stored by the previous owner, as text and as decoded from it.
+    void restore(const std::string &text, const std::vector<RosterEntry> &entries);
 
     /// Starts to keep the stored roster up to date.
     void start();
@@ -51,6 +53,7 @@
     FencedWriter &m_writer;
     Timers &m_timers;
     WorkerTable &m_workers;
+    WorkerQuorum &m_quorum;
     std::string m_key;
     std::function<void()> m_changed;
     std::string m_text; ///< Text as last written or read.
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -125,6 +125,11 @@
     int speedClass = 0; ///< Class of the speed; higher classes are faster.
 
     [[nodiscard]] Resources free() const noexcept { return entry.capacity - held; }
+    /// True if any incarnation has accepted a token of this owner.
+    [[nodiscard]] bool hasObeyed() const noexcept
+    {
+        return firstInventoryClock > std::chrono::milliseconds::zero();
+    }
     [[nodiscard]] std::chrono::milliseconds clockAt(TimePoint now) const;
 };
 
