Workers: acknowledge ends only to the incarnation that has answered

Cause: a poll acknowledges the durable ends by their number to the worker of an id. Each incarnation counts from 1 and the request names none, so the new one forgets an end that nobody has read. "No call has failed" is no evidence: an idle worker can restart between two polls. Evidence: in virtual time the owner logs start.unanswered, then worker.newLife, and never run.ended.

An inventory request names the incarnation for which its acknowledgement, lease and wait are meant; the port sends them only on a connection on which this incarnation has answered, else the request without them. HttpClient keeps the identity that a caller notes on a connection. Relayed requests carry the incarnation; rows without it, from daemons of an earlier version, are sent as before. The clock in the refusal of a repeated start, which OrderSender dropped, now shows a restart at once.

--- a/libs/cell/include/cell/ports.h
+++ b/libs/cell/include/cell/ports.h
@@ -172,6 +172,10 @@
 struct InventoryRequest
 {
     std::uint64_t fencingToken = 0;
+    /// Incarnation for which the acknowledgement, the lease and the wait are meant. A port sends
+    /// them only on a connection on which this incarnation has answered, so that no other one
+    /// receives them; otherwise it sends the request without them. Nothing means any incarnation.
+    std::optional<std::int64_t> incarnation;
     std::uint64_t acknowledged = 0; ///< Number of the last finished run that has been persisted.
     std::optional<std::chrono::milliseconds> leaseUntil; ///< In terms of the worker's clock.
     Duration wait{};              ///< The worker responds when a task ends, or after this time.
@@ -179,6 +183,16 @@
     bool freshConnection = false; ///< Avoids pooled connections, which may be dead undetected.
 };
 
+/// Returns the request without the parts that are meant for one incarnation only.
+[[nodiscard]] inline InventoryRequest forAnyIncarnation(InventoryRequest request)
+{
+    request.incarnation.reset();
+    request.acknowledged = 0;
+    request.leaseUntil.reset();
+    request.wait = {};
+    return request;
+}
+
 using InventoryOutcome = std::variant<Inventory, OrderRefused>;
 
 /// Interface for sending orders to workers. After a timeout, \p done is called a second time if a
--- a/libs/cell/src/ordersender.cpp
+++ b/libs/cell/src/ordersender.cpp
@@ -87,10 +87,11 @@
     }
     // A refusal does not cover an earlier unanswered attempt, which may have been executed already
     // or may still be executed.
+    const auto &refusal = std::get<OrderRefused>(outcome);
     if (pending.maybeDelivered)
-        finish(pending, StartUnknown{});
+        finish(pending, StartUnknown{ refusal.clock });
     else
-        finish(pending, StartRejected{ std::get<OrderRefused>(outcome).reason, false });
+        finish(pending, StartRejected{ refusal.reason, false });
 }
 
 void OrderSender::handleStartFailure(const std::shared_ptr<PendingStart> &pending,
--- a/libs/cell/src/ordersender.h
+++ b/libs/cell/src/ordersender.h
@@ -10,6 +10,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <variant>
 
 namespace cowsliprock::cell {
 
@@ -22,7 +24,10 @@
 
 /// No attempt was answered conclusively; the worker may have started the run or may still do so.
 struct StartUnknown
-{ };
+{
+    /// Clock of the worker in the refusal of a repetition; nothing if none was answered.
+    std::optional<std::chrono::milliseconds> clock;
+};
 
 using StartOutcome = std::variant<OrderAccepted, StartRejected, StartUnknown>;
 
--- a/libs/cell/src/relaymessages.cpp
+++ b/libs/cell/src/relaymessages.cpp
@@ -78,8 +78,10 @@
     Json result = row(CallKind::Inventory, inventory.call, inventory.worker);
     append(result, toMilliseconds(request.timeout), request.fencingToken, request.acknowledged,
            toMilliseconds(request.wait));
-    if (request.leaseUntil)
-        result.push_back(request.leaseUntil->count());
+    if (request.leaseUntil || request.incarnation)
+        result.push_back(request.leaseUntil ? Json(request.leaseUntil->count()) : Json());
+    if (request.incarnation)
+        result.push_back(*request.incarnation);
     return result;
 }
 
@@ -114,8 +116,10 @@
     request.fencingToken = integerOf<std::uint64_t>(row.at(5));
     request.acknowledged = integerOf<std::uint64_t>(row.at(6));
     request.wait = millisecondsOf(row.at(7));
-    if (row.size() > 8)
+    if (row.size() > 8 && !row.at(8).is_null())
         request.leaseUntil = millisecondsOf(row.at(8));
+    if (row.size() > 9)
+        request.incarnation = integerOf<std::int64_t>(row.at(9));
     return RelayedInventory{ call, worker, request };
 }
 
--- a/libs/cell/src/schedulerorders.cpp
+++ b/libs/cell/src/schedulerorders.cpp
@@ -120,6 +120,8 @@
         m_ports.metrics.count("starts.unanswered");
         pause(worker, now(), refusalPause);
         m_links.assumeLongestLease(worker);
+        if (const auto &clock = std::get<StartUnknown>(outcome).clock)
+            m_links.readClock(worker, *clock);
         run.outcomeUnknown = true;
         run.unknownSince = now();
         // The worker may only be slow: an inventory that arrives in time shows whether the run
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -158,9 +158,12 @@
     request.fencingToken = worker.token;
     // After a failure the worker may have a new incarnation, which numbers its ends from the start.
     // Nothing is acknowledged and no lease is granted until its answer shows the same incarnation.
+    // A restart between two polls causes no failure: the port sees to it that the new incarnation
+    // does not receive what is meant for the former one.
     const bool sameLife = worker.fenced && link.failures == 0;
     request.acknowledged = sameLife ? worker.durableEnds : 0;
     if (sameLife) {
+        request.incarnation = worker.born;
         request.leaseUntil = grantLease(worker);
         if (!worker.runs.empty() && worker.reachable)
             request.wait = worker.reconciled ? longPollWait : timeUntilReconciled(worker);
--- a/libs/eventloop/include/eventloop/http.h
+++ b/libs/eventloop/include/eventloop/http.h
@@ -3,6 +3,7 @@
 #include <base/time.h>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
@@ -25,6 +26,16 @@
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+struct HttpResponse
+{
+    unsigned status = 0;
+    std::string body;
+    bool late = false; ///< The call had already been reported as failed.
+    /// Identity of the process that has answered on this connection, for
+    /// HttpCall::requiredIdentity. Set by the caller; empty while unknown.
+    std::shared_ptr<std::string> peerIdentity;
+};
+
 struct HttpCall
 {
     SocketAddress peer;
@@ -42,13 +53,9 @@
     /// a late response.
     Duration lateResponseWindow{};
     bool freshConnection = false; ///< Opens a new connection even if there is an idle one.
-};
-
-struct HttpResponse
-{
-    unsigned status = 0;
-    std::string body;
-    bool late = false; ///< The call had already been reported as failed.
+    /// If not empty, only a connection on which the peer has shown this identity is used, and the
+    /// call fails if there is none; see HttpClient::hasConnection().
+    std::string requiredIdentity;
 };
 
 /// A call that ended without a response.
--- a/libs/eventloop/include/eventloop/httpclient.h
+++ b/libs/eventloop/include/eventloop/httpclient.h
@@ -29,6 +29,11 @@
     /// timeout they are only withheld until a late response shows that the peer is merely slow.
     void call(HttpCall request, Done done);
 
+    /// True if there is an idle connection on which the peer has shown this identity. No other
+    /// process of the peer can receive what is sent on it, since the end of a process ends its
+    /// connections.
+    [[nodiscard]] bool hasConnection(const SocketAddress &peer, const std::string &identity);
+
     /// Makes this client share \p budget with others: calls fail if the incomplete responses of all
     /// of them exceed it. Must be called before call().
     void setBudget(std::shared_ptr<ByteBudget> budget);
@@ -36,6 +41,9 @@
     [[nodiscard]] const HttpTraffic &traffic() const noexcept;
 
 private:
+    /// Reports that a call was not sent.
+    void failUnsent(Done done, const char *detail);
+
     struct State;
     struct PendingCall;
     std::shared_ptr<State> m_state;
--- a/libs/eventloop/src/httpclient.cpp
+++ b/libs/eventloop/src/httpclient.cpp
@@ -61,6 +61,11 @@
     void release(const SocketAddress &peer, std::shared_ptr<Connection> connection);
     /// Returns a usable idle connection, or null.
     std::shared_ptr<Connection> takeIdle(const SocketAddress &peer);
+    /// Returns a usable idle connection on which the peer has shown this identity, or null. Keeps
+    /// it in the pool.
+    std::shared_ptr<Connection> findIdle(const SocketAddress &peer, const std::string &identity);
+    /// Removes a connection from the pool.
+    void remove(const SocketAddress &peer, const std::shared_ptr<Connection> &connection);
     void closeIdle(const SocketAddress &peer);
 };
 
@@ -138,6 +143,9 @@
             connect();
     }
 
+    /// Identity of the process at the other end; empty if it has not shown any.
+    [[nodiscard]] const std::string &identity() const noexcept { return *m_identity; }
+
     [[nodiscard]] std::size_t bytesSent() const noexcept { return m_bytesSent; }
     [[nodiscard]] std::size_t bytesReceived() const noexcept { return m_reader.bytes(); }
 
@@ -262,6 +270,7 @@
         m_stream.expires_never();
         auto answer = m_reader.release();
         answer.late = m_late;
+        answer.peerIdentity = m_identity;
         end(std::move(answer), reusable);
     }
 
@@ -296,6 +305,7 @@
     http::request<http::string_body> m_request;
     TimePoint m_readStart{};
     Listener m_listener;
+    const std::shared_ptr<std::string> m_identity = std::make_shared<std::string>();
     Duration m_timeout{};
     TimePoint m_receiveDeadline{};
     TimePoint m_sendDeadline{};
@@ -327,6 +337,25 @@
     return nullptr;
 }
 
+std::shared_ptr<Connection> HttpClient::State::findIdle(const SocketAddress &peer,
+                                                        const std::string &identity)
+{
+    const auto entry = idle.find(peer);
+    if (entry == idle.end())
+        return nullptr;
+    const auto found =
+        std::find_if(entry->second.rbegin(), entry->second.rend(), [&identity](const auto &each) {
+            return each->identity() == identity && !each->stale();
+        });
+    return found == entry->second.rend() ? nullptr : *found;
+}
+
+void HttpClient::State::remove(const SocketAddress &peer,
+                               const std::shared_ptr<Connection> &connection)
+{
+    std::erase(idle[peer], connection);
+}
+
 void HttpClient::State::closeIdle(const SocketAddress &peer)
 {
     idle.erase(peer);
@@ -411,8 +440,16 @@
     const auto &state = m_state;
     std::shared_ptr<Connection> connection;
     const SocketAddress peer = request.peer;
-    if (!request.freshConnection)
+    if (!request.requiredIdentity.empty()) {
+        connection = state->findIdle(peer, request.requiredIdentity);
+        if (!connection) {
+            failUnsent(std::move(done), "no connection to the required process");
+            return;
+        }
+        state->remove(peer, connection);
+    } else if (!request.freshConnection) {
         connection = state->takeIdle(peer);
+    }
     if (!connection) {
         connection = std::make_shared<Connection>(state->loop, peer, state->limits, state->budget);
         ++state->traffic.connectionsOpened;
@@ -434,6 +471,21 @@
           [pending](HttpFailure failure) { pending->late(std::move(failure)); } });
 }
 
+void HttpClient::failUnsent(Done done, const char *detail)
+{
+    m_state->loop.after(Duration::zero(), [state = m_state, detail, done = std::move(done)] {
+        HttpFailure failure;
+        failure.detail = detail;
+        if (!state->closed)
+            done(std::move(failure));
+    });
+}
+
+bool HttpClient::hasConnection(const SocketAddress &peer, const std::string &identity)
+{
+    return m_state->findIdle(peer, identity) != nullptr;
+}
+
 const HttpTraffic &HttpClient::traffic() const noexcept
 {
     return m_state->traffic;
--- a/libs/eventloop/src/responsereader.cpp
+++ b/libs/eventloop/src/responsereader.cpp
@@ -62,7 +62,7 @@
 
 HttpResponse ResponseReader::release()
 {
-    HttpResponse response{ m_parser->status(), std::move(m_parser->body()), false };
+    HttpResponse response{ m_parser->status(), std::move(m_parser->body()), false, nullptr };
     m_parser.reset();
     // Idle connections must not keep the memory of their last response.
     m_buffer.clear();
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -99,7 +99,8 @@
     /// Changes the capacity of the worker and its store entry; a worker without a path to the store
     /// publishes the change when it is reconnected.
     void setWorkerCapacity(std::uint32_t worker, const Resources &capacity);
-    void crashWorker(std::uint32_t worker);
+    /// Restarts the worker; its next incarnation writes its store entry after this time.
+    void crashWorker(std::uint32_t worker, Duration publishedAfter = {});
     /// Crashes the worker; after \p downtime another one takes its place at its address.
     void replaceWorker(std::uint32_t worker, Duration downtime);
     /// Removes the worker and all its tasks; isolateWorker(worker, false) adds it again.
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -64,6 +64,7 @@
 void World::WorkerSlot::crash()
 {
     model->crash();
+    shownBorn.clear();
     for (const auto &[number, reset] : std::exchange(pendingPolls, {}))
         reset();
 }
@@ -347,6 +348,11 @@
 void NodeWorkers::inventory(const WorkerTarget &worker, const InventoryRequest &request,
                             Done<Result<InventoryOutcome>> done)
 {
+    if (const auto *target = m_world.findWorker(worker.id); request.incarnation
+        && (target == nullptr || !target->hasShown(m_slot.name, *request.incarnation))) {
+        inventory(worker, forAnyIncarnation(request), std::move(done));
+        return;
+    }
     const auto answer = awaitAnswer(request.wait + request.timeout, "worker.inventory", done);
     m_time.after(
         requestDelay(requestBytes), [this, worker, connection = connect(worker), request, answer] {
@@ -356,6 +362,7 @@
             if (slot == nullptr || !slot->reachableFrom(m_slot.name))
                 return;
             if (isStale(connection)) {
+                slot->shownBorn.erase(m_slot.name);
                 answer->complete(replyDelay(resetBytes), timedOut("worker.inventory"));
                 return;
             }
@@ -373,8 +380,11 @@
             slot->model->inventory(
                 request, [this, slot, poll, answer, lost](const InventoryOutcome &outcome) {
                     slot->pendingPolls.erase(poll);
-                    if (!lost && slot->reachableFrom(m_slot.name))
-                        answer->complete(replyDelay(bytesOf(outcome)), outcome);
+                    slot->shownBorn.erase(m_slot.name);
+                    if (lost || !slot->reachableFrom(m_slot.name))
+                        return;
+                    slot->shownBorn[m_slot.name] = slot->model->born();
+                    answer->complete(replyDelay(bytesOf(outcome)), outcome);
                 });
         });
 }
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -77,6 +77,13 @@
 
 struct World::WorkerSlot
 {
+    /// True if the node has a connection on which the worker has shown this incarnation.
+    [[nodiscard]] bool hasShown(const std::string &node, std::int64_t born) const
+    {
+        const auto entry = shownBorn.find(node);
+        return entry != shownBorn.end() && entry->second == born;
+    }
+
     std::unique_ptr<WorkerModel> model;
     bool isolated = false;
     bool down = false; ///< Its process has crashed: connections are refused.
@@ -86,6 +93,8 @@
     std::set<std::string> isolatedFrom; ///< Names of the nodes whose calls are dropped.
     /// Worker instance to which the connections of each node lead; older connections were reset.
     std::map<std::string, std::int64_t> connections;
+    /// By node: incarnation shown by the last answer on its connection.
+    std::map<std::string, std::int64_t> shownBorn;
     /// Resets the connection of each pending poll.
     std::map<std::uint64_t, std::function<void()>> pendingPolls;
     std::uint64_t lastPoll = 0;
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -349,12 +349,15 @@
     m_store.remove(workerKey(slot.model->id()));
 }
 
-void World::crashWorker(std::uint32_t index)
+void World::crashWorker(std::uint32_t index, Duration publishedAfter)
 {
     auto &slot = *m_workers.at(index);
     m_guarantees.crashed(slot.model->id());
     slot.crash();
-    publishWorker(slot);
+    if (publishedAfter == Duration::zero())
+        publishWorker(slot);
+    else
+        m_time.after(publishedAfter, [this, &slot] { publishWorker(slot); });
 }
 
 void World::replaceWorker(std::uint32_t index, Duration downtime)
--- a/standins/cell/tests/incarnation_test.cpp
+++ b/standins/cell/tests/incarnation_test.cpp
@@ -97,4 +97,33 @@
     expectCompleted(world, owner, 1);
 }
 
+/// An idle worker restarts between two polls. The next poll acknowledged the ends of the former
+/// incarnation to the new one, which forgot an end that nobody had read: the task was run again.
+BOOST_AUTO_TEST_CASE(endsOfANewIncarnationAreNotAcknowledgedUnread)
+{
+    for (int phase = 0; phase < 14; ++phase) {
+        BOOST_TEST_CONTEXT("phase " << phase)
+        {
+            World world(workers(1));
+            world.run(startTime);
+            const auto owner = *world.owner();
+            world.submit(owner, jobId(1), batch(1, milliseconds(80)));
+            world.run(seconds(2) + phase * milliseconds(50));
+            world.crashWorker(0, milliseconds(1000));
+            const auto sent = world.counterOf(owner, "starts.sent");
+            world.submit(owner, jobId(2), batch(1, milliseconds(80)));
+            for (int wait = 0; world.counterOf(owner, "starts.sent") == sent && wait < 5000; ++wait)
+                world.run(milliseconds(1));
+            // The new incarnation runs the task, but its answer to the start is lost.
+            world.setLostAnswerShare(1);
+            for (int wait = 0; world.guarantees().starts() == 1 && wait < 3000; ++wait)
+                world.run(milliseconds(1));
+            world.setLostAnswerShare(0);
+            world.run(seconds(6));
+            BOOST_TEST(world.guarantees().starts() == 2U);
+            expectCompleted(world, owner, 2);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
