Workers: an entry in discovery counts for the incarnation that it names

Cause: a worker was usable when its new incarnation had accepted the token, with the service, labels and capacity of the last entry, whichever incarnation wrote it. Evidence: worker.newLife, then step.started on the same worker, with the label of the entry before.

Change: until the entry of the current incarnation is read, the worker gets nothing; an entry of a newer incarnation is not used for the former one either. Quarantine, pauses and measured speed go with the incarnation, too.

--- a/libs/cell/src/scheduler.cpp
+++ b/libs/cell/src/scheduler.cpp
@@ -121,7 +121,7 @@
     const bool leaves = entry.draining && !worker.entry.draining;
     worker.entry = entry;
     worker.unlistedSince.reset();
-    if (leaves)
+    if (leaves && worker.entryIsCurrent())
         evacuate(worker);
     if (added)
         m_links.add(worker);
--- a/libs/cell/src/schedulerlosses.cpp
+++ b/libs/cell/src/schedulerlosses.cpp
@@ -44,6 +44,9 @@
 void Scheduler::handleNewIncarnation(Worker &worker, const Inventory &inventory,
                                      TimePoint requestedAt)
 {
+    m_speeds.forget(worker.entry.id);
+    worker.speed = 1;
+    worker.speedClass = 0;
     const auto running = keysOf(inventory.running);
     const auto finished = keysOf(inventory.finished);
     // The former incarnation has crashed before the new one started.
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -313,6 +313,7 @@
         m_timers.now(), "worker.newLife",
         { { "worker", worker.entry.id }, { "born", inventory.born }, { "before", worker.born } });
     ++link.incarnations;
+    worker.health = {};
     worker.reconciled = true;
     worker.born = inventory.born;
     worker.token = tokenOf(link);
--- a/libs/cell/src/workerspeeds.h
+++ b/libs/cell/src/workerspeeds.h
@@ -29,6 +29,9 @@
     /// Compares the runs of one step with each other; runs of the same worker are not compared.
     void compare(const std::vector<RunTime> &runs, TimePoint now);
 
+    /// Drops what is known of a worker, which may be another machine now.
+    void forget(const std::string &worker) { m_estimates.erase(worker); }
+
     /// Scales the estimates to a mean of 1 and decides whether unlike speeds are proven.
     void assess(TimePoint now);
 
--- a/libs/cell/src/workertable.cpp
+++ b/libs/cell/src/workertable.cpp
@@ -38,8 +38,9 @@
 bool usable(const Worker &worker, TimePoint now)
 {
     return worker.rosterState == RosterState::Open && worker.fenced && worker.reachable
-        && !worker.suspect && !worker.entry.draining && worker.runsOfUnknownSize == 0
-        && !worker.health.excludedAt(now) && worker.health.pausedUntil <= now
+        && worker.entryIsCurrent() && !worker.suspect && !worker.entry.draining
+        && worker.runsOfUnknownSize == 0 && !worker.health.excludedAt(now)
+        && worker.health.pausedUntil <= now
         && (!worker.unlistedSince || now - *worker.unlistedSince < unlistedGrace);
 }
 
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -125,6 +125,12 @@
     int speedClass = 0; ///< Class of the speed; higher classes are faster.
 
     [[nodiscard]] Resources free() const noexcept { return entry.capacity - held; }
+    /// True if discovery describes the current incarnation. The former one may have had another
+    /// capacity, other labels and another service.
+    [[nodiscard]] bool entryIsCurrent() const noexcept
+    {
+        return entry.born == 0 || entry.born == born;
+    }
     /// True if any incarnation has accepted a token of this owner.
     [[nodiscard]] bool hasObeyed() const noexcept
     {
--- a/standins/cell/include/standincell/documents.h
+++ b/standins/cell/include/standincell/documents.h
@@ -13,9 +13,13 @@
 
 [[nodiscard]] std::string workerKey(const std::string &worker);
 
+/// Label that tells the kind of most workers.
+constexpr const char *defaultWorkerKind = "a";
+
 /// Store entry of a worker of the service "s" that listens at \p address.
 [[nodiscard]] std::string workerDocument(const WorkerModel &worker, const std::string &address,
-                                         bool draining);
+                                         bool draining,
+                                         const std::string &kind = defaultWorkerKind);
 
 extern const char *const configurationKey;
 
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -99,8 +99,10 @@
     /// Changes the capacity of the worker and its store entry; a worker without a path to the store
     /// publishes the change when it is reconnected.
     void setWorkerCapacity(std::uint32_t worker, const Resources &capacity);
-    /// Restarts the worker; its next incarnation writes its store entry after this time.
-    void crashWorker(std::uint32_t worker, Duration publishedAfter = {});
+    /// Restarts the worker as another kind; its next incarnation writes its store entry after this
+    /// time.
+    void crashWorker(std::uint32_t worker, Duration publishedAfter = {},
+                     const std::string &kind = defaultWorkerKind);
     /// Crashes the worker; after \p downtime another one takes its place at its address.
     void replaceWorker(std::uint32_t worker, Duration downtime);
     /// Removes the worker and all its tasks; isolateWorker(worker, false) adds it again.
--- a/standins/cell/src/documents.cpp
+++ b/standins/cell/src/documents.cpp
@@ -64,7 +64,8 @@
 /// Time that a draining worker announces before it leaves.
 constexpr std::chrono::milliseconds drainNoticeTime{ 1500 };
 
-std::string workerDocument(const WorkerModel &worker, const std::string &address, bool draining)
+std::string workerDocument(const WorkerModel &worker, const std::string &address, bool draining,
+                           const std::string &kind)
 {
     return Json{
         { "service", "s" },
@@ -76,7 +77,7 @@
         { "cold_remaining_ms", 0 },
         { "remaining_ms", draining ? drainNoticeTime.count() : 0 },
         { "capacity", toJson(worker.capacity()) },
-        { "labels", { "a", "r1" } },
+        { "labels", { kind, "r1" } },
         { "born", worker.born() }
     }.dump();
 }
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -85,6 +85,7 @@
     }
 
     std::unique_ptr<WorkerModel> model;
+    std::string kind = defaultWorkerKind;
     bool isolated = false;
     bool down = false; ///< Its process has crashed: connections are refused.
     bool cutFromStore = false;
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -124,7 +124,7 @@
 {
     const auto &model = *slot.model;
     m_store.put(workerKey(model.id()),
-                workerDocument(model, workerAddress(model.id()), slot.draining));
+                workerDocument(model, workerAddress(model.id()), slot.draining, slot.kind));
 }
 
 TaskPlan World::plan(const TaskId &task, std::uint32_t worker)
@@ -349,11 +349,12 @@
     m_store.remove(workerKey(slot.model->id()));
 }
 
-void World::crashWorker(std::uint32_t index, Duration publishedAfter)
+void World::crashWorker(std::uint32_t index, Duration publishedAfter, const std::string &kind)
 {
     auto &slot = *m_workers.at(index);
     m_guarantees.crashed(slot.model->id());
     slot.crash();
+    slot.kind = kind;
     if (publishedAfter == Duration::zero())
         publishWorker(slot);
     else
--- a/standins/cell/tests/incarnation_test.cpp
+++ b/standins/cell/tests/incarnation_test.cpp
@@ -126,4 +126,53 @@
     }
 }
 
+/// A worker starts again as another kind. Until its new entry was read, it got tasks by the labels
+/// of its former incarnation.
+BOOST_AUTO_TEST_CASE(newIncarnationOfAnotherKindGetsNoTasksOfItsFormerKind)
+{
+    World world(workers(2));
+    world.run(startTime);
+    const auto owner = *world.owner();
+    auto labelled = batch(8, seconds(20));
+    labelled.spec.steps.front().requiredLabel = defaultWorkerKind;
+    world.submit(owner, jobId(1), labelled);
+    world.run(seconds(2));
+    BOOST_TEST(world.worker(0).held().cpuMillis > 0);
+    world.crashWorker(0, milliseconds(1500), "b");
+    for (int step = 0; step < 100; ++step) {
+        world.run(milliseconds(50));
+        BOOST_REQUIRE(world.worker(0).held().cpuMillis == 0);
+    }
+    // Tasks that any worker may run go there as soon as its entry was read.
+    world.submit(owner, jobId(2), batch(1, seconds(1)));
+    world.run(milliseconds(500));
+    BOOST_TEST(world.worker(0).held().cpuMillis > 0);
+    world.run(seconds(45));
+    expectCompleted(world, owner, 2);
+}
+
+/// What failed on a worker says nothing about its next incarnation, which was left out for it.
+BOOST_AUTO_TEST_CASE(newIncarnationIsNotInQuarantine)
+{
+    World world(workers(3));
+    world.run(startTime);
+    const auto owner = *world.owner();
+    for (std::uint32_t job = 1; job <= 12; ++job) {
+        auto failing = batch(1, milliseconds(100));
+        failing.failingRuns = { 1, 2 };
+        world.submit(owner, jobId(job), failing);
+    }
+    world.run(seconds(1));
+    BOOST_REQUIRE(eventsOf(world, owner, "worker.quarantined") > 0U);
+    for (std::uint32_t worker = 0; worker < 3; ++worker)
+        world.crashWorker(worker);
+    world.run(seconds(1));
+    world.submit(owner, jobId(13), batch(12, seconds(1)));
+    world.run(milliseconds(800));
+    std::int64_t cpuMillis = 0;
+    for (std::uint32_t worker = 0; worker < 3; ++worker)
+        cpuMillis += world.worker(worker).held().cpuMillis;
+    BOOST_TEST(cpuMillis == 3 * World::Settings().workerCapacity.cpuMillis);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
