HTTP limits: release the bytes of a refused message before its answer

What callers saw: after a message that exceeds the bytes of all connections, a small request on another connection is refused as well, for a moment.

Cause: the bytes of a refused message were counted until its connection was closed, after the client had read the refusal. Evidence: 1 failure in 974 runs beside eight busy processes, none in 400 without; with a pause of 100 ms behind process_request(), 3 of 3; with the pause only where it reports a failure, none.

Change: they are released before the refusal is written. With the pause 3 of 3 runs pass now.

--- a/libs/runtime/src/requeststream.cpp
+++ b/libs/runtime/src/requeststream.cpp
@@ -52,6 +52,7 @@
     m_headerLines = 0;
     m_lineBytes = 0;
     m_headerDone = false;
+    m_refused = false;
     m_writeStart = {};
     if (m_begin == m_end && !waitFor(m_socket, POLLIN, steady_clock::now() + timeout))
         return false;
@@ -98,7 +99,8 @@
 {
     m_messageBytes += size;
     m_totalBytes += size;
-    if (m_messageBytes > m_limits.messageBytes || m_totalBytes > m_limits.totalBytes)
+    m_refused = m_messageBytes > m_limits.messageBytes || m_totalBytes > m_limits.totalBytes;
+    if (m_refused)
         return false;
     return m_headerDone || countHeader(bytes, size);
 }
@@ -123,6 +125,9 @@
 {
     if (m_writeStart == SteadyTime())
         m_writeStart = steady_clock::now();
+    // A client that has read the refusal may send its next request at once.
+    if (m_refused)
+        releaseBytes();
     // The library does not continue a partial write.
     std::size_t sent = 0;
     while (sent < size) {
--- a/libs/runtime/src/requeststream.h
+++ b/libs/runtime/src/requeststream.h
@@ -55,6 +55,7 @@
     std::size_t m_headerLines = 0;
     std::size_t m_lineBytes = 0; ///< Of the current line of the header section, without CR.
     bool m_headerDone = false;
+    bool m_refused = false; ///< The current message exceeds a limit.
 };
 
 } // namespace cowsliprock
