Workers: a start reaches only the incarnation for which it is meant

What callers saw: a worker restarts unnoticed as another kind, and the next start that requires its former label runs there (ROUTE).

The restart has closed the connections, so an order or its repetition goes out on a new one, to whatever answers at the address.

Change: a start names its incarnation. The port sends it on a connection on which this incarnation has answered; if there is none, or the start is repeated, it asks for the inventory on the new connection first, and refuses the order if another incarnation answers.

With real connections: workerclient/ordersOnlyToTheIncarnationThatHasAnswered.

incarnations/cancelledRunOfANewIncarnationIsStopped had its order reach the new incarnation by a repetition, which is refused now. The order is carried out late by the new incarnation instead; the check is the same and fails if handleNewIncarnation() does not send the stop again.

--- a/libs/cell/include/cell/ports.h
+++ b/libs/cell/include/cell/ports.h
@@ -129,6 +129,10 @@
     std::uint64_t fencingToken = 0;
     std::string checkpoint;
     std::string ticket;
+    /// Incarnation for which the order is meant. A port sends it only on a connection on which this
+    /// incarnation has answered; if another one answers, the order is refused (OtherLife). Nothing
+    /// means any incarnation.
+    std::optional<std::int64_t> incarnation;
 };
 
 struct StopOrder
--- a/libs/cell/src/relaymessages.cpp
+++ b/libs/cell/src/relaymessages.cpp
@@ -61,6 +61,8 @@
     append(result, toMilliseconds(start.options.timeout), order.task.text(), order.run,
            texts.add(order.spec), order.leaseUntil.count(), order.fencingToken, order.checkpoint,
            order.ticket);
+    if (order.incarnation)
+        result.push_back(*order.incarnation);
     return result;
 }
 
@@ -100,6 +102,8 @@
         order.fencingToken = integerOf<std::uint64_t>(row.at(9));
         order.checkpoint = row.at(10);
         order.ticket = row.at(11);
+        if (row.size() > 12)
+            order.incarnation = integerOf<std::int64_t>(row.at(12));
         return RelayedStart{ call, worker, std::move(order), { timeout, false } };
     }
     case CallKind::Stop:
--- a/libs/cell/src/schedulerorders.cpp
+++ b/libs/cell/src/schedulerorders.cpp
@@ -65,6 +65,7 @@
     order.leaseUntil = m_links.grantLease(worker);
     order.fencingToken = worker.token;
     order.checkpoint = added.checkpoint;
+    order.incarnation = worker.born;
     if (const auto ticket = view.step->advice.allowed.find(worker.entry.id);
         ticket != view.step->advice.allowed.end()) {
         order.ticket = ticket->second.value;
--- a/standins/cell/src/ports.h
+++ b/standins/cell/src/ports.h
@@ -188,7 +188,9 @@
     template <typename T>
     std::shared_ptr<Answer<T>> awaitAnswer(Duration timeout, const char *step,
                                            const cell::Done<Result<T>> &done);
-    void order(const cell::WorkerTarget &worker, const cell::OrderCall &call, std::size_t bytes,
+    /// An order for one incarnation is refused by any other.
+    void order(const cell::WorkerTarget &worker, std::optional<std::int64_t> incarnation,
+               const cell::OrderCall &call, std::size_t bytes,
                const std::function<cell::OrderOutcome(WorkerModel &)> &action,
                const cell::Done<Result<cell::OrderOutcome>> &done);
     [[nodiscard]] Duration requestDelay(std::size_t bytes);
