Cell: requests of other daemons and faults of stand-in workers in files of their own

PeerRequestHandler takes the requests of other daemons out of Node::State, through an interface to the shards of this daemon; the faults of workers go to worldworkers.cpp.

--- a/libs/cell/src/node.cpp
+++ b/libs/cell/src/node.cpp
@@ -9,36 +9,21 @@
 #include "leasedworkers.h"
 #include "measuredports.h"
 #include "membership.h"
-#include "peermessages.h"
+#include "peerrequesthandler.h"
 #include "relayagent.h"
-#include "relaymessages.h"
 #include "shard.h"
 #include "storerouter.h"
 #include "workerrouter.h"
 
 #include <base/id.h>
-#include <base/parsenumber.h>
 
 #include <algorithm>
-#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
 
 namespace cowsliprock::cell {
 
-namespace {
-
-/// Returns the part of \p path after \p prefix, or nullopt if \p path does not start with it.
-std::optional<std::string> stripPrefix(const std::string &path, std::string_view prefix)
-{
-    if (!path.starts_with(prefix))
-        return std::nullopt;
-    return path.substr(prefix.size());
-}
-
-} // namespace
-
 struct Node::State
 {
     State(const Ports &nodePorts, Settings nodeSettings, PlatformRecords platformRecords);
@@ -62,18 +47,10 @@
     [[nodiscard]] const Shard *loadedShard(std::uint32_t number) const;
     /// Returns nothing if this daemon does not own the shard.
     std::optional<AcceptedAnswer> jobAccepted(std::uint32_t number, const StoreItem &item);
-    void peerAccepted(const std::string &number, const std::string &body,
-                      const Done<PeerAnswer> &done);
-    void peerCall(const std::string &method, const std::string &path, const std::string &body,
-                  const Done<PeerAnswer> &done);
-    void peerGet(const std::string &path, const Done<PeerAnswer> &done);
-    void peerPost(const std::string &path, const std::string &body, const Done<PeerAnswer> &done);
-    void peerPending(const std::string &rest, const Done<PeerAnswer> &done);
-    void peerAdvise(const std::string &body, const Done<PeerAnswer> &done);
-    void peerRelay(const std::string &body, const Done<PeerAnswer> &done);
-    void peerStore(const std::string &body, const Done<PeerAnswer> &done);
-    void peerPromise(const std::string &number, const std::string &body,
-                     const Done<PeerAnswer> &done);
+    void jobCancelled(const std::string &id);
+    /// Promises the owner of the shard not to claim it; returns nothing if that is refused.
+    std::optional<PromiseAnswer> promise(std::uint32_t number, std::uint64_t ownershipRevision);
+    [[nodiscard]] PeerRequestHandler::Shards shardsForPeers();
     [[nodiscard]] std::vector<std::string> otherDaemons() const;
 
     CallMeter meter;
@@ -91,6 +68,7 @@
     AdviceQueue advice;
     RelayAgent agent;
     ClientRequestHandler requestHandler;
+    PeerRequestHandler peerHandler;
     std::vector<Slot> slots;
     bool stopping = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -131,6 +109,7 @@
               return owned->scheduler().pending(queue);
           },
           [this](std::uint32_t shard, const StoreItem &item) { return jobAccepted(shard, item); })
+    , peerHandler({ ports.advice, router, agent }, shardsForPeers())
     , slots(settings.shards)
 {
     for (std::uint32_t number = 0; number < settings.shards; ++number) {
@@ -224,6 +203,34 @@
     return slots[number].shard->jobAccepted(item);
 }
 
+void Node::State::jobCancelled(const std::string &id)
+{
+    const auto number = requestHandler.shardOf(id);
+    if (loadedShard(number) != nullptr)
+        slots[number].shard->jobCancelled(id);
+}
+
+std::optional<PromiseAnswer> Node::State::promise(std::uint32_t number,
+                                                  std::uint64_t ownershipRevision)
+{
+    auto &election = *slots[number].election;
+    if (!election.promise(ownershipRevision))
+        return std::nullopt;
+    return PromiseAnswer{ election.runningFor() };
+}
+
+PeerRequestHandler::Shards Node::State::shardsForPeers()
+{
+    return {
+        settings.shards,
+        [this](const std::string &job) { return loadedShard(requestHandler.shardOf(job)); },
+        [this](std::uint32_t shard) { return loadedShard(shard); },
+        [this](std::uint32_t shard, const StoreItem &item) { return jobAccepted(shard, item); },
+        [this](const std::string &job) { jobCancelled(job); },
+        [this](std::uint32_t shard, std::uint64_t revision) { return promise(shard, revision); },
+    };
+}
+
 void Node::State::shutdown(Duration limit, std::function<void()> done)
 {
     stopping = true;
@@ -260,140 +267,6 @@
     ports.timers.after(limit, finish);
 }
 
-void Node::State::peerCall(const std::string &method, const std::string &path,
-                           const std::string &body, const Done<PeerAnswer> &done)
-{
-    if (method == "GET")
-        peerGet(path, done);
-    else if (method == "POST")
-        peerPost(path, body, done);
-    else
-        done({ statusBadRequest, "{}" });
-}
-
-void Node::State::peerGet(const std::string &path, const Done<PeerAnswer> &done)
-{
-    if (const auto id = stripPrefix(path, "/peer/job/")) {
-        const Shard *shard = loadedShard(requestHandler.shardOf(*id));
-        if (shard == nullptr)
-            done({ statusUnavailable, "{}" });
-        else
-            done({ statusOk, encodeStatus(shard->scheduler().status(*id)) });
-    } else if (const auto rest = stripPrefix(path, "/peer/pending/")) {
-        peerPending(*rest, done);
-    } else {
-        done({ statusNotFound, "{}" });
-    }
-}
-
-void Node::State::peerPending(const std::string &rest, const Done<PeerAnswer> &done)
-{
-    const auto slash = rest.find('/');
-    const auto number = parseNumber<std::uint64_t>(std::string_view(rest).substr(0, slash));
-    const Shard *shard = slash == std::string::npos || !number
-        ? nullptr
-        : loadedShard(static_cast<std::uint32_t>(*number));
-    if (shard == nullptr)
-        done({ statusUnavailable, "{}" });
-    else
-        done({ statusOk, encodeCount(shard->scheduler().pending(rest.substr(slash + 1))) });
-}
-
-void Node::State::peerPost(const std::string &path, const std::string &body,
-                           const Done<PeerAnswer> &done)
-{
-    if (path == "/peer/advise") {
-        peerAdvise(body, done);
-    } else if (path == "/peer/relay") {
-        peerRelay(body, done);
-    } else if (path == "/peer/store") {
-        peerStore(body, done);
-    } else if (const auto shard = stripPrefix(path, "/peer/accepted/")) {
-        peerAccepted(*shard, body, done);
-    } else if (const auto promised = stripPrefix(path, "/peer/promise/")) {
-        peerPromise(*promised, body, done);
-    } else if (const auto cancelled = stripPrefix(path, "/peer/cancelled/")) {
-        const auto number = requestHandler.shardOf(*cancelled);
-        if (loadedShard(number) != nullptr)
-            slots[number].shard->jobCancelled(*cancelled);
-        done({ statusOk, "{}" });
-    } else {
-        done({ statusNotFound, "{}" });
-    }
-}
-
-void Node::State::peerAdvise(const std::string &body, const Done<PeerAnswer> &done)
-{
-    const auto question = decodePeerAdviceRequest(body);
-    if (!question) {
-        done({ statusBadRequest, "{}" });
-        return;
-    }
-    ports.advice.advise(question->step, question->workers, question->timeout,
-                        [done](const Result<Advice> &answer) {
-                            if (answer.has_value())
-                                done({ statusOk, encode(answer.value()) });
-                            else
-                                done({ statusUnavailable, "{}" });
-                        });
-}
-
-void Node::State::peerRelay(const std::string &body, const Done<PeerAnswer> &done)
-{
-    if (const auto batch = decodeRelayBatch(body))
-        agent.handle(*batch, done);
-    else
-        done({ statusBadRequest, "{}" });
-}
-
-void Node::State::peerAccepted(const std::string &number, const std::string &body,
-                               const Done<PeerAnswer> &done)
-{
-    const auto shard = parseNumber<std::uint32_t>(number);
-    const auto reply = decodeStoreReply(body);
-    const auto *item = reply ? std::get_if<std::optional<StoreItem>>(&*reply) : nullptr;
-    if (!shard || item == nullptr || !*item) {
-        done({ statusBadRequest, "{}" });
-        return;
-    }
-    const auto answer = jobAccepted(*shard, **item);
-    if (answer)
-        done({ statusOk, encode(*answer) });
-    else
-        done({ statusUnavailable, "{}" });
-}
-
-void Node::State::peerStore(const std::string &body, const Done<PeerAnswer> &done)
-{
-    const auto call = decodeStoreCall(body);
-    if (!call) {
-        done({ statusBadRequest, "{}" });
-        return;
-    }
-    router.serve(*call, [done](const Result<StoreReply> &reply) {
-        if (reply.has_value())
-            done({ statusOk, encode(reply.value()) });
-        else
-            done({ mayHaveTakenEffect(reply.error()) ? statusTimeout : statusUnavailable, "{}" });
-    });
-}
-
-void Node::State::peerPromise(const std::string &number, const std::string &body,
-                              const Done<PeerAnswer> &done)
-{
-    const auto shard = parseNumber<std::uint32_t>(number);
-    const auto request = decodePromiseRequest(body);
-    if (!shard || *shard >= slots.size() || !request) {
-        done({ statusBadRequest, "{}" });
-        return;
-    }
-    auto &election = *slots[*shard].election;
-    if (election.promise(request->ownershipRevision))
-        done({ statusOk, encode(PromiseAnswer{ election.runningFor() }) });
-    else
-        done({ statusConflict, "{}" });
-}
-
 std::vector<std::string> Node::State::otherDaemons() const
 {
     // Each daemon has its own order, so that daemons without access to the store do not all choose
@@ -492,7 +365,7 @@
 void Node::peerCall(const std::string &method, const std::string &path, const std::string &body,
                     const Done<PeerAnswer> &done)
 {
-    m_state->peerCall(method, path, body, done);
+    m_state->peerHandler.handle(method, path, body, done);
 }
 
 } // namespace cowsliprock::cell
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -20,8 +20,6 @@
 
 constexpr std::chrono::milliseconds minDelay{ 1 };
 constexpr std::chrono::milliseconds maxDelay{ 8 };
-/// The entry of an unreachable worker is removed after three missed heartbeats.
-constexpr std::chrono::milliseconds entryExpiry{ 4500 };
 constexpr std::chrono::milliseconds restartDelay{ 500 };
 /// Time after its start at which a deadly task crashes its worker.
 constexpr std::chrono::milliseconds deadlyTaskTime{ 10 };
@@ -46,16 +44,6 @@
     return std::chrono::duration_cast<Duration>(job.work * factor);
 }
 
-/// Address that differs between any two workers.
-std::string workerAddress(const std::string &id)
-{
-    const auto bits = static_cast<std::uint32_t>(stableHash(id));
-    std::string address;
-    for (const unsigned shift : { 24U, 16U, 8U, 0U })
-        address += std::to_string(bits >> shift & 0xFFU) + (shift == 0 ? ":80" : ".");
-    return address;
-}
-
 } // namespace
 
 World::World(const Settings &settings)
@@ -120,13 +108,6 @@
     changeConfiguration();
 }
 
-void World::publishWorker(WorkerSlot &slot)
-{
-    const auto &model = *slot.model;
-    m_store.put(workerKey(model.id()),
-                workerDocument(model, workerAddress(model.id()), slot.draining, slot.kind));
-}
-
 TaskPlan World::plan(const TaskId &task, std::uint32_t worker)
 {
     TaskPlan result;
@@ -256,30 +237,6 @@
     m_store.pauseLeases(fault == StoreFault::Refuse || fault == StoreFault::Silent);
 }
 
-void World::isolateWorker(std::uint32_t index, bool isolated)
-{
-    auto &slot = *m_workers.at(index);
-    slot.isolated = isolated;
-    if (!isolated) {
-        publishWorker(slot);
-        return;
-    }
-    m_time.after(entryExpiry, [this, &slot] {
-        if (slot.isolated)
-            m_store.remove(workerKey(slot.model->id()));
-    });
-}
-
-void World::isolateWorkerFrom(std::uint32_t node, std::uint32_t worker, bool isolated)
-{
-    auto &slot = *m_workers.at(worker);
-    const auto &name = m_nodes.at(node)->name;
-    if (isolated)
-        slot.isolatedFrom.insert(name);
-    else
-        slot.isolatedFrom.erase(name);
-}
-
 void World::cutLink(std::uint32_t from, std::uint32_t to, bool cut)
 {
     const auto link = std::pair(m_nodes.at(from)->name, m_nodes.at(to)->name);
@@ -309,87 +266,6 @@
         setWorkerStorePath(*m_workers.at(worker), !cut);
 }
 
-void World::setWorkerStorePath(WorkerSlot &slot, bool connected)
-{
-    if (std::exchange(slot.cutFromStore, !connected) == !connected)
-        return;
-    if (connected) {
-        if (!slot.isolated)
-            publishWorker(slot);
-        return;
-    }
-    m_time.after(entryExpiry, [this, &slot] {
-        if (slot.cutFromStore)
-            m_store.remove(workerKey(slot.model->id()));
-    });
-}
-
-void World::setWorkerSpeed(std::uint32_t index, double speed)
-{
-    m_workers.at(index)->model->setSpeed(speed);
-}
-
-void World::setWorkerCapacity(std::uint32_t index, const Resources &capacity)
-{
-    auto &slot = *m_workers.at(index);
-    slot.model->setCapacity(capacity);
-    if (!slot.isolated && !slot.cutFromStore)
-        publishWorker(slot);
-}
-
-void World::removeWorker(std::uint32_t index)
-{
-    auto &slot = *m_workers.at(index);
-    m_guarantees.crashed(slot.model->id());
-    // Its machine is gone: nothing resets its connections.
-    slot.pendingPolls.clear();
-    slot.crash();
-    slot.isolated = true;
-    slot.draining = false;
-    m_store.remove(workerKey(slot.model->id()));
-}
-
-void World::crashWorker(std::uint32_t index, Duration publishedAfter, const std::string &kind)
-{
-    auto &slot = *m_workers.at(index);
-    m_guarantees.crashed(slot.model->id());
-    slot.crash();
-    slot.kind = kind;
-    if (publishedAfter == Duration::zero())
-        publishWorker(slot);
-    else
-        m_time.after(publishedAfter, [this, &slot] { publishWorker(slot); });
-}
-
-void World::replaceWorker(std::uint32_t index, Duration downtime)
-{
-    auto &slot = *m_workers.at(index);
-    if (slot.isolated)
-        return;
-    const auto former = slot.model->id();
-    m_guarantees.crashed(former);
-    slot.crash();
-    slot.isolated = true;
-    slot.down = true;
-    const bool keepsId = m_settings.replacedWorkersKeepTheirId;
-    if (!keepsId)
-        m_time.after(entryExpiry, [this, former] { m_store.remove(workerKey(former)); });
-    m_time.after(downtime, [this, &slot, former, keepsId] {
-        if (!keepsId)
-            slot.formerIds.insert(former);
-        slot.model->replace(keepsId ? former : "worker-new-" + std::to_string(++m_replacedWorkers));
-        slot.isolated = false;
-        slot.down = false;
-        publishWorker(slot);
-    });
-}
-
-void World::drainWorker(std::uint32_t index)
-{
-    m_workers.at(index)->draining = true;
-    publishWorker(*m_workers.at(index));
-}
-
 std::uint64_t World::configurationOf(std::uint32_t node) const
 {
     const auto &slot = *m_nodes.at(node);
--- a/standins/cell/tests/exploration_test.cpp
+++ b/standins/cell/tests/exploration_test.cpp
@@ -327,7 +327,8 @@
 
 BOOST_AUTO_TEST_CASE(guaranteesHoldUnderOverlappingFaults)
 {
-    playSeeds<Exploration>(defaultSeeds, { 50689, 50917, 51171, 100821, 103814, 110610, 116182, 117745 });
+    playSeeds<Exploration>(defaultSeeds,
+                           { 50689, 50917, 51171, 100821, 103814, 110610, 116182, 117745 });
 }
 
 /// Guards against starts above a quota: after a take-over, while starts are unanswered, and after a
