--- a/libs/eventloop/include/eventloop/httpclient.h
+++ b/libs/eventloop/include/eventloop/httpclient.h
@@ -34,6 +34,9 @@
     /// connections.
     [[nodiscard]] bool hasConnection(const SocketAddress &peer, const std::string &identity);
 
+    /// Time by the clock that timeouts are measured with, which counts pauses of the process.
+    [[nodiscard]] TimePoint now() const;
+
     /// Makes this client share \p budget with others: calls fail if the incomplete responses of all
     /// of them exceed it. Must be called before call().
     void setBudget(std::shared_ptr<ByteBudget> budget);
--- a/libs/eventloop/src/httpclient.cpp
+++ b/libs/eventloop/src/httpclient.cpp
@@ -481,6 +481,11 @@
     });
 }
 
+TimePoint HttpClient::now() const
+{
+    return m_state->loop.now();
+}
+
 bool HttpClient::hasConnection(const SocketAddress &peer, const std::string &identity)
 {
     return m_state->findIdle(peer, identity) != nullptr;
--- a/standins/cell/tests/seededplays.h
+++ b/standins/cell/tests/seededplays.h
@@ -8,6 +8,9 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <set>
+#include <sstream>
+#include <string>
 #include <vector>
 
 namespace cowsliprock::standincell {
@@ -34,8 +37,27 @@
     return seed;
 }
 
+/// Seeds of the current test case that fail for an open issue: KNOWN-RED.txt lists them in lines
+/// "seed NAME N".
+inline std::set<std::uint32_t> knownRedSeeds()
+{
+    const std::string name = boost::unit_test::framework::current_test_case().p_name;
+    std::set<std::uint32_t> seeds;
+    std::ifstream file(COWSLIPROCK_SOURCE_DIR "/KNOWN-RED.txt");
+    for (std::string line; std::getline(file, line);) {
+        std::istringstream words(line);
+        std::string kind;
+        std::string testCase;
+        std::uint32_t seed = 0;
+        if (words >> kind >> testCase >> seed && kind == "seed" && testCase == name)
+            seeds.insert(seed);
+    }
+    return seeds;
+}
+
 /// The seeds to play: one (COWSLIPROCK_SEED), a range (COWSLIPROCK_FIRST_SEED, COWSLIPROCK_SEEDS),
-/// or by default the first \p firstSeeds, the \p regressions and those of the moving range.
+/// or by default the first \p firstSeeds, the \p regressions and those of the moving range, without
+/// those that are known to fail.
 inline std::vector<std::uint32_t> seedsToPlay(std::uint32_t firstSeeds,
                                               const std::vector<std::uint32_t> &regressions)
 {
@@ -55,6 +77,7 @@
     add(1, firstSeeds);
     seeds.insert(seeds.end(), regressions.begin(), regressions.end());
     add(firstMovingSeed(), movingSeeds);
+    std::erase_if(seeds, [known = knownRedSeeds()](auto seed) { return known.contains(seed); });
     return seeds;
 }
 
