Workers: bind only the acknowledgement of a poll to an incarnation

The lease and the wait of a poll were held back, too, on a connection on which the worker's incarnation had not answered. A worker that closes its connections would have got no lease at all, and would have been polled without a pause. Found by reading; no caller saw it. adapter_test and the suite incarnations pass.

--- a/libs/cell/include/cell/ports.h
+++ b/libs/cell/include/cell/ports.h
@@ -176,9 +176,9 @@
 struct InventoryRequest
 {
     std::uint64_t fencingToken = 0;
-    /// Incarnation for which the acknowledgement, the lease and the wait are meant. A port sends
-    /// them only on a connection on which this incarnation has answered, so that no other one
-    /// receives them; otherwise it sends the request without them. Nothing means any incarnation.
+    /// Incarnation whose ends are acknowledged. A port sends the acknowledgement only on a
+    /// connection on which this incarnation has answered, so that no other one receives it;
+    /// otherwise it sends the request without it. Nothing means any incarnation.
     std::optional<std::int64_t> incarnation;
     std::uint64_t acknowledged = 0; ///< Number of the last finished run that has been persisted.
     std::optional<std::chrono::milliseconds> leaseUntil; ///< In terms of the worker's clock.
@@ -187,13 +187,11 @@
     bool freshConnection = false; ///< Avoids pooled connections, which may be dead undetected.
 };
 
-/// Returns the request without the parts that are meant for one incarnation only.
+/// Returns the request without what is meant for one incarnation only.
 [[nodiscard]] inline InventoryRequest forAnyIncarnation(InventoryRequest request)
 {
     request.incarnation.reset();
     request.acknowledged = 0;
-    request.leaseUntil.reset();
-    request.wait = {};
     return request;
 }
 
--- a/libs/cell/src/workerlinks.cpp
+++ b/libs/cell/src/workerlinks.cpp
@@ -159,7 +159,7 @@
     // After a failure the worker may have a new incarnation, which numbers its ends from the start.
     // Nothing is acknowledged and no lease is granted until its answer shows the same incarnation.
     // A restart between two polls causes no failure: the port sees to it that the new incarnation
-    // does not receive what is meant for the former one.
+    // does not receive an acknowledgement of the former one's ends. A lease does no harm there.
     const bool sameLife = worker.fenced && link.failures == 0;
     request.acknowledged = sameLife ? worker.durableEnds : 0;
     if (sameLife) {
