Quotas: keep no quota for a gang that lasting tasks keep from fitting

Callers saw: while a gang waited whose customer's quota was held by the customer's own lasting tasks, no other job of the customer was started; a lasting gang is always on time, so for ever.

Cause: reserveQuotaForGang() only asked whether the gang fits the whole quota.

Evidence: gangBehindLastingTasksKeepsNoQuota fails before (the small job is not completed within 2 s) and passes with the change.

Change: the account of a customer knows the part of its use that does not end by itself; the quota is kept only if the gang fits beside that part.

--- a/libs/cell/src/customerquotas.cpp
+++ b/libs/cell/src/customerquotas.cpp
@@ -32,16 +32,24 @@
     return entry == m_accounts.end() ? nullptr : &entry->second;
 }
 
-void CustomerQuotas::runAdded(const std::string &customer, const Resources &held)
+void CustomerQuotas::runAdded(const std::string &customer, const Resources &held, bool lasting)
 {
-    if (!customer.empty())
-        m_accounts[customer].used += held;
+    if (customer.empty())
+        return;
+    auto &account = m_accounts[customer];
+    account.used += held;
+    if (lasting)
+        account.lasting += held;
 }
 
-void CustomerQuotas::runRemoved(const std::string &customer, const Resources &held)
+void CustomerQuotas::runRemoved(const std::string &customer, const Resources &held, bool lasting)
 {
-    if (!customer.empty())
-        m_accounts[customer].used -= held;
+    if (customer.empty())
+        return;
+    auto &account = m_accounts[customer];
+    account.used -= held;
+    if (lasting)
+        account.lasting -= held;
 }
 
 void CustomerQuotas::setUnreported(const std::unordered_map<std::string, Resources> &bounds)
@@ -75,6 +83,15 @@
     return account == nullptr ? Resources() : account->quota.value_or(Resources());
 }
 
+std::int64_t CustomerQuotas::slotsBeside(const Account &account, const Resources &taken,
+                                         const Resources &each)
+{
+    const auto &limit = *account.quota;
+    return std::min({ slotsOf(limit.cpuMillis, taken.cpuMillis, each.cpuMillis),
+                      slotsOf(limit.memoryMb, taken.memoryMb, each.memoryMb),
+                      slotsOf(limit.accelerators, taken.accelerators, each.accelerators) });
+}
+
 std::uint32_t CustomerQuotas::availableSlots(const std::string &customer,
                                              const Resources &each) const
 {
@@ -82,18 +99,15 @@
     if (account == nullptr || !account->quota)
         return unlimitedSlots;
     const auto taken = account->inUse() + account->reserved;
-    const auto &limit = *account->quota;
-    return static_cast<std::uint32_t>(
-        std::min({ slotsOf(limit.cpuMillis, taken.cpuMillis, each.cpuMillis),
-                   slotsOf(limit.memoryMb, taken.memoryMb, each.memoryMb),
-                   slotsOf(limit.accelerators, taken.accelerators, each.accelerators) }));
+    return static_cast<std::uint32_t>(slotsBeside(*account, taken, each));
 }
 
-bool CustomerQuotas::canEverFit(const std::string &customer, const Resources &each,
-                                std::uint32_t count) const
+bool CustomerQuotas::fitsBesideLasting(const std::string &customer, const Resources &each,
+                                       std::uint32_t count) const
 {
     const auto *account = find(customer);
-    return account == nullptr || !account->quota || fitsQuota(*account->quota, each, count);
+    return account == nullptr || !account->quota
+        || slotsBeside(*account, account->lasting, each) >= count;
 }
 
 } // namespace cowsliprock::cell
--- a/libs/cell/src/customerquotas.h
+++ b/libs/cell/src/customerquotas.h
@@ -20,8 +20,9 @@
     /// last quota.
     void configure(const CustomerDirectory &customers);
 
-    void runAdded(const std::string &customer, const Resources &held);
-    void runRemoved(const std::string &customer, const Resources &held);
+    /// \p lasting: the run does not end by itself.
+    void runAdded(const std::string &customer, const Resources &held, bool lasting);
+    void runRemoved(const std::string &customer, const Resources &held, bool lasting);
 
     /// Sets upper bounds of what runs unseen on workers that have not reported after a take-over.
     void setUnreported(const std::unordered_map<std::string, Resources> &bounds);
@@ -38,21 +39,25 @@
     /// use of any resource exceeds the quota, it permits none.
     [[nodiscard]] std::uint32_t availableSlots(const std::string &customer,
                                                const Resources &each) const;
-    /// True if \p count tasks fit in the quota while nothing else is in use.
-    [[nodiscard]] bool canEverFit(const std::string &customer, const Resources &each,
-                                  std::uint32_t count) const;
+    /// True if \p count tasks fit in the quota once all runs have ended that end by themselves.
+    [[nodiscard]] bool fitsBesideLasting(const std::string &customer, const Resources &each,
+                                         std::uint32_t count) const;
 
 private:
     struct Account
     {
         std::optional<Resources> quota; ///< Zero components are unlimited.
         Resources used;
+        Resources lasting; ///< The part of what is used that lasting runs hold.
         Resources unreported;
         Resources reserved;
 
         [[nodiscard]] Resources inUse() const noexcept { return used + unreported; }
     };
 
+    /// Number of tasks that the quota permits beside what is taken.
+    [[nodiscard]] static std::int64_t slotsBeside(const Account &account, const Resources &taken,
+                                                  const Resources &each);
     /// Returns the account of the customer, or null.
     [[nodiscard]] const Account *find(const std::string &customer) const;
 
--- a/libs/cell/src/schedulerquotas.cpp
+++ b/libs/cell/src/schedulerquotas.cpp
@@ -72,8 +72,8 @@
 {
     const auto each = heldBy(*view.spec);
     const auto &customer = view.job->record.customer;
-    // After a reduction of the quota the gang may never fit.
-    if (m_quotas.canEverFit(customer, each, view.spec->count))
+    // Lasting tasks, or a reduction of the quota, may keep the gang from ever fitting.
+    if (m_quotas.fitsBesideLasting(customer, each, view.spec->count))
         m_quotas.reserve(customer, each * view.spec->count);
 }
 
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -362,7 +362,9 @@
     m_jobRuns.runAdded(run.task.job, worker.entry.id);
     if (const Job *job = m_jobs.find(run.task.job))
         run.customer = job->record.customer;
-    m_quotas.runAdded(run.customer, run.held);
+    const StepSpec *spec = specOf(run);
+    run.lasting = spec != nullptr && spec->longRunning;
+    m_quotas.runAdded(run.customer, run.held, run.lasting);
     return addRun(worker, std::move(run));
 }
 
@@ -372,7 +374,7 @@
     if (!run)
         return;
     m_jobRuns.runRemoved(key.first.job, worker.entry.id);
-    m_quotas.runRemoved(run->customer, run->held);
+    m_quotas.runRemoved(run->customer, run->held, run->lasting);
     Task *task = m_jobs.findTask(key.first);
     if (task == nullptr)
         return;
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -43,6 +43,7 @@
     std::uint32_t priority = 0;
     RunPhase phase = RunPhase::Starting;
     bool gang = false;
+    bool lasting = false;     ///< It does not end by itself.
     bool adopted = false;     ///< Started by an earlier owner at an unknown time.
     bool resumed = false;     ///< Started from a checkpoint.
     bool stray = false;       ///< Not the run that its task is waiting for; it is being stopped.
--- a/standins/cell/tests/customers_test.cpp
+++ b/standins/cell/tests/customers_test.cpp
@@ -240,6 +240,27 @@
     expectNoViolations(world);
 }
 
+// Guards against a quota that is kept for a gang though the customer's lasting tasks never free
+// enough of it.
+BOOST_AUTO_TEST_CASE(gangBehindLastingTasksKeepsNoQuota)
+{
+    World world(cellWith({ customerWithQuota("a", 4 * taskCpu) }));
+    world.run(startTime);
+    auto lasting = batch(2, seconds(1000));
+    lasting.spec.steps.front().longRunning = true;
+    world.submit(0, jobId(1), ofCustomer("a", lasting));
+    world.run(seconds(1));
+    auto waiting = gang(3, seconds(1000));
+    waiting.spec.steps.front().longRunning = true;
+    world.submit(0, jobId(2), ofCustomer("a", waiting));
+    world.run(milliseconds(500));
+    world.submit(0, jobId(3), ofCustomer("a", batch(1, milliseconds(200))));
+    world.run(seconds(2));
+    BOOST_TEST((world.status(0, jobId(2)) == cell::JobStatus::Queued));
+    BOOST_TEST((world.status(0, jobId(3)) == cell::JobStatus::Completed));
+    expectNoViolations(world);
+}
+
 BOOST_AUTO_TEST_CASE(loweredQuotaAdmitsNothingUntilThereIsRoom)
 {
     World world(cellWith({ customerWithQuota("a", 8 * taskCpu) }));
