--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -176,10 +176,10 @@
     /// Counts inspected workers and steps, as a measure of the cost of decisions.
     void countInspections(std::size_t count) const;
     [[nodiscard]] std::vector<StepView> waitingSteps(const ActiveJobs &jobs) const;
-    /// Returns nothing if no task of the step can be started.
+    /// Returns the step if it has tasks to start.
     [[nodiscard]] std::optional<StepView> waitingStep(Job &job, Occurrence &occurrence,
                                                       std::uint32_t index, TimePoint now) const;
-    /// The same, also if the job has ended.
+    /// Returns the step if its job is active and it has tasks to start.
     [[nodiscard]] std::optional<StepView> waitingStep(const TaskId &step);
     [[nodiscard]] int bandOf(const StepView &view, TimePoint now) const;
     /// Estimated time from the start of the step to the end of its job.
@@ -210,9 +210,9 @@
     void renew(GangReservation reservation, const StepView &view);
     /// Reserves room for a gang without a reservation.
     void reserveForGang(const StepView &view);
-    /// Returns false if enough other gangs have room reserved.
-    [[nodiscard]] bool reserve(GangReservation reservation, const StepView &view,
-                               const StepDemand &demand, const GangPlan &plan);
+    /// Adds the reservation; returns false if enough other gangs have room reserved.
+    bool reserve(GangReservation reservation, const StepView &view, const StepDemand &demand,
+                 const GangPlan &plan);
     void logReservation(const char *event, const GangReservation &reservation);
     /// True if the job is expected to meet its objective if the gang starts as planned.
     [[nodiscard]] bool endsInTime(const StepView &view, const GangPlan &plan) const;
--- a/libs/cell/src/schedulergangs.cpp
+++ b/libs/cell/src/schedulergangs.cpp
@@ -53,7 +53,7 @@
         reservation.start = plan->start;
         logReservation("gang.delayed", reservation);
     }
-    static_cast<void>(reserve(std::move(reservation), view, demand, *plan));
+    reserve(std::move(reservation), view, demand, *plan);
 }
 
 void Scheduler::reserveForGang(const StepView &view)
--- a/standins/cell/tests/gangs_test.cpp
+++ b/standins/cell/tests/gangs_test.cpp
@@ -77,7 +77,7 @@
 
     std::string submit(const World::JobPlan &plan)
     {
-        const auto id = jobId(++m_jobs);
+        auto id = jobId(++m_jobs);
         m_world.submit(0, id, plan);
         return id;
     }
