Cell: a gang that has room but no valid tickets keeps it for a moment only

Callers saw: while a gang asked the policy service again and again for tickets that expire before an order can use them, its room stayed closed to all work of the same or a lower priority, without end for a gang that lasts.

Cause: room was kept during each request for tickets, and by the reservation, however often this went on.

Evidence: gangWithoutValidTicketsKeepsRoomForAMomentOnly, three small jobs in turn not completed within 3 s each, on with the same stand-ins; they are with the change.

Change: room that suffices for the gang is kept for 2 s at a time, and for as long not. The policy service of the simulated cell gives tickets the validity that the queue names; it was 2 s, as in all queues so far.

--- a/libs/cell/src/gangplan.h
+++ b/libs/cell/src/gangplan.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace cowsliprock::cell {
@@ -28,6 +29,18 @@
     std::vector<GangShare> shares;
 };
 
+/// Room that a gang has on some workers from its planned start on.
+struct GangReservation
+{
+    TaskId step; ///< The task index is ignored.
+    std::uint32_t priority = 0;
+    TimePoint start{};        ///< As planned first, and anew after a delay.
+    std::uint32_t delays = 0; ///< Number of times that the planned start has passed.
+    bool late = false;        ///< It is not expected to meet its objective.
+    Resources amount;
+    std::vector<std::string> workers;
+};
+
 /// Time at which the run is expected to have ended; nothing if it does not end by itself.
 using ExpectedEnd = std::function<std::optional<TimePoint>(const Run &)>;
 
--- a/libs/cell/src/jobtable.h
+++ b/libs/cell/src/jobtable.h
@@ -80,6 +80,8 @@
     bool ready = false;                ///< All steps that it depends on are done.
     StepAdvice advice;
     TimePoint nextPlanAt{}; ///< A waiting gang is not planned before this time.
+    /// Since when the room kept for a waiting gang has sufficed for it.
+    std::optional<TimePoint> roomReadySince;
 
     [[nodiscard]] bool done() const noexcept { return doneCount == tasks.size(); }
     TaskFailures &failuresOf(std::uint32_t index);
--- a/libs/cell/src/scheduler.h
+++ b/libs/cell/src/scheduler.h
@@ -193,17 +193,6 @@
     Placement placeGang(const StepView &view, const StepDemand &demand);
 
     // Room for waiting gangs (schedulergangs.cpp).
-    /// Room that a gang has on some workers from its planned start on.
-    struct GangReservation
-    {
-        TaskId step; ///< The task index is ignored.
-        std::uint32_t priority = 0;
-        TimePoint start{};        ///< As planned first, and anew after a delay.
-        std::uint32_t delays = 0; ///< Number of times that the planned start has passed.
-        bool late = false;        ///< It is not expected to meet its objective.
-        Resources amount;
-        std::vector<std::string> workers;
-    };
     /// Keeps the room of all reservations during a pass and until the next one.
     void renewGangReservations();
     /// Plans the gang again, on other workers if it can start earlier there.
@@ -226,6 +215,8 @@
     /// has passed, no work may use what the gang needs.
     void keepRoom(const StepView &view, const StepDemand &demand, const GangPlan &plan,
                   const GangReservation &reservation);
+    /// False for a while if the gang has had room for long without being started.
+    [[nodiscard]] bool mayKeepRoom(Step &step, const GangPlan &plan) const;
     /// Those of the workers that the step may still use.
     [[nodiscard]] std::vector<Worker *> plannedWorkers(const StepView &view,
                                                        const StepDemand &demand,
--- a/libs/cell/src/schedulergangs.cpp
+++ b/libs/cell/src/schedulergangs.cpp
@@ -18,6 +18,9 @@
 constexpr std::int64_t reservedShareDivisor = 5;
 /// All workers are considered for the plan of a gang at most once in this time.
 constexpr std::chrono::milliseconds planInterval{ 200 };
+/// A gang that has room, but no valid tickets, keeps it for this long at a time, and none for as
+/// long between.
+constexpr std::chrono::milliseconds readyRoomTime{ 2000 };
 
 } // namespace
 
@@ -154,6 +157,8 @@
                          const GangReservation &reservation)
 {
     m_reservations.release(demand.step);
+    if (!mayKeepRoom(*view.step, plan))
+        return;
     const bool delayed = now() >= reservation.start;
     KeptRoom room;
     room.gang = demand.step;
@@ -169,6 +174,17 @@
     }
 }
 
+bool Scheduler::mayKeepRoom(Step &step, const GangPlan &plan) const
+{
+    auto &since = step.roomReadySince;
+    const bool ready = plan.start <= now();
+    if (!ready || (since && now() - *since >= 2 * readyRoomTime))
+        since.reset();
+    if (ready && !since)
+        since = now();
+    return !since || now() - *since < readyRoomTime;
+}
+
 std::vector<Worker *> Scheduler::plannedWorkers(const StepView &view, const StepDemand &demand,
                                                 const std::vector<std::string> &ids)
 {
--- a/standins/cell/include/standincell/world.h
+++ b/standins/cell/include/standincell/world.h
@@ -187,6 +187,8 @@
     [[nodiscard]] bool allowed(const std::string &step, const std::string &worker) const;
     /// Response time of the policy service.
     [[nodiscard]] Duration adviceTime(const std::string &step, std::size_t workerCount) const;
+    /// How long the tickets of the policy service are valid.
+    [[nodiscard]] Duration adviceValidity(const std::string &step) const;
 
     [[nodiscard]] bool isLinkCut(const std::string &from, const std::string &to) const
     {
@@ -194,6 +196,8 @@
     }
 
 private:
+    /// Settings of the queue of the step, or null if it has none.
+    [[nodiscard]] const cell::AdviceSettings *adviceSettings(const std::string &step) const;
     /// Oldest configuration version that a running node applies.
     [[nodiscard]] std::uint64_t oldestConfiguration() const;
     void publishWorker(WorkerSlot &slot);
--- a/standins/cell/src/ports.cpp
+++ b/standins/cell/src/ports.cpp
@@ -401,7 +401,7 @@
         std::max(m_adviceFreeAt, m_time.now()) + m_world.adviceTime(step, workers.size());
     m_time.after(m_adviceFreeAt - m_time.now(), [this, generation, step, workers, done] {
         Advice advice;
-        advice.validity = std::chrono::seconds(2);
+        advice.validity = m_world.adviceValidity(step);
         for (const auto &worker : workers) {
             if (m_world.allowed(step, worker))
                 advice.allowed.push_back({ worker, "ticket-" + worker });
--- a/standins/cell/src/world.cpp
+++ b/standins/cell/src/world.cpp
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds deadlyTaskTime{ 10 };
 constexpr std::chrono::milliseconds deadlyTaskDowntime{ 3000 };
 constexpr std::chrono::milliseconds defaultAdviceTime{ 50 };
+constexpr std::chrono::seconds defaultAdviceValidity{ 2 };
 constexpr double longTaskFactor = 7;
 
 std::string nodeName(std::uint32_t index)
@@ -139,15 +140,28 @@
         < m_settings.adviceAllowedShare * static_cast<double>(parts);
 }
 
-Duration World::adviceTime(const std::string &step, std::size_t workerCount) const
+const AdviceSettings *World::adviceSettings(const std::string &step) const
 {
     const auto job = m_jobs.find(step.substr(0, step.find('.')));
     for (const auto &queue : m_settings.queues) {
         if (job != m_jobs.end() && queue.name == job->second.queue && queue.advice)
-            return queue.advice->decision
-                + queue.advice->perWorker * static_cast<std::int64_t>(workerCount);
+            return &*queue.advice;
     }
-    return defaultAdviceTime;
+    return nullptr;
+}
+
+Duration World::adviceTime(const std::string &step, std::size_t workerCount) const
+{
+    const auto *settings = adviceSettings(step);
+    if (settings == nullptr)
+        return defaultAdviceTime;
+    return settings->decision + settings->perWorker * static_cast<std::int64_t>(workerCount);
+}
+
+Duration World::adviceValidity(const std::string &step) const
+{
+    const auto *settings = adviceSettings(step);
+    return settings == nullptr ? defaultAdviceValidity : settings->validity;
 }
 
 World::WorkerSlot *World::findWorker(const std::string &id)
--- a/standins/cell/tests/gangs_test.cpp
+++ b/standins/cell/tests/gangs_test.cpp
@@ -189,6 +189,28 @@
     expectNoViolations(cell.world());
 }
 
+/// Guards against room that is kept without end for a gang whose tickets always come too late.
+BOOST_AUTO_TEST_CASE(gangWithoutValidTicketsKeepsRoomForAMomentOnly)
+{
+    auto settings = threeQueues();
+    settings.adviceAllowedShare = 1;
+    settings.queues.push_back(queue("advised", 1));
+    settings.queues.back().advice = cell::AdviceSettings{ milliseconds(400), {}, milliseconds(1) };
+    Cell cell(settings);
+    auto plan = gangOf(workerCount, 14000, seconds(1000));
+    plan.queue = "advised";
+    plan.spec.steps.front().longRunning = true;
+    const auto waiting = cell.submit(plan);
+    cell.world().run(seconds(5));
+    for (int round = 0; round < 3; ++round) {
+        const auto small = cell.submit(tasks(1, 4000, milliseconds(200)));
+        cell.world().run(seconds(3));
+        BOOST_TEST(cell.completed(small));
+    }
+    BOOST_TEST(cell.waits(waiting));
+    expectNoViolations(cell.world());
+}
+
 /// Guards against room that a successor keeps for ever, or that nobody keeps after a take-over.
 BOOST_AUTO_TEST_CASE(gangStartsAfterATakeOver)
 {
