Cell: room of a gang above its customer's guaranteed rate binds only such work

Change: such room is kept from excess work only, whenever it was made, and does not count among the reservations of conforming gangs. Test: roomOfAnExcessGangIsKeptFromExcessWorkOnly (the former code has no way to say it, so it was not run there).

--- a/libs/cell/src/gangplan.h
+++ b/libs/cell/src/gangplan.h
@@ -37,6 +37,7 @@
     TimePoint start{};        ///< As planned first, and anew after a delay.
     std::uint32_t delays = 0; ///< Number of times that the planned start has passed.
     bool late = false;        ///< It is not expected to meet its objective.
+    bool excess = false;      ///< Its job is above the guaranteed rate of its customer.
     Resources amount;
     std::vector<std::string> workers;
 };
--- a/libs/cell/src/placement.h
+++ b/libs/cell/src/placement.h
@@ -49,6 +49,7 @@
     /// When a task that is started now is expected to end; the maximum if it does not end by
     /// itself.
     TimePoint expectedEnd = TimePoint::max();
+    bool excess = false; ///< Above the guaranteed rate of its customer.
 };
 
 /// True if the worker's labels and service match the step, regardless of its free capacity.
--- a/libs/cell/src/reservations.cpp
+++ b/libs/cell/src/reservations.cpp
@@ -13,7 +13,7 @@
 bool precedes(const KeptRoom &room, const StepDemand &demand)
 {
     return room.priority <= demand.priority && !sameStep(room.gang, demand.step)
-        && !(room.late && demand.spec->gang);
+        && !(room.late && demand.spec->gang) && (!room.excess || demand.excess);
 }
 
 } // namespace
--- a/libs/cell/src/reservations.h
+++ b/libs/cell/src/reservations.h
@@ -26,7 +26,8 @@
 {
     TaskId gang; ///< The task index is ignored.
     std::uint32_t priority = 0;
-    bool late = false; ///< The gang yields to other gangs, since it misses its objective.
+    bool late = false;   ///< The gang yields to other gangs, since it misses its objective.
+    bool excess = false; ///< Only work above the guaranteed rate of a customer yields to the gang.
     Resources amount;
     TimePoint from{};  ///< Work that is expected to end later leaves the amount free.
     TimePoint until{}; ///< Expected end of the gang; the maximum if it does not end by itself.
--- a/libs/cell/src/schedulergangs.cpp
+++ b/libs/cell/src/schedulergangs.cpp
@@ -88,10 +88,15 @@
                         const GangPlan &plan)
 {
     reservation.late = !endsInTime(view, plan);
+    reservation.excess = view.job->excess;
+    const auto counts = [&reservation](const GangReservation &other) {
+        return other.priority <= reservation.priority && other.late == reservation.late
+            && (reservation.excess || !other.excess);
+    };
     std::size_t others = 0;
     Resources sum = reservation.amount;
     for (const auto &other : m_gangReservations) {
-        if (other.priority <= reservation.priority && other.late == reservation.late) {
+        if (counts(other)) {
             ++others;
             sum += other.amount;
         }
@@ -137,6 +142,7 @@
         return;
     GangReservation reservation;
     reservation.start = plan->start;
+    reservation.excess = view.job->excess;
     keepRoom(view, demand, *plan, reservation);
 }
 
@@ -164,6 +170,7 @@
     room.gang = demand.step;
     room.priority = demand.priority;
     room.late = reservation.late;
+    room.excess = reservation.excess;
     room.from = std::min(plan.start, reservation.start);
     room.until =
         view.spec->longRunning ? TimePoint::max() : plan.start + expectedTime(view.spec->estimate);
--- a/libs/cell/src/schedulerpass.cpp
+++ b/libs/cell/src/schedulerpass.cpp
@@ -67,7 +67,6 @@
     m_quotas.releaseReservations();
     renewGangReservations();
     int failures = 0;
-    bool conformingFailed = false;
     bool quotaReached = false;
     auto waiting = waitingSteps(m_activeJobs);
     StepOrder order(*this, waiting);
@@ -84,10 +83,7 @@
         recordBlockedStep(view);
         if (m_windowFull)
             break;
-        conformingFailed = conformingFailed || !view.job->excess;
-        // Workers reserved for excess work could not be used by less urgent conforming work.
-        const bool mayReserve = !view.job->excess || !conformingFailed;
-        if (view.spec->gang && mayReserve)
+        if (view.spec->gang)
             reserveForGang(view);
         if (++failures >= maxFailuresPerPass)
             break;
@@ -127,7 +123,8 @@
              m_settings.policy.fit,
              speed,
              fastHeadroom(view, speed),
-             expectedEnd(*view.spec) };
+             expectedEnd(*view.spec),
+             view.job->excess };
 }
 
 void Scheduler::recordBlockedStep(const StepView &view)
--- a/standins/cell/tests/gangs_test.cpp
+++ b/standins/cell/tests/gangs_test.cpp
@@ -1,5 +1,8 @@
 #include "testjobs.h"
 
+#include <placement.h>
+#include <reservations.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
@@ -211,6 +214,25 @@
     expectNoViolations(cell.world());
 }
 
+/// Guards against work within the guaranteed rate of its customer that yields to gangs above it.
+BOOST_AUTO_TEST_CASE(roomOfAnExcessGangIsKeptFromExcessWorkOnly)
+{
+    cell::Worker worker;
+    worker.entry.id = "w";
+    worker.entry.capacity = { 16000, 65536, 0 };
+    cell::Reservations reservations;
+    cell::KeptRoom room;
+    room.gang = { "gang" };
+    room.excess = true;
+    reservations.keep("w", room);
+    cell::StepSpec spec;
+    cell::StepDemand demand;
+    demand.spec = &spec;
+    BOOST_TEST((reservations.availableTo(demand, worker, worker.free()) == worker.free()));
+    demand.excess = true;
+    BOOST_TEST((reservations.availableTo(demand, worker, worker.free()) == Resources()));
+}
+
 /// Guards against room that a successor keeps for ever, or that nobody keeps after a take-over.
 BOOST_AUTO_TEST_CASE(gangStartsAfterATakeOver)
 {
