Cell: one way to count slots, one sort by free CPU; remove what reservations made unused

The sort by free CPU stood in the choice of workers for advice and in the plan of a gang. Run::priority and the template behind assignToFreeSlots() served only the reservation that was replaced. Two tests share their set-up and keep their checks.

--- a/libs/cell/src/advicechoice.cpp
+++ b/libs/cell/src/advicechoice.cpp
@@ -29,9 +29,7 @@
     const auto reserved = [&demand](const Worker *worker) {
         return demand.reservations != nullptr && demand.reservations->holds(worker->entry.id);
     };
-    std::stable_sort(workers.begin(), workers.end(), [](const Worker *left, const Worker *right) {
-        return left->free().cpuMillis > right->free().cpuMillis;
-    });
+    sortByFreeCpu(workers);
     sortBySpeed(workers, speedToQuery(need, demand));
     std::stable_partition(workers.begin(), workers.end(), std::not_fn(reserved));
     return workers;
--- a/libs/cell/src/gangplan.cpp
+++ b/libs/cell/src/gangplan.cpp
@@ -37,10 +37,7 @@
         : m_demand(demand)
         , m_time(now)
     {
-        std::stable_sort(workers.begin(), workers.end(),
-                         [](const Worker *left, const Worker *right) {
-                             return left->free().cpuMillis > right->free().cpuMillis;
-                         });
+        sortByFreeCpu(workers);
         m_rooms.reserve(workers.size());
         for (Worker *worker : workers)
             m_rooms.push_back({ worker, worker->free() });
--- a/libs/cell/src/placement.cpp
+++ b/libs/cell/src/placement.cpp
@@ -64,6 +64,21 @@
              std::min(headroom.accelerators, capacity.accelerators / headroomDivisor) };
 }
 
+/// Number of further tasks of the step that fit on the worker while \p free is free there, without
+/// what is reserved for other work; null: nothing is.
+std::uint32_t slotsBeside(const Reservations *reservations, Resources free, const Worker &worker,
+                          const StepDemand &demand)
+{
+    // A worker that has shrunk below its tasks receives no others, whatever they need.
+    if (!Resources().fitsIn(free))
+        return 0;
+    if (worker.speedClass > 0)
+        free -= headroomOn(worker, demand);
+    if (reservations != nullptr)
+        free = reservations->availableTo(demand, worker, free);
+    return applySpreadLimit(worker, demand, slotCount(free, heldBy(*demand.spec)));
+}
+
 bool hasLabel(const WorkerEntry &entry, const std::string &label)
 {
     return std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
@@ -114,14 +129,13 @@
 
 /// Assigns tasks to the workers in order until \p count tasks are placed; returns nothing if they
 /// do not fit.
-template <typename Room>
-std::vector<Worker *> assignInOrder(const std::vector<Worker *> &workers, std::uint32_t count,
-                                    const Room &room)
+std::vector<Worker *> assignToFreeSlots(const std::vector<Worker *> &workers,
+                                        const StepDemand &demand, std::uint32_t count)
 {
     std::vector<Worker *> chosen;
     for (Worker *worker : workers) {
         const std::uint32_t slots = std::min<std::uint32_t>(
-            room(*worker), count - static_cast<std::uint32_t>(chosen.size()));
+            availableSlots(*worker, demand), count - static_cast<std::uint32_t>(chosen.size()));
         chosen.insert(chosen.end(), slots, worker);
         if (chosen.size() == count)
             return chosen;
@@ -129,13 +143,6 @@
     return {};
 }
 
-std::vector<Worker *> assignToFreeSlots(const std::vector<Worker *> &workers,
-                                        const StepDemand &demand, std::uint32_t count)
-{
-    return assignInOrder(
-        workers, count, [&demand](const Worker &worker) { return availableSlots(worker, demand); });
-}
-
 /// Chooses the slowest of the workers that are as fast as the slowest one of \p fastest, which the
 /// gang would wait for in any case.
 std::vector<Worker *> chooseAlike(const std::vector<Worker *> &candidates,
@@ -183,6 +190,13 @@
     return std::holds_alternative<SlowestFirst>(preference) ? maxSpeedClass + speedClass : 0;
 }
 
+void sortByFreeCpu(std::vector<Worker *> &workers)
+{
+    std::stable_sort(workers.begin(), workers.end(), [](const Worker *left, const Worker *right) {
+        return left->free().cpuMillis > right->free().cpuMillis;
+    });
+}
+
 void sortBySpeed(std::vector<Worker *> &workers, const SpeedPreference &preference)
 {
     if (std::holds_alternative<AnySpeed>(preference))
@@ -203,24 +217,12 @@
 
 std::uint32_t availableSlots(const Worker &worker, const StepDemand &demand)
 {
-    Resources free = worker.free();
-    // A worker that has shrunk below its tasks receives no others, whatever they need.
-    if (!Resources().fitsIn(free))
-        return 0;
-    if (worker.speedClass > 0)
-        free -= headroomOn(worker, demand);
-    if (demand.reservations != nullptr)
-        free = demand.reservations->availableTo(demand, worker, free);
-    return applySpreadLimit(worker, demand, slotCount(free, heldBy(*demand.spec)));
+    return slotsBeside(demand.reservations, worker.free(), worker, demand);
 }
 
 std::uint32_t slotsIn(const Resources &free, const Worker &worker, const StepDemand &demand)
 {
-    // As in availableSlots().
-    if (!Resources().fitsIn(free))
-        return 0;
-    const auto room = worker.speedClass > 0 ? free - headroomOn(worker, demand) : free;
-    return applySpreadLimit(worker, demand, slotCount(room, heldBy(*demand.spec)));
+    return slotsBeside(nullptr, free, worker, demand);
 }
 
 Worker *chooseForTask(const std::vector<Worker *> &candidates, const StepDemand &demand,
--- a/libs/cell/src/placement.h
+++ b/libs/cell/src/placement.h
@@ -31,6 +31,9 @@
 /// Rank of a worker of the class: lower ranks are preferred. All ranks are 0 for \c AnySpeed.
 [[nodiscard]] int speedRank(const SpeedPreference &preference, int speedClass) noexcept;
 
+/// Sorts the workers by free CPU, the most first.
+void sortByFreeCpu(std::vector<Worker *> &workers);
+
 /// Sorts the workers by rank; those of one rank keep their order.
 void sortBySpeed(std::vector<Worker *> &workers, const SpeedPreference &preference);
 
--- a/libs/cell/src/schedulerorders.cpp
+++ b/libs/cell/src/schedulerorders.cpp
@@ -45,7 +45,6 @@
     run.task = view.task(index);
     run.number = number;
     run.held = heldBy(*view.spec);
-    run.priority = view.job->record.queue.priority;
     run.gang = view.spec->gang;
     run.ordered = current;
     run.startPending = true;
--- a/libs/cell/src/schedulerruns.cpp
+++ b/libs/cell/src/schedulerruns.cpp
@@ -106,7 +106,6 @@
     if (job != nullptr && row.task.step < job->record.spec.steps.size()) {
         const auto &spec = job->spec(row.task.step);
         run.held = heldBy(spec);
-        run.priority = job->record.queue.priority;
         run.gang = spec.gang;
     } else {
         run.sizeUnknown = true;
--- a/libs/cell/src/workertable.h
+++ b/libs/cell/src/workertable.h
@@ -40,7 +40,6 @@
     Resources held;
     std::string customer;     ///< Customer whose quota it uses; empty if it has none.
     bool sizeUnknown = false; ///< Its job is no longer known.
-    std::uint32_t priority = 0;
     RunPhase phase = RunPhase::Starting;
     bool gang = false;
     bool lasting = false;     ///< It does not end by itself.
--- a/standins/cell/tests/gangs_test.cpp
+++ b/standins/cell/tests/gangs_test.cpp
@@ -6,7 +6,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
-#include <utility>
 
 using namespace cowsliprock;
 using namespace cowsliprock::standincell;
@@ -103,6 +102,16 @@
     std::uint32_t m_jobs = 0;
 };
 
+/// Submits a gang that needs most of each worker beside a stream of small jobs, which goes on for
+/// \p time; returns whether the gang is completed by then.
+bool gangIsCompletedBeside(Cell &cell, const World::JobPlan &small, Duration time)
+{
+    cell.submitEvery(milliseconds(140), seconds(4), small);
+    const auto waiting = cell.submit(gangOf(workerCount, 14000, seconds(1)));
+    cell.submitEvery(milliseconds(140), time, small);
+    return cell.completed(waiting);
+}
+
 } // namespace
 
 /// What gangs that wait for room may keep from other work, and what other work may keep from them.
@@ -148,11 +157,7 @@
 BOOST_AUTO_TEST_CASE(gangStartsBesideSmallJobsOfItsPriority)
 {
     Cell cell;
-    const auto small = tasks(1, 2000, seconds(2));
-    cell.submitEvery(milliseconds(140), seconds(4), small);
-    const auto waiting = cell.submit(gangOf(workerCount, 14000, seconds(1)));
-    cell.submitEvery(milliseconds(140), milliseconds(4500), small);
-    BOOST_TEST(cell.completed(waiting));
+    BOOST_TEST(gangIsCompletedBeside(cell, tasks(1, 2000, seconds(2)), milliseconds(4500)));
     expectNoViolations(cell.world());
 }
 
@@ -162,10 +167,7 @@
     Cell cell;
     auto small = tasks(1, 2000, seconds(3));
     small.spec.steps.front().estimate = seconds(1);
-    cell.submitEvery(milliseconds(140), seconds(4), small);
-    const auto waiting = cell.submit(gangOf(workerCount, 14000, seconds(1)));
-    cell.submitEvery(milliseconds(140), seconds(12), small);
-    BOOST_TEST(cell.completed(waiting));
+    BOOST_TEST(gangIsCompletedBeside(cell, small, seconds(12)));
     expectNoViolations(cell.world());
 }
 
